Cut off a peer whose first request has not come whole within 2 s

A silent peer kept its connection for 30 s (HEAD_MOST) and one that stopped in a body for 10 s (BODY_TIME) more.

A connection now has 2 s from its accept to its first whole request, body included, and a later request has 2 s for its body.

--- a/src/net/inbound.rs
+++ b/src/net/inbound.rs
@@ -24,11 +24,14 @@
 
 /// Kept back from a client's time, for the answer to reach it.
 const ANSWER_MARGIN: Duration = Duration::from_millis(10);
-/// A request's head must have come within this, counted from when it could first be sent: a silent
-/// client does not keep its socket for good.
+/// A connection's first request must have come whole within this of the accept: a peer that sends none
+/// is owed an error or a close within 3 s, and would keep a client's place all that time.
+const FIRST_MOST: Duration = Duration::from_secs(2);
+/// The head of a later request must have come within this of the answer before it: a silent client does
+/// not keep its socket for good.
 const HEAD_MOST: Duration = Duration::from_secs(30);
-/// A request's body must have come within this.
-const BODY_TIME: Duration = Duration::from_secs(10);
+/// A later request's body must have come within this of its head.
+const BODY_TIME: Duration = Duration::from_secs(2);
 /// Wait after a failed accept: out of descriptors it would fail again at once, and spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 /// New connections come for up to 0.4 s after SIGTERM, so we accept for a little longer.
@@ -78,8 +81,8 @@
 }
 
 /// Where a client's connection stands.
-#[derive(Default)]
 struct Turn {
+    accepted: Instant,
     /// A request is being answered.
     busy: Cell<bool>,
     /// When the last answer was given; none on a new connection.
@@ -89,6 +92,30 @@
 }
 
 impl Turn {
+    /// A connection just accepted.
+    fn new() -> Self {
+        let (busy, answered, last) = Default::default();
+        Turn { accepted: Instant::now(), busy, answered, last }
+    }
+
+    /// When the first request must have come whole.
+    fn first_until(&self) -> Instant {
+        self.accepted + FIRST_MOST
+    }
+
+    /// Nothing that could be answered has come yet.
+    fn unasked(&self) -> bool {
+        !self.busy.get() && self.answered.get().is_none()
+    }
+
+    /// When the body of the request whose head has just come must have come.
+    fn body_until(&self) -> Instant {
+        match self.answered.get() {
+            None => self.first_until(),
+            Some(_) => Instant::now() + BODY_TIME,
+        }
+    }
+
     /// How long it has been between requests; none before the first.
     fn idle(&self) -> Option<Duration> {
         self.answered.get().map(|at| at.elapsed())
@@ -194,7 +221,7 @@
     async fn connection(self: Rc<Self>, stream: TcpStream, shed: bool, _permit: Option<Permit>) {
         let _ = stream.set_nodelay(true);
         let mut close = self.close.subscribe();
-        let turn = Turn::default();
+        let turn = Turn::new();
         let service = service_fn(|request| self.answer(request, shed, &turn));
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
@@ -203,7 +230,7 @@
             .max_buf_size(BUFFER_MOST)
             .serve_connection(TokioIo::new(stream), service);
         tokio::pin!(connection);
-        let mut fresh_until = None;
+        let (mut first_until, mut fresh_until) = (Some(turn.first_until()), None);
         loop {
             tokio::select! {
                 biased;
@@ -220,6 +247,13 @@
                     }
                     _ => turn.last.set(true),
                 },
+                () = reached(first_until) => {
+                    first_until = None;
+                    // What has come of a head by now is no request.
+                    if turn.unasked() {
+                        return;
+                    }
+                }
                 () = reached(fresh_until) => {
                     fresh_until = None;
                     if !turn.busy.get() {
@@ -243,7 +277,7 @@
         } else if shed {
             plain(StatusCode::SERVICE_UNAVAILABLE, "too many connections")
         } else {
-            match self.serve_request(request).await {
+            match self.serve_request(request, turn.body_until()).await {
                 Ok(reply) => reply,
                 Err((status, problem)) => plain(status, problem),
             }
@@ -256,12 +290,16 @@
         Ok(reply)
     }
 
-    async fn serve_request(&self, request: Request<Incoming>) -> Result<Reply, (StatusCode, &'static str)> {
+    async fn serve_request(
+        &self,
+        request: Request<Incoming>,
+        body_until: Instant,
+    ) -> Result<Reply, (StatusCode, &'static str)> {
         let (mut head, body) = request.into_parts();
         if body.size_hint().lower() > BODY_MOST as u64 {
             return Err((StatusCode::PAYLOAD_TOO_LARGE, "body too long"));
         }
-        let body = match timeout(BODY_TIME, Limited::new(body, BODY_MOST).collect()).await {
+        let body = match timeout_at(body_until, Limited::new(body, BODY_MOST).collect()).await {
             Ok(Ok(body)) => body.to_bytes(),
             Ok(Err(e)) if e.is::<LengthLimitError>() => {
                 return Err((StatusCode::PAYLOAD_TOO_LARGE, "body too long"));
--- a/tests/node_limits.rs
+++ b/tests/node_limits.rs
@@ -156,3 +156,48 @@
     assert!(!matches!(answer.status(), 200 | 429 | 503), "{}", answer.first_line);
     assert!(sidecar.ended().success());
 }
+
+#[test]
+fn a_peer_that_sends_no_whole_request_is_cut_off_within_three_seconds() {
+    let peer = Peer::serving("ok");
+    let sidecar = Sidecar::start(&config(&[&peer]));
+    let post = request("book", "r1", "20000m");
+    let half_head = &post[..post.len() / 2];
+    let half_body = &post[..post.len() - 2];
+    let chunked = post.replace("Content-Length: 4", "Transfer-Encoding: chunked");
+    let endless = chunked.replace("\r\n\r\nbody", "\r\n\r\n4\r\nbody\r\n");
+    let start = Instant::now();
+    let mut clients: Vec<_> = ["", "GET", half_head, half_body, &endless]
+        .map(|said| {
+            let mut client = sidecar.client();
+            client.send(said);
+            (said, client)
+        })
+        .into();
+    for (said, client) in &mut clients {
+        let status = client.receive().map(|answer| answer.status());
+        assert!(status.is_none_or(|status| (400..500).contains(&status)), "{status:?} for {said:?}");
+        assert!(start.elapsed() < Duration::from_secs(3), "{:?} for {said:?}", start.elapsed());
+    }
+    assert_eq!(peer.count(), 0);
+}
+
+#[test]
+fn a_request_in_work_for_longer_than_a_first_one_may_take_to_come_is_answered() {
+    let peer = Peer::new(|_| Do::Late(Duration::from_millis(3000)));
+    let sidecar = Sidecar::start(&config(&[&peer]));
+    assert_eq!(sidecar.ask("book", "r1").status(), 200);
+}
+
+#[test]
+fn silent_peers_do_not_keep_the_places_of_clients_for_long() {
+    let peer = Peer::serving("ok");
+    let mut config = config(&[&peer]);
+    config["limits"]["sockets"] = json!(96);
+    let sidecar = Sidecar::start(&config);
+    let _silent: Vec<Client> = (0..60).map(|_| sidecar.client()).collect();
+    wait_for("the places to be taken", || sidecar.descriptors() >= 60);
+    let start = Instant::now();
+    wait_for("a place", || sidecar.ask("quote", "new").status() == 200);
+    assert!(start.elapsed() < Duration::from_secs(5), "{:?}", start.elapsed());
+}
