End a request at once when an endpoint answers that it is faulty

Logging the status showed 400s: peers send a proper head under another client's X-Request-ID, or a body framed twice, and the endpoint answers 400. read() took every other status for Outcome::Error, so each such request was sent up to four times, spent three retries that honest requests had earned, and heated every endpoint it met.

The module hears of a cancelled attempt, which says nothing for or against the endpoint.

--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -76,6 +76,8 @@
     Refused(Option<Duration>),
     /// Failed.
     Failed,
+    /// Failed by a fault of the request's own.
+    Rejected,
 }
 
 struct Try {
@@ -242,11 +244,15 @@
         }
         open.out -= 1;
         let (endpoint, sent, elapsed) = (tried.endpoint, tried.sent, tried.sent.elapsed());
-        let Ended { outcome, body, report } = ended;
+        let Ended { mut outcome, body, rejected, report } = ended;
         if outcome == Outcome::TimedOut {
             self.outbound.close_unheard(endpoint, sent);
         }
-        if outcome == Outcome::Ok {
+        if rejected {
+            // It says nothing of the endpoint, and to send it again would spend what honest requests need.
+            outcome = Outcome::Cancelled;
+            self.finish(id, Answer::Rejected);
+        } else if outcome == Outcome::Ok {
             self.finish(id, Answer::Served(body));
         } else {
             self.count(outcome_name(outcome));
@@ -407,6 +413,7 @@
             Answer::Served(_) => {}
             Answer::Refused(_) => self.count("refused"),
             Answer::Failed => self.count("failed"),
+            Answer::Rejected => self.count("rejected"),
         }
         let _ = to.send(answer); // fails where the client has just gone
     }
--- a/src/net/inbound.rs
+++ b/src/net/inbound.rs
@@ -334,6 +334,7 @@
                 }
                 reply
             }
+            Ok(Ok(Answer::Rejected)) => plain(StatusCode::BAD_REQUEST, "rejected by the endpoint"),
             Ok(Ok(Answer::Failed) | Err(_)) => plain(StatusCode::BAD_GATEWAY, "failed"),
             Err(_) => plain(StatusCode::GATEWAY_TIMEOUT, "out of time"),
         })
--- a/src/net/outbound.rs
+++ b/src/net/outbound.rs
@@ -39,6 +39,8 @@
     pub outcome: Outcome,
     /// The body of a 200.
     pub body: Bytes,
+    /// The endpoint says that the request itself is at fault: no other would take it either.
+    pub rejected: bool,
     /// The load report, if one came.
     pub report: Option<Vec<f64>>,
 }
@@ -46,7 +48,7 @@
 impl Ended {
     /// An end that brought nothing but itself.
     pub fn bare(outcome: Outcome) -> Self {
-        Ended { outcome, body: Bytes::new(), report: None }
+        Ended { outcome, body: Bytes::new(), rejected: false, report: None }
     }
 }
 
@@ -153,9 +155,10 @@
             StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if never_ran => Outcome::Full,
             _ => Outcome::Error,
         };
+        let rejected = matches!(head.status, StatusCode::BAD_REQUEST | StatusCode::NOT_FOUND);
         let report = self.inline_report(&head.headers);
         match Limited::new(body, BODY_MOST).collect().await {
-            Ok(body) => Ended { outcome, body: body.to_bytes(), report },
+            Ok(body) => Ended { outcome, body: body.to_bytes(), rejected, report },
             // The head of a refusal says it all, whatever became of its body.
             Err(_) if outcome == Outcome::Full => Ended::bare(Outcome::Full),
             Err(_) => Ended::bare(Outcome::Reset),
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -280,3 +280,22 @@
     assert_eq!(sidecar.ask("quote", "r2").status(), 200);
     assert!(start.elapsed() < Duration::from_secs(9), "answered beside it");
 }
+
+#[test]
+fn a_request_that_an_endpoint_calls_faulty_is_neither_sent_again_nor_held_against_it() {
+    for status in ["400 Bad Request", "404 Not Found"] {
+        let peer = Peer::new(move |m| match m.header("x-request-id") {
+            id if id.starts_with("bad") => Do::Write(answer(status, "", "")),
+            _ => Do::Serve("ok"),
+        });
+        let sidecar = Sidecar::start(&config(&[&peer]));
+        for n in 0..20 {
+            let answer = sidecar.ask("quote", &format!("bad{n}"));
+            assert_eq!(answer.status(), 400, "{status}");
+        }
+        assert_eq!(peer.count(), 20, "{status}: one attempt each");
+        for class in ["quote", "book", "pay"] {
+            assert_eq!(sidecar.ask(class, &format!("good-{class}")).status(), 200);
+        }
+    }
+}
