Answer 409 to a request under the id of one still in work

PROTOCOL wants a fresh id on every request, but read() only looked whether there was one.

Ids are kept only while their request is in work, so nothing grows.

--- a/src/net/inbound.rs
+++ b/src/net/inbound.rs
@@ -11,7 +11,8 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::collections::HashSet;
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
@@ -58,6 +59,8 @@
     outbound: Rc<Outbound>,
     inbox: Inbox,
     next: Cell<u64>,
+    /// The X-Request-IDs of the requests in work, as clients choose them.
+    ids: RefCell<HashSet<String>>,
     draining: Cell<bool>,
     /// Accepting fails; said once in the log until it works again.
     failing: Cell<bool>,
@@ -65,17 +68,19 @@
     close: watch::Sender<()>,
 }
 
-/// Tells the driver when a client leaves before its answer.
+/// A request in work: tells the driver when its client leaves before its answer.
 struct Waiting<'a> {
-    inbox: &'a Inbox,
+    inbound: &'a Inbound,
     id: RequestId,
+    named: String,
     answered: bool,
 }
 
 impl Drop for Waiting<'_> {
     fn drop(&mut self) {
+        self.inbound.ids.borrow_mut().remove(&self.named);
         if !self.answered {
-            let _ = self.inbox.send(Input::ClientGone(self.id));
+            let _ = self.inbound.inbox.send(Input::ClientGone(self.id));
         }
     }
 }
@@ -142,6 +147,7 @@
             outbound,
             inbox,
             next: Cell::new(0),
+            ids: RefCell::default(),
             draining: Cell::new(false),
             failing: Cell::new(false),
             close: watch::Sender::new(()),
@@ -310,15 +316,20 @@
         // The client counts from its last byte.
         let came = Instant::now();
         let (mut request, time) = self.read(&head.method, &head.uri, &head.headers)?;
+        let named = head.headers.get("x-request-id").and_then(|id| id.to_str().ok()).unwrap_or_default();
+        // Whoever sends another client's id sends no request of its own: endpoints would answer 400.
+        if !self.ids.borrow_mut().insert(named.to_owned()) {
+            return Err((StatusCode::CONFLICT, "X-Request-ID is not fresh"));
+        }
         let id = RequestId(self.next.get());
         self.next.set(id.0 + 1);
         request.id = id;
+        let mut waiting = Waiting { inbound: self, id, named: named.to_owned(), answered: false };
         drop_hop_headers(&mut head.headers);
         let (answer, answered) = oneshot::channel();
         let forward = Forward { method: head.method, uri: head.uri, headers: head.headers, body };
         let deadline = came + time - ANSWER_MARGIN.min(time / 10);
         let arrival = Arrival { request, deadline, forward, answer };
-        let mut waiting = Waiting { inbox: &self.inbox, id, answered: false };
         let _ = self.inbox.send(Input::Arrived(Box::new(arrival)));
         // Where the module were to forget a request, its client would still be told in time.
         let answer = timeout_at(came + time, answered).await;
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -299,3 +299,16 @@
         }
     }
 }
+
+#[test]
+fn an_id_of_a_request_still_in_work_is_no_fresh_one() {
+    let peer = Peer::new(|_| Do::Late(Duration::from_millis(700)));
+    let sidecar = Sidecar::start(&config(&[&peer]));
+    let mut first = sidecar.client();
+    first.send(&request("quote", "r1", "20000m"));
+    wait_for("the attempt", || peer.count() == 1);
+    assert_eq!(sidecar.ask("book", "r1").status(), 409);
+    assert_eq!(first.receive().expect("an answer").status(), 200, "the other one does not disturb it");
+    assert_eq!(peer.count(), 1);
+    assert_eq!(sidecar.ask("quote", "r1").status(), 200, "nothing is kept of what is finished");
+}
