--- a/src/net/budget.rs
+++ b/src/net/budget.rs
@@ -1,5 +1,5 @@
 //! The budget of sockets: every client and endpoint connection holds a permit, so that the limits
-//! on descriptors and memory are kept by count.
+//! on descriptors and memory are kept by count. A request in work holds one too, for its memory.
 
 use std::cell::Cell;
 use std::rc::Rc;
@@ -11,10 +11,12 @@
 const SHED_MOST: usize = 24;
 /// Fewer descriptors than this leave nothing to serve with.
 pub const LEAST_SOCKETS: usize = RESERVE + 16;
-/// The most memory that a client's request may take with its buffers, bodies and attempt, in KiB.
-const CLIENT_KIB: usize = 160;
+/// The most memory that a request in work may take with its buffers, bodies and attempt, in KiB.
+const REQUEST_KIB: usize = 160;
+/// The most that a client's connection may take between requests: a head that is never whole, in KiB.
+const CONNECTION_KIB: usize = 64;
 
-/// Who holds a socket.
+/// Who holds a socket, or memory.
 #[derive(Clone, Copy, PartialEq)]
 pub enum Holder {
     /// A client.
@@ -23,19 +25,23 @@
     Shed,
     /// A connection to an endpoint.
     Endpoint,
+    /// A request in work: memory, beside its connection's socket.
+    Request,
 }
 
 /// Counts of the sockets in use, and how many may be.
 pub struct Budget {
     total: usize,
     clients_most: usize,
+    requests_most: usize,
+    requests: Cell<usize>,
     clients: Cell<usize>,
     shed: Cell<usize>,
     endpoints: Cell<usize>,
     freed: Notify,
 }
 
-/// One socket in use; gives it back when dropped.
+/// One socket or share of memory in use; gives it back when dropped.
 pub struct Permit {
     budget: Rc<Budget>,
     holder: Holder,
@@ -46,10 +52,12 @@
     pub fn new(sockets: usize, memory_mb: usize) -> Rc<Self> {
         let total = sockets.saturating_sub(RESERVE);
         // An attempt needs a socket too: clients must not take what their own requests go out on.
-        let by_memory = memory_mb * 1024 / 2 / CLIENT_KIB;
-        let clients_most = (total * 5 / 8).min(by_memory).max(1);
-        let (clients, shed, endpoints) = Default::default();
-        Rc::new(Budget { total, clients_most, clients, shed, endpoints, freed: Notify::new() })
+        // Most connections are idle or silent at any time, and take far less than a request in work.
+        let clients_most = (total * 5 / 8).min(memory_mb * 1024 / 4 / CONNECTION_KIB).max(1);
+        let requests_most = (memory_mb * 1024 / 2 / REQUEST_KIB).max(1);
+        let (requests, clients, shed, endpoints) = Default::default();
+        let freed = Notify::new();
+        Rc::new(Budget { total, clients_most, requests_most, requests, clients, shed, endpoints, freed })
     }
 
     /// A permit, if there is room for one.
@@ -58,6 +66,7 @@
             Holder::Client => self.clients.get() < self.clients_most && self.in_use() < self.total,
             Holder::Shed => self.shed.get() < SHED_MOST,
             Holder::Endpoint => self.in_use() < self.total,
+            Holder::Request => self.requests.get() < self.requests_most,
         };
         room.then(|| {
             let count = self.count(holder);
@@ -90,6 +99,7 @@
             Holder::Client => &self.clients,
             Holder::Shed => &self.shed,
             Holder::Endpoint => &self.endpoints,
+            Holder::Request => &self.requests,
         }
     }
 }
@@ -98,7 +108,7 @@
     fn drop(&mut self) {
         let count = self.budget.count(self.holder);
         count.set(count.get() - 1);
-        if self.holder != Holder::Endpoint {
+        if matches!(self.holder, Holder::Client | Holder::Shed) {
             self.budget.freed.notify_one();
         }
     }
--- a/src/net/inbound.rs
+++ b/src/net/inbound.rs
@@ -301,6 +301,8 @@
         request: Request<Incoming>,
         body_until: Instant,
     ) -> Result<Reply, (StatusCode, &'static str)> {
+        let busy = (StatusCode::SERVICE_UNAVAILABLE, "too many requests");
+        let _memory = self.budget.take(Holder::Request).ok_or(busy)?;
         let (mut head, body) = request.into_parts();
         if body.size_hint().lower() > BODY_MOST as u64 {
             return Err((StatusCode::PAYLOAD_TOO_LARGE, "body too long"));
--- a/tests/node_limits.rs
+++ b/tests/node_limits.rs
@@ -201,3 +201,26 @@
     wait_for("a place", || sidecar.ask("quote", "new").status() == 200);
     assert!(start.elapsed() < Duration::from_secs(5), "{:?}", start.elapsed());
 }
+
+#[test]
+fn memory_bounds_the_requests_in_work_and_not_the_idle_connections() {
+    let peer = Peer::new(|_| Do::Late(Duration::from_millis(300)));
+    let mut config = config(&[&peer]);
+    // Memory for 25 requests, and for four times as many connections.
+    config["limits"]["memory_mb"] = json!(8);
+    config["limits"]["sockets"] = json!(256);
+    let sidecar = Sidecar::start(&config);
+    let mut idle: Vec<Client> = (0..26).map(|_| sidecar.client()).collect();
+    for client in &mut idle {
+        client.send("GET /-/ready HTTP/1.1\r\nHost: t\r\n\r\n");
+        assert_eq!(client.receive().expect("an answer").status(), 200);
+    }
+    // Beside 26 that are idle there still is a place.
+    assert_eq!(sidecar.ask("quote", "beside").status(), 200);
+    for (n, client) in idle.iter_mut().enumerate() {
+        client.send(&request("quote", &format!("r{n}"), "20000m"));
+    }
+    let answers: Vec<Message> = idle.iter_mut().map(|c| c.receive().expect("an answer")).collect();
+    assert!(answers.iter().all(|answer| matches!(answer.status(), 200 | 503)));
+    assert_eq!(answers.iter().filter(|answer| answer.body == b"too many requests").count(), 1);
+}
