--- a/src/net/outbound.rs
+++ b/src/net/outbound.rs
@@ -30,6 +30,9 @@
 const SWEEP: Duration = Duration::from_millis(500);
 /// A probe that takes longer has failed.
 const PROBE: Duration = Duration::from_secs(1);
+/// An answer once begun comes on within this, also from an endpoint that stands still for a moment: one that
+/// stalls is broken, and to wait on would spend the time for another attempt.
+const ANSWER_GAP: Duration = Duration::from_millis(500);
 /// Limit of an attempt's connection where the settings say nothing.
 const CONNECT_UNSTATED: Duration = Duration::from_millis(500);
 
@@ -157,11 +160,11 @@
         };
         let rejected = matches!(head.status, StatusCode::BAD_REQUEST | StatusCode::NOT_FOUND);
         let report = self.inline_report(&head.headers);
-        match Limited::new(body, BODY_MOST).collect().await {
-            Ok(body) => Ended { outcome, body: body.to_bytes(), rejected, report },
+        match whole(body).await {
+            Some(body) => Ended { outcome, body, rejected, report },
             // The head of a refusal says it all, whatever became of its body.
-            Err(_) if outcome == Outcome::Full => Ended::bare(Outcome::Full),
-            Err(_) => Ended::bare(Outcome::Reset),
+            None if outcome == Outcome::Full => Ended::bare(Outcome::Full),
+            None => Ended::bare(Outcome::Reset),
         }
     }
 
@@ -267,6 +270,15 @@
     }
 }
 
+/// The whole body of an answer; none if it is too long, breaks or stalls.
+async fn whole(body: Incoming) -> Option<Bytes> {
+    let (mut body, mut text) = (Limited::new(body, BODY_MOST), Vec::new());
+    while let Some(frame) = timeout(ANSWER_GAP, body.frame()).await.ok()? {
+        text.extend_from_slice(frame.ok()?.data_ref().map_or(&[][..], |data| data));
+    }
+    Some(text.into())
+}
+
 /// A load report's field as endpoints name it.
 fn wire_name(field: LoadField) -> &'static str {
     match field {
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -312,3 +312,15 @@
     assert_eq!(peer.count(), 1);
     assert_eq!(sidecar.ask("quote", "r1").status(), 200, "nothing is kept of what is finished");
 }
+
+#[test]
+fn an_answer_that_stalls_half_way_is_given_up_while_there_is_time_to_ask_again() {
+    for said in ["", "half"] {
+        let act = Do::Write(format!("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n{said}"));
+        let start = Instant::now();
+        assert_eq!(outcome_of("quote", act.clone()), (200, 2), "{act:?}");
+        assert!(start.elapsed() < Duration::from_secs(7), "well before the client's ten seconds are over");
+        let (status, attempts) = outcome_of("book", act.clone());
+        assert_eq!((status >= 500 && status != 503, attempts), (true, 1), "{act:?}: it may have run");
+    }
+}
