Follow discovery to its new address on SIGHUP instead of ending

Now it reads the configuration again and the watch goes on, from the version last told, at the address that the file names. ROUTER_DISCOVERY holds for the start only. A file that can't be read is named in the log and changes nothing.

--- a/src/main.rs
+++ b/src/main.rs
@@ -13,13 +13,13 @@
 
 use net::budget::Budget;
 use net::config::Config;
-use net::discovery::Discovery;
+use net::discovery::{Call, Discovery};
 use net::driver::{Clock, Driver, Input};
 use net::inbound::Inbound;
 use net::outbound::Outbound;
 use std::process::ExitCode;
 use tokio::net::TcpListener;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::mpsc;
 use tokio::task::{LocalSet, spawn_local};
 use weirwharf::Balancer;
@@ -45,6 +45,7 @@
 async fn run(config: Config) -> Result<(), String> {
     let Config { name, listen, discovery, seed, sockets, memory_mb, known, settings, names } = config;
     let term = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
+    let hup = signal(SignalKind::hangup()).map_err(|e| format!("SIGHUP: {e}"))?;
     let clock = Clock::start();
     let balancer =
         Balancer::new(settings.clone(), seed, clock.now()).map_err(|e| format!("settings: {e}"))?;
@@ -57,6 +58,7 @@
     // The list as last held is there before the first client.
     let _ = inbox.send(Input::List(discovery.cached(known)));
     let attempts = settings.limits.max_attempts;
+    spawn_local(reload(hup, calls.clone()));
     let driver = Driver::new(balancer, clock, attempts, outbound.clone(), discovery.clone(), calls, inbox);
     let mut driver = spawn_local(driver.run(inputs));
     spawn_local(discovery.run(asked));
@@ -68,3 +70,13 @@
         ended = &mut driver => Err(format!("the driver ended: {ended:?}")),
     }
 }
+
+/// At each SIGHUP reads the configuration again and follows discovery to where it is by now.
+async fn reload(mut hup: Signal, calls: mpsc::UnboundedSender<Call>) {
+    while hup.recv().await.is_some() {
+        match Config::moved_discovery() {
+            Ok(address) => drop(calls.send(Call::Move(address))), // fails only while the process ends
+            Err(problem) => eprintln!("SIGHUP: {problem}; the configuration stays as it was"),
+        }
+    }
+}
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -87,10 +87,18 @@
 impl Config {
     /// Reads the file that `ROUTER_CONFIG` names; the other variables win over what the file says.
     pub fn from_env() -> Result<Self, ConfigError> {
-        let var = |name: &str| std::env::var(name).ok();
+        Config::read(var("ROUTER_DISCOVERY"))
+    }
+
+    /// Reads the file again: where discovery is by now. What the variable said at the start is out of date.
+    pub fn moved_discovery() -> Result<SocketAddr, ConfigError> {
+        Ok(Config::read(None)?.discovery)
+    }
+
+    fn read(discovery: Option<String>) -> Result<Self, ConfigError> {
         let path = var("ROUTER_CONFIG").ok_or_else(|| error("ROUTER_CONFIG", "not set"))?;
         let text = std::fs::read_to_string(&path).map_err(|e| error("ROUTER_CONFIG", e))?;
-        Config::parse(&text, var("ROUTER_NAME"), var("ROUTER_LISTEN"), var("ROUTER_DISCOVERY"))
+        Config::parse(&text, var("ROUTER_NAME"), var("ROUTER_LISTEN"), discovery)
     }
 
     fn parse(
@@ -126,6 +134,10 @@
     }
 }
 
+fn var(name: &str) -> Option<String> {
+    std::env::var(name).ok()
+}
+
 fn address(field: &str, text: Option<String>) -> Result<SocketAddr, ConfigError> {
     let text = text.ok_or_else(|| error(field, "missing"))?;
     text.parse().map_err(|_| error(field, format!("`{text}` is not an address and port")))
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -81,17 +81,19 @@
     pub addresses: Vec<(EndpointId, SocketAddr)>,
 }
 
-/// What the driver may ask of discovery.
+/// What may be asked of discovery, by the driver or at a change of the configuration.
 pub enum Call {
     /// Follow changes, or stop.
     Watch(bool),
     /// Ask for the whole list once.
     Fetch,
+    /// From now on discovery is to be found here.
+    Move(SocketAddr),
 }
 
 /// What the node knows of discovery.
 pub struct Discovery {
-    address: SocketAddr,
+    address: Cell<SocketAddr>,
     mode: Mode,
     names: Names,
     ids: RefCell<wire::Names>,
@@ -121,6 +123,7 @@
     pub fn new(address: SocketAddr, mode: Mode, names: Names, seed: u64, inbox: Inbox) -> Rc<Self> {
         let draws = RefCell::new(Pcg32::seed_from_u64(seed));
         let (ids, rev) = Default::default();
+        let address = Cell::new(address);
         Rc::new(Discovery { address, mode, names, ids, rev, draws, inbox })
     }
 
@@ -143,8 +146,7 @@
     pub async fn run(self: Rc<Self>, mut calls: UnboundedReceiver<Call>) {
         let mut watch: Option<Guard> = None;
         if self.mode == Mode::Push {
-            let kept = self.clone();
-            watch = Some(Guard(spawn_local(async move { kept.keep_watch().await }).abort_handle()));
+            watch = Some(self.watch());
         }
         while let Some(call) = calls.recv().await {
             let this = self.clone();
@@ -152,16 +154,19 @@
                 Call::Watch(true) if self.mode == Mode::Push => this.tell(unchanged()), // it is up already
                 Call::Watch(true) => {
                     drop(watch.take());
-                    let task = spawn_local(async move {
-                        let reason = this.follow().await;
-                        this.failed(&reason);
-                    });
-                    watch = Some(Guard(task.abort_handle()));
+                    watch = Some(this.watch());
                 }
                 Call::Watch(false) => {
                     drop(watch.take());
                     this.tell(unchanged());
                 }
+                Call::Move(address) => {
+                    if self.address.replace(address) != address {
+                        eprintln!("discovery: now at {address}");
+                        // The old one says nothing more. No failure: what is being followed goes on there.
+                        watch = watch.take().map(|_| this.watch());
+                    }
+                }
                 Call::Fetch => {
                     spawn_local(async move {
                         match this.fetch().await {
@@ -176,6 +181,20 @@
         }
     }
 
+    /// Starts a watch: where lists are pushed one that is kept up, else one that lasts until it fails.
+    fn watch(self: &Rc<Self>) -> Guard {
+        let this = self.clone();
+        let task = spawn_local(async move {
+            if this.mode == Mode::Push {
+                this.keep_watch().await;
+            } else {
+                let reason = this.follow().await;
+                this.failed(&reason);
+            }
+        });
+        Guard(task.abort_handle())
+    }
+
     /// Where lists are pushed, a watch must always be up: the module never asks for one.
     async fn keep_watch(&self) {
         let mut failures = 0;
@@ -232,14 +251,15 @@
     }
 
     async fn call(&self, path: &str) -> Result<(Response<Incoming>, Guard), String> {
-        let connect = timeout(CONNECT, TcpStream::connect(self.address)).await;
+        let address = self.address.get();
+        let connect = timeout(CONNECT, TcpStream::connect(address)).await;
         let stream = connect.map_err(|_| "no connection in time".to_owned())?.map_err(|e| e.to_string())?;
         let handshake = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await;
         let (mut sender, connection) = handshake.map_err(|e| e.to_string())?;
         let task = spawn_local(connection);
         let guard = Guard(task.abort_handle());
         let request = Request::get(path)
-            .header(header::HOST, self.address.to_string())
+            .header(header::HOST, address.to_string())
             .body(Empty::<Bytes>::new())
             .map_err(|e| e.to_string())?;
         let answer = timeout(ANSWER, sender.send_request(request)).await;
--- a/tests/node_list.rs
+++ b/tests/node_list.rs
@@ -103,3 +103,36 @@
     }
     assert_eq!(discovery.calls().len(), 1);
 }
+
+#[test]
+fn sighup_moves_the_watch_to_where_discovery_is_by_then() {
+    for mode in ["subscribe", "automatic"] {
+        let (old, new) = (Peer::serving("old"), Peer::serving("new"));
+        let was = Discovery::new(list(8, false, &[]));
+        let moved = Discovery::new(list(
+            9,
+            false,
+            &[target("s-0", old.address, "removed"), target("s-new", new.address, "up")],
+        ));
+        let mut config = config(&[&old]);
+        config["settings"]["discovery"] = json!(mode);
+        // What the variable says is true only of the start.
+        let mut sidecar = Sidecar::start_with(&config, &format!("ROUTER_DISCOVERY={}", was.address));
+        wait_for("the first watch", || was.calls().len() == 1);
+        wait_for("the first line", || sidecar.ask("book", "r1").body == b"old");
+        sidecar.reconfigure("{");
+        sidecar.signal("-HUP");
+        assert_eq!(sidecar.ask("book", "r2").body, b"old", "a malformed file changes nothing");
+        config["discovery"] = json!(moved.address.to_string());
+        sidecar.reconfigure(&config.to_string());
+        let start = std::time::Instant::now();
+        sidecar.signal("-HUP");
+        wait_for("a watch at the new address", || moved.calls().len() == 1);
+        wait_for("its news", || sidecar.ask("quote", "r3").body == b"new");
+        assert!(start.elapsed() < std::time::Duration::from_secs(4), "{:?}", start.elapsed());
+        assert_eq!(was.calls().len(), 1, "the old one is not asked again");
+        assert!(sidecar.child.try_wait().unwrap().is_none());
+        sidecar.signal("-TERM");
+        assert!(sidecar.ended().success());
+    }
+}
--- a/tests/support/node.rs
+++ b/tests/support/node.rs
@@ -309,6 +309,11 @@
         sidecar
     }
 
+    /// Replaces its configuration file.
+    pub fn reconfigure(&self, config: &str) {
+        std::fs::write(&self.file, config).unwrap();
+    }
+
     /// What `/-/ready` answers.
     pub fn ready(&self) -> Option<u16> {
         let mut client = Client::connect(self.address)?;
