Say when to come back in each refusal, where the settings allow it

A refusal now names the class's objective, by when what is ahead has been answered or given up, cut to the longest wait that clients obey. It goes out as early as it did.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -631,16 +631,16 @@
 
     /// The last word on a request that can't be served: a refusal where that is true, else a failure.
     fn give_up(&mut self, id: RequestId, out: &mut Vec<Action>) {
-        let Some(pending) = self.requests.get(&id) else { return };
-        if pending.settled() {
-            return;
-        }
+        let Some(pending) = self.requests.get(&id).filter(|p| !p.settled()) else { return };
         let never_ran = pending.may_have_run().next().is_none();
-        let semantics = self.settings.classes[pending.class].semantics;
-        let harmless =
-            never_ran || matches!(semantics, Semantics::Safe | Semantics::Keyed { group: Group::All, .. });
+        let class = &self.settings.classes[pending.class];
+        let harmless = never_ran
+            || matches!(class.semantics, Semantics::Safe | Semantics::Keyed { group: Group::All, .. });
+        // By then what is out now, ahead of it, has been answered or given up.
+        let limits = &self.settings.limits;
+        let retry_after = limits.retry_after.then(|| class.objective.min(limits.max_retry_after));
         out.push(if harmless {
-            Action::Refuse { request: id, retry_after: None }
+            Action::Refuse { request: id, retry_after }
         } else {
             Action::Fail { request: id }
         });
--- a/src/net/inbound.rs
+++ b/src/net/inbound.rs
@@ -281,10 +281,11 @@
             let status = if self.draining.get() { StatusCode::SERVICE_UNAVAILABLE } else { StatusCode::OK };
             plain(status, "")
         } else if shed {
-            plain(StatusCode::SERVICE_UNAVAILABLE, "too many connections")
+            self.no_room("too many connections")
         } else {
             match self.serve_request(request, turn.body_until()).await {
                 Ok(reply) => reply,
+                Err((StatusCode::SERVICE_UNAVAILABLE, problem)) => self.no_room(problem),
                 Err((status, problem)) => plain(status, problem),
             }
         };
@@ -296,6 +297,15 @@
         Ok(reply)
     }
 
+    /// A refusal of our own: there is room once the first silent connections have been closed.
+    fn no_room(&self, text: &'static str) -> Reply {
+        let mut reply = plain(StatusCode::SERVICE_UNAVAILABLE, text);
+        if self.settings.limits.retry_after {
+            say_when(&mut reply, FIRST_MOST.min(self.settings.limits.max_retry_after));
+        }
+        reply
+    }
+
     async fn serve_request(
         &self,
         request: Request<Incoming>,
@@ -340,11 +350,7 @@
             Ok(Ok(Answer::Served(body))) => Response::new(Full::new(body)),
             Ok(Ok(Answer::Refused(retry_after))) => {
                 let mut reply = plain(StatusCode::SERVICE_UNAVAILABLE, "refused");
-                if let Some(wait) = retry_after
-                    && let Ok(value) = HeaderValue::from_str(&format!("{:.3}", wait.as_secs_f64()))
-                {
-                    reply.headers_mut().insert(header::RETRY_AFTER, value);
-                }
+                retry_after.into_iter().for_each(|wait| say_when(&mut reply, wait));
                 reply
             }
             Ok(Ok(Answer::Rejected)) => plain(StatusCode::BAD_REQUEST, "rejected by the endpoint"),
@@ -423,6 +429,13 @@
     reply
 }
 
+/// Says after how long to come back.
+fn say_when(reply: &mut Reply, wait: Duration) {
+    if let Ok(value) = HeaderValue::from_str(&format!("{:.3}", wait.as_secs_f64())) {
+        reply.headers_mut().insert(header::RETRY_AFTER, value);
+    }
+}
+
 /// A number and its unit: `m` for milliseconds or `u` for microseconds.
 fn parse_timeout(text: &str) -> Option<Duration> {
     let time = match text.strip_suffix('m') {
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -687,3 +687,21 @@
     again += sends(&d.advance(ms(400))).len();
     assert!((1..=8).contains(&again), "{again} second copies for four silent attempts");
 }
+
+#[test]
+fn a_refusal_says_when_to_come_back_where_the_settings_allow_it() {
+    for (retry_after, most, expected) in
+        [(true, 60_000, Some(700)), (true, 300, Some(300)), (false, 60_000, None)]
+    {
+        let limits = Limits { retry_after, max_retry_after: ms(most), ..Limits::default() };
+        let classes = vec![Class { objective: ms(700), ..Class::default() }];
+        let mut d = Driver::new(Settings { limits, classes, ..Settings::default() }, Vec::new());
+        let (id, mut actions) = d.request(ms(1000));
+        actions.extend(d.advance(ms(1000)));
+        let said = actions.iter().find_map(|action| match action {
+            Action::Refuse { request, retry_after } if *request == id => Some(*retry_after),
+            _ => None,
+        });
+        assert_eq!(said.expect("a refusal"), expected.map(ms));
+    }
+}
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -96,7 +96,8 @@
 #[test]
 fn a_request_refused_everywhere_is_refused_and_not_failed() {
     let sidecar = Sidecar::start(&config_at(&[nowhere()]));
-    assert_eq!(sidecar.ask("book", "r1").status(), 503);
+    let answer = sidecar.ask("book", "r1");
+    assert_eq!((answer.status(), answer.header("retry-after")), (503, "2.000"));
 }
 
 #[test]
