--- a/src/balance.rs
+++ b/src/balance.rs
@@ -184,8 +184,8 @@
     served: Fading,
     /// The most a warm endpoint has lately been seen to serve for this balancer, a second.
     proven: Fading,
-    /// By class, attempts lately without an answer, less what answers of that class refute.
-    silence: Vec<Fading>,
+    /// Attempts lately without an answer, less what answers refute.
+    silence: Fading,
     late_share: f64,
     /// How far silence goes with connections that lay idle, and from how long on.
     stale: f64,
@@ -236,7 +236,7 @@
             arrivals: Fading::default(),
             served: Fading::default(),
             proven: Fading::default(),
-            silence: vec![Fading::default(); classes],
+            silence: Fading::default(),
             late_share: 0.0,
             stale: 0.0,
             reaped_after: Duration::MAX,
@@ -435,7 +435,7 @@
 
     fn send(&mut self, now: Duration, id: RequestId, i: usize, out: &mut Vec<Action>) {
         let (cold_tokens, side) = (self.cold_tokens(now, i), self.side(i));
-        let silent = self.requests.get(&id).is_some_and(|p| self.silent(now, p.class));
+        let silent = self.silent(now);
         let endpoint = &mut self.endpoints[i];
         let Some(pending) = self.requests.get_mut(&id) else { return };
         let mut idle = endpoint.heard.map_or(Duration::ZERO, |at| now.saturating_sub(at));
@@ -467,14 +467,13 @@
 
     /// Whether answers fail to come while those that come are timely: dead machines, connections dropped
     /// unseen, a class swallowed. In a jam answers come late, and copies would only feed it.
-    fn silent(&self, now: Duration, class: usize) -> bool {
-        self.late_share < LATE_SHARE && self.silence[class].read(now, SILENCE_SECONDS) >= SILENCE_ACTS
+    fn silent(&self, now: Duration) -> bool {
+        self.late_share < LATE_SHARE && self.silence.read(now, SILENCE_SECONDS) >= SILENCE_ACTS
     }
 
     /// An attempt was overtaken, or is out for far longer than any answer takes.
-    fn note_silence(&mut self, now: Duration, class: usize, attempt: Attempt) {
-        let silence = self.silence[class].read(now, SILENCE_SECONDS) + 1.0;
-        self.silence[class].set(now, silence.min(SILENCE_MOST));
+    fn note_silence(&mut self, now: Duration, attempt: Attempt) {
+        self.silence.set(now, (self.silence.read(now, SILENCE_SECONDS) + 1.0).min(SILENCE_MOST));
         if attempt.idle.is_zero() {
             self.stale -= 1.0;
         } else {
@@ -490,17 +489,17 @@
     fn on_overdue(&mut self, now: Duration, id: RequestId, number: AttemptNo, out: &mut Vec<Action>) {
         let Some(pending) = self.requests.get(&id) else { return };
         let n = number.0 as usize;
-        let (attempt, tries, class) = (pending.attempts[n], pending.attempts.len(), pending.class);
+        let (attempt, tries) = (pending.attempts[n], pending.attempts.len());
         if pending.settled() || attempt.fate != Fate::Out || tries > n + 1 {
             return;
         }
-        let long = self.latency[class].overdue(SILENT_SPREADS);
+        let long = self.latency[pending.class].overdue(SILENT_SPREADS);
         if now + self.settings.tick >= attempt.sent + long && self.late_share < LATE_SHARE {
-            self.note_silence(now, class, attempt);
+            self.note_silence(now, attempt);
         }
         let (limits, copies) = (&self.settings.limits, self.settings.limits.second_copies);
         let more = tries < limits.max_attempts as usize;
-        if !more || !self.silent(now, class) || self.retry_tokens < 1.0 || !self.may_repeat(now, id) {
+        if !more || !self.silent(now) || self.retry_tokens < 1.0 || !self.may_repeat(now, id) {
             return;
         }
         if !copies && limits.cancelling {
@@ -534,7 +533,7 @@
         if ended.outcome == Outcome::Ok
             && let Some(silent) = self.requests.get(&id).and_then(overtaken)
         {
-            self.note_silence(now, class, silent);
+            self.note_silence(now, silent);
         }
         self.learn(now, endpoint, class, &ended);
         if ended.finished {
@@ -557,7 +556,7 @@
     fn learn(&mut self, now: Duration, id: EndpointId, class: usize, ended: &AttemptEnded) {
         let Some(&i) = self.index.get(&id) else { return };
         let warm = self.warmth(now, i) >= 1.0;
-        let (elapsed, silent) = (ended.elapsed.as_secs_f64(), self.silent(now, class));
+        let (elapsed, silent) = (ended.elapsed.as_secs_f64(), self.silent(now));
         let slow = elapsed > self.late_after(class);
         let late = match ended.outcome {
             Outcome::Ok => self.settings.tier == 0 && slow,
@@ -592,8 +591,8 @@
         match ended.outcome {
             Outcome::Ok => {
                 self.endpoints[i].heard = Some(now);
-                let silence = self.silence[class].read(now, SILENCE_SECONDS) - SILENCE_REFUTED;
-                self.silence[class].set(now, silence.max(0.0));
+                let silence = self.silence.read(now, SILENCE_SECONDS) - SILENCE_REFUTED;
+                self.silence.set(now, silence.max(0.0));
                 self.late_share += DRAG_WEIGHT * (f64::from(u8::from(slow)) - self.late_share);
                 self.latency[class].add(now, elapsed);
                 let multiple = elapsed / self.latency[class].unhurried.max(1e-6);
