Build the operators' door, the figures and endpoints taken out by hand

Each test of a suspension was seen to fail without it, and the one on connections that come up late without the bar in net/outbound.rs.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -6,7 +6,7 @@
 
 use crate::stats::{Draws, Fading, LATENCY_FIRST, Latency, UNHURRIED_FIRST};
 use crate::types::*;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
 /// Endpoints sampled for a call: the paper's d; two gives most of the gain.
@@ -123,6 +123,8 @@
 
 struct Endpoint {
     info: EndpointInfo,
+    /// The operators have taken it out.
+    suspended: bool,
     in_flight: u32,
     /// Recent failures as calls in flight.
     heat: Fading,
@@ -161,6 +163,9 @@
     draws: Draws,
     endpoints: Vec<Endpoint>,
     index: HashMap<EndpointId, usize>,
+    /// What the operators have taken out, listed or not, and when they gave back what may still be cold.
+    suspended: HashSet<EndpointId>,
+    resumed: HashMap<EndpointId, Duration>,
     /// Ready endpoints: of the own zone, of others, each first those of this balancer's part, then all.
     pools: [Vec<usize>; 4],
     requests: HashMap<RequestId, Pending>,
@@ -221,6 +226,8 @@
             draws: Draws::new(seed),
             endpoints: Vec::new(),
             index: HashMap::new(),
+            suspended: HashSet::new(),
+            resumed: HashMap::new(),
             pools: Default::default(),
             requests: HashMap::new(),
             held: Vec::new(),
@@ -268,6 +275,8 @@
                 }
                 None => {}
             },
+            Event::Suspend(id) => self.on_suspend(now, id, out),
+            Event::Resume { endpoint, at } => self.on_resume(now, endpoint, at, out),
             Event::ProbeEnded { .. } | Event::PeerMessage { .. } => {}
         }
     }
@@ -277,6 +286,15 @@
         self.endpoints.len() + self.requests.len() + self.timers.len() + self.held.len()
     }
 
+    /// How many endpoints are listed, and how many of them would not take a call now.
+    pub fn census(&self, now: Duration) -> Census {
+        let listed = || self.endpoints.iter().filter(|e| e.info.state != EndpointState::Gone);
+        // What holds all the calls that it may is in use; one that failures bar from its first is avoided.
+        let barred =
+            |e: &&Endpoint| !e.is_ready() || e.heat(now) - self.common_heat + 1.0 > e.limit.max(1.0);
+        Census { members: listed().count(), unavailable: listed().filter(barred).count() }
+    }
+
     // ---- the endpoint list ----
 
     fn on_membership(&mut self, now: Duration, news: Membership, out: &mut Vec<Action>) {
@@ -315,8 +333,39 @@
         self.release_held(now, out);
     }
 
+    /// Takes an endpoint out. What is out there already may end; the ban outlives the endpoint's listing.
+    fn on_suspend(&mut self, now: Duration, id: EndpointId, out: &mut Vec<Action>) {
+        self.resumed.remove(&id);
+        if self.suspended.insert(id) {
+            if let Some(&i) = self.index.get(&id) {
+                self.endpoints[i].suspended = true;
+                self.choose_part(now);
+            }
+            out.push(Action::CloseIdle { endpoint: id });
+        }
+    }
+
+    /// Uses an endpoint again. It was restarted meanwhile, so its return is cold whatever the list says.
+    fn on_resume(&mut self, now: Duration, id: EndpointId, at: Duration, out: &mut Vec<Action>) {
+        self.suspended.remove(&id);
+        self.resumed.insert(id, at);
+        if let Some(&i) = self.index.get(&id) {
+            let info = EndpointInfo {
+                started: self.endpoints[i].info.started.max(Some(at)),
+                ..self.endpoints[i].info
+            };
+            self.endpoints[i].suspended = false;
+            self.update_endpoints(now, vec![info]);
+            self.release_held(now, out);
+        }
+    }
+
     fn update_endpoints(&mut self, now: Duration, entries: Vec<EndpointInfo>) {
-        for info in entries {
+        let warm_within = self.settings.rules.warm_within;
+        self.resumed.retain(|_, at| now.saturating_sub(*at) < warm_within);
+        for mut info in entries {
+            // Called back by hand, it has been restarted, though the list may say so late or never.
+            info.started = info.started.max(self.resumed.get(&info.id).copied());
             match self.index.get(&info.id) {
                 Some(&i) => {
                     let endpoint = &mut self.endpoints[i];
@@ -331,6 +380,7 @@
                     self.index.insert(info.id, self.endpoints.len());
                     let cold_tokens = self.draws.uniform();
                     self.endpoints.push(Endpoint {
+                        suspended: self.suspended.contains(&info.id),
                         info,
                         in_flight: 0,
                         heat: Fading::default(),
@@ -893,7 +943,7 @@
 
 impl Endpoint {
     fn is_ready(&self) -> bool {
-        self.info.state == EndpointState::Ready
+        self.info.state == EndpointState::Ready && !self.suspended
     }
 
     fn add_heat(&mut self, now: Duration) {
--- a/src/net/budget.rs
+++ b/src/net/budget.rs
@@ -9,6 +9,10 @@
 const RESERVE: usize = 48;
 /// Clients over the cap that may still be told so, out of the reserve.
 const SHED_MOST: usize = 24;
+/// Descriptors kept free for the operators' door, where there is one: its listener and its callers.
+pub const DOOR_RESERVE: usize = DOOR_MOST + 2;
+/// Callers that the door holds at once.
+pub const DOOR_MOST: usize = 24;
 /// Fewer descriptors than this leave nothing to serve with.
 pub const LEAST_SOCKETS: usize = RESERVE + 16;
 /// The most memory that a request in work may take with its buffers, bodies and attempt, in KiB.
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -26,6 +26,8 @@
     pub name: String,
     /// Where clients connect.
     pub listen: SocketAddr,
+    /// Where the operators' door listens; without it there is none.
+    pub control: Option<SocketAddr>,
     /// Where discovery listens.
     pub discovery: SocketAddr,
     /// For random numbers; new with each start.
@@ -70,6 +72,7 @@
     #[serde(default)]
     name: String,
     listen: Option<String>,
+    control: Option<String>,
     discovery: Option<String>,
     seed: String,
     limits: Limits,
@@ -98,15 +101,10 @@
     fn read(discovery: Option<String>) -> Result<Self, ConfigError> {
         let path = var("ROUTER_CONFIG").ok_or_else(|| error("ROUTER_CONFIG", "not set"))?;
         let text = std::fs::read_to_string(&path).map_err(|e| error("ROUTER_CONFIG", e))?;
-        Config::parse(&text, var("ROUTER_NAME"), var("ROUTER_LISTEN"), discovery)
+        Config::parse(&text, discovery)
     }
 
-    fn parse(
-        text: &str,
-        name: Option<String>,
-        listen: Option<String>,
-        discovery: Option<String>,
-    ) -> Result<Self, ConfigError> {
+    fn parse(text: &str, discovery: Option<String>) -> Result<Self, ConfigError> {
         let mut json = serde_json::Deserializer::from_str(text);
         let file: File = serde_path_to_error::deserialize(&mut json)
             .map_err(|e| error(&e.path().to_string(), e.inner()))?;
@@ -120,8 +118,12 @@
             return Err(error("limits.sockets", problem));
         }
         Ok(Config {
-            name: name.unwrap_or(file.name),
-            listen: address("listen", listen.or(file.listen))?,
+            name: var("ROUTER_NAME").unwrap_or(file.name),
+            listen: address("listen", var("ROUTER_LISTEN").or(file.listen))?,
+            control: match var("ROUTER_CONTROL").or(file.control) {
+                Some(text) => Some(address("control", Some(text))?),
+                None => None,
+            },
             discovery: address("discovery", discovery.or(file.discovery))?,
             seed: u64::from_str_radix(&file.seed, 16)
                 .map_err(|_| error("seed", format!("`{}` is not hex", file.seed)))?,
--- /dev/null
+++ b/src/net/control.rs
@@ -0,0 +1,225 @@
+//! The operators' door: readiness, figures, and taking endpoints out and back. One call to a connection.
+
+use super::bans::{Bans, Order, Standing};
+use super::budget::DOOR_MOST;
+use super::counters::Counters;
+use super::discovery::Guard;
+use super::driver::{Inbox, Input};
+use super::inbound::Inbound;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::{Bytes, Incoming};
+use hyper::header::{self, HeaderValue};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Mutex, oneshot};
+use tokio::task::{spawn_blocking, spawn_local};
+use tokio::time::{sleep, timeout};
+
+/// A call must have come whole within this of its connection.
+const CALL_MOST: Duration = Duration::from_secs(2);
+/// A connection is over within this: who does not read its answer must not keep a place.
+const TALK_MOST: Duration = Duration::from_secs(5);
+/// The body of a call says nothing, and is no longer than this.
+const BODY_MOST: usize = 16 * 1024;
+/// Buffer of a connection; also bounds a call's head.
+const BUFFER_MOST: usize = 16 * 1024;
+/// How often what other processes of this sidecar were ordered is looked up.
+const FOLLOW: Duration = Duration::from_millis(50);
+/// Wait after a failed accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+
+/// What the door needs of the rest of the sidecar.
+pub struct Door {
+    bans: Bans,
+    counters: Rc<Counters>,
+    inbound: Rc<Inbound>,
+    inbox: Inbox,
+    /// Orders are carried out one after another.
+    ordering: Mutex<()>,
+    callers: RefCell<VecDeque<Caller>>,
+}
+
+struct Caller {
+    /// Its call has come whole.
+    asked: Rc<Cell<bool>>,
+    over: Rc<Cell<bool>>,
+    /// Dropping it ends the connection.
+    _talk: Guard,
+}
+
+type Reply = Response<Full<Bytes>>;
+
+/// What a path stands for.
+enum Place<'a> {
+    Ready,
+    Metrics,
+    Endpoint(&'a str, Order),
+}
+
+impl<'a> Place<'a> {
+    fn of(path: &'a str) -> Option<Self> {
+        let mut parts = path.strip_prefix("/v1/")?.split('/');
+        let place = match (parts.next()?, parts.next(), parts.next()) {
+            ("readyz", None, None) => Place::Ready,
+            ("metrics", None, None) => Place::Metrics,
+            ("endpoints", Some(uid), Some("suspend")) => Place::Endpoint(uid, Order::Suspend),
+            ("endpoints", Some(uid), Some("resume")) => Place::Endpoint(uid, Order::Resume),
+            _ => return None,
+        };
+        parts.next().is_none().then_some(place)
+    }
+
+    fn method(&self) -> Method {
+        match self {
+            Place::Ready | Place::Metrics => Method::GET,
+            Place::Endpoint(..) => Method::POST,
+        }
+    }
+}
+
+impl Door {
+    /// A door onto these.
+    pub fn new(bans: Bans, counters: Rc<Counters>, inbound: Rc<Inbound>, inbox: Inbox) -> Rc<Self> {
+        let (ordering, callers) = Default::default();
+        Rc::new(Door { bans, counters, inbound, inbox, ordering, callers })
+    }
+
+    /// Takes calls for as long as the process lives.
+    pub async fn serve(self: Rc<Self>, listener: TcpListener) {
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => self.admit(stream),
+                Err(_) => sleep(ACCEPT_PAUSE).await, // out of descriptors, say; the clients' side logs it
+            }
+        }
+    }
+
+    /// Carries out what other processes of this sidecar were ordered.
+    pub async fn follow(self: Rc<Self>) {
+        let mut seen = None;
+        loop {
+            sleep(FOLLOW).await;
+            let version = self.bans.version();
+            if version == seen {
+                continue;
+            }
+            let _turn = self.ordering.lock().await;
+            match self.bans.read() {
+                Ok(standing) => self.enforce(standing).await,
+                Err(problem) => eprintln!("suspended endpoints: {problem}; what is in force stays"),
+            }
+            seen = version;
+        }
+    }
+
+    /// Makes room where it is wanted, at the cost of the caller that has been silent longest.
+    fn admit(self: &Rc<Self>, stream: TcpStream) {
+        let mut callers = self.callers.borrow_mut();
+        callers.retain(|caller| !caller.over.get());
+        if callers.len() >= DOOR_MOST {
+            match callers.iter().position(|caller| !caller.asked.get()) {
+                Some(silent) => drop(callers.remove(silent)),
+                None => return, // all are being answered
+            }
+        }
+        let (asked, over) = <(Rc<Cell<bool>>, Rc<Cell<bool>>)>::default();
+        let (this, flags) = (self.clone(), (asked.clone(), over.clone()));
+        let talk = spawn_local(async move {
+            let _ = timeout(TALK_MOST, this.talk(stream, &flags.0)).await;
+            flags.1.set(true);
+        });
+        callers.push_back(Caller { asked, over, _talk: Guard::new(talk.abort_handle()) });
+    }
+
+    async fn talk(&self, stream: TcpStream, asked: &Cell<bool>) {
+        let _ = stream.set_nodelay(true);
+        let service = service_fn(|request| self.answer(request, asked));
+        let connection = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(CALL_MOST)
+            .keep_alive(false)
+            .max_buf_size(BUFFER_MOST)
+            .serve_connection(TokioIo::new(stream), service);
+        let _ = connection.await; // an error here is the caller's
+    }
+
+    async fn answer(&self, request: Request<Incoming>, asked: &Cell<bool>) -> Result<Reply, Infallible> {
+        let (head, body) = request.into_parts();
+        // A call that breaks off is none: it must not be carried out.
+        let reply = match timeout(CALL_MOST, Limited::new(body, BODY_MOST).collect()).await {
+            Ok(Ok(_)) => {
+                asked.set(true);
+                self.call(&head.method, head.uri.path()).await
+            }
+            Ok(Err(_)) => text(StatusCode::BAD_REQUEST, "the body is broken or too long\n"),
+            Err(_) => text(StatusCode::REQUEST_TIMEOUT, "the body never came\n"),
+        };
+        Ok(reply)
+    }
+
+    async fn call(&self, method: &Method, path: &str) -> Reply {
+        let Some(place) = Place::of(path) else { return text(StatusCode::NOT_FOUND, "no such path\n") };
+        if *method != place.method() {
+            let mut reply = text(StatusCode::METHOD_NOT_ALLOWED, "not this path's method\n");
+            let allowed = if place.method() == Method::GET { "GET" } else { "POST" };
+            reply.headers_mut().insert(header::ALLOW, HeaderValue::from_static(allowed));
+            return reply;
+        }
+        match place {
+            Place::Ready if self.inbound.takes_clients() => text(StatusCode::OK, "ready\n"),
+            Place::Ready => text(StatusCode::SERVICE_UNAVAILABLE, "takes no clients\n"),
+            Place::Metrics => match self.ask(Input::Census).await {
+                Some(census) => text(StatusCode::OK, self.counters.report(census)),
+                None => text(StatusCode::SERVICE_UNAVAILABLE, "ending\n"),
+            },
+            Place::Endpoint(uid, order) => self.order(uid, order).await,
+        }
+    }
+
+    async fn order(&self, uid: &str, order: Order) -> Reply {
+        let _turn = self.ordering.lock().await;
+        if self.ask(|to| Input::Known(uid.to_owned(), to)).await != Some(true) {
+            return text(StatusCode::NOT_FOUND, "no endpoint has this id\n");
+        }
+        let (bans, kept) = (self.bans.clone(), uid.to_owned());
+        // A slow disk must not hold up requests.
+        match spawn_blocking(move || bans.keep(&kept, order)).await {
+            Ok(Ok(standing)) => {
+                self.enforce(standing).await;
+                text(StatusCode::OK, if order == Order::Suspend { "suspended\n" } else { "in use\n" })
+            }
+            Ok(Err(problem)) => {
+                eprintln!("operators: {uid}: {problem}");
+                text(StatusCode::INTERNAL_SERVER_ERROR, "this could not be recorded, and is not in force\n")
+            }
+            Err(_) => text(StatusCode::INTERNAL_SERVER_ERROR, "this was not carried out\n"),
+        }
+    }
+
+    /// Puts a standing in force.
+    async fn enforce(&self, standing: Standing) {
+        let _ = self.ask(|done| Input::Standing(standing, done)).await; // fails only while the process ends
+    }
+
+    /// Asks the driver; none while the process ends.
+    async fn ask<T>(&self, input: impl FnOnce(oneshot::Sender<T>) -> Input) -> Option<T> {
+        let (to, answer) = oneshot::channel();
+        self.inbox.send(input(to)).ok()?;
+        answer.await.ok()
+    }
+}
+
+fn text(status: StatusCode, text: impl Into<Bytes>) -> Reply {
+    let mut reply = Response::new(Full::new(text.into()));
+    *reply.status_mut() = status;
+    reply.headers_mut().insert(header::CONTENT_TYPE, HeaderValue::from_static("text/plain"));
+    reply
+}
--- a/src/net/counters.rs
+++ b/src/net/counters.rs
@@ -62,9 +62,10 @@
         }
     }
 
-    /// An attempt was written whole to an endpoint.
-    pub fn sent(&self) {
-        self.upstream.set(self.upstream.get() + 1);
+    /// An attempt was written to an endpoint, or is taken back as it never was.
+    pub fn sent(&self, written: bool) {
+        let count = self.upstream.get();
+        self.upstream.set(if written { count + 1 } else { count.saturating_sub(1) });
     }
 
     /// All figures, a line each.
@@ -121,7 +122,9 @@
         second.end(End::Rejected);
         drop(left);
         counters.ended(1, End::Failed);
-        counters.sent();
+        counters.sent(true);
+        counters.sent(true);
+        counters.sent(false);
         let wanted = "svc.downstream_requests.quote.completed=1\nsvc.downstream_requests.quote.rejected=0\n\
                       svc.downstream_requests.quote.failed=0\nsvc.downstream_requests.book.completed=0\n\
                       svc.downstream_requests.book.rejected=1\nsvc.downstream_requests.book.failed=1\n\
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -142,6 +142,11 @@
         self.ids.borrow().name(id).to_owned()
     }
 
+    /// The id of a uid, known or not.
+    pub fn id(&self, uid: &str) -> EndpointId {
+        self.ids.borrow_mut().id(uid)
+    }
+
     /// Carries out the driver's calls. Each is answered by exactly one event; a watch then goes on.
     pub async fn run(self: Rc<Self>, mut calls: UnboundedReceiver<Call>) {
         let mut watch: Option<Guard> = None;
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -2,8 +2,9 @@
 //! actions. It decides nothing, but keeps what must hold whatever is decided: one final answer a
 //! request, no attempt beyond the limit or the deadline, nothing sent for what is finished.
 
+use super::bans::Standing;
 use super::discovery::{Call, Discovery, News};
-use super::outbound::{Ended, Outbound, Progress};
+use super::outbound::{Ended, Outbound};
 use http_body_util::Full;
 use hyper::body::Bytes;
 use hyper::header::{self, HeaderName, HeaderValue};
@@ -18,8 +19,8 @@
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep_until, timeout_at};
 use weirwharf::{
-    Action, AttemptEnded, AttemptNo, Balancer, EndpointId, EndpointState, Event, Membership, Outcome,
-    RequestId, TimerToken,
+    Action, AttemptEnded, AttemptNo, Balancer, Census, EndpointId, EndpointState, Event, Membership,
+    Outcome, RequestId, TimerToken,
 };
 
 /// Unusual outcomes are summed up in the log this often.
@@ -40,6 +41,12 @@
     ProbeEnded(EndpointId, Ended, Duration),
     /// News from discovery.
     List(News),
+    /// The operators ask whether anybody has this uid.
+    Known(String, oneshot::Sender<bool>),
+    /// What the operators have said of endpoints, as it stands now; confirmed once it is in force.
+    Standing(Standing, oneshot::Sender<()>),
+    /// The operators ask how many endpoints there are.
+    Census(oneshot::Sender<Census>),
     /// The process must end: fail what is still open.
     GiveUp,
 }
@@ -129,6 +136,8 @@
     due: VecDeque<Event>,
     unusual: HashMap<&'static str, u64>,
     summary_at: Instant,
+    /// What the operators have said of endpoints.
+    standing: Standing,
     outbound: Rc<Outbound>,
     discovery: Rc<Discovery>,
     calls: UnboundedSender<Call>,
@@ -156,6 +165,7 @@
             due: VecDeque::new(),
             unusual: HashMap::new(),
             summary_at: Instant::now() + SUMMARY,
+            standing: Standing::default(),
             outbound,
             discovery,
             calls,
@@ -206,6 +216,13 @@
                 self.handle(Event::ProbeEnded { endpoint, outcome, elapsed, report });
             }
             Input::List(news) => self.list(news),
+            // Who asked may have gone by now.
+            Input::Known(uid, to) => drop(to.send(self.knows(&uid))),
+            Input::Standing(standing, done) => {
+                self.follow(standing);
+                let _ = done.send(());
+            }
+            Input::Census(to) => drop(to.send(self.balancer.census(self.clock.now()))),
             Input::GiveUp => {
                 let open = self.requests.iter().filter(|(_, open)| open.answer.is_some());
                 let open: Vec<RequestId> = open.map(|(id, _)| *id).collect();
@@ -270,6 +287,27 @@
         self.tidy(id);
     }
 
+    /// Somebody has this uid: it is listed, or was taken out and can be called back.
+    fn knows(&self, uid: &str) -> bool {
+        self.standing.suspended.contains(uid) || self.addresses.contains_key(&self.discovery.id(uid))
+    }
+
+    /// Tells the module what the operators have changed since the standing before.
+    fn follow(&mut self, standing: Standing) {
+        let before = std::mem::replace(&mut self.standing, standing.clone());
+        for uid in standing.suspended.difference(&before.suspended) {
+            eprintln!("operators: {uid} is suspended");
+            let id = self.discovery.id(uid);
+            self.outbound.bar(id);
+            self.handle(Event::Suspend(id));
+        }
+        for (uid, at) in standing.resumed.iter().filter(|(uid, at)| before.resumed.get(*uid) != Some(at)) {
+            eprintln!("operators: {uid} is resumed");
+            let (endpoint, at) = (self.discovery.id(uid), Duration::from_millis(*at));
+            self.handle(Event::Resume { endpoint, at });
+        }
+    }
+
     fn list(&mut self, news: News) {
         for (id, address) in &news.addresses {
             let before = self.addresses.insert(*id, *address);
@@ -284,7 +322,7 @@
         };
         for entry in entries.iter().filter(|entry| entry.state != EndpointState::Ready) {
             // Nothing new goes there.
-            self.outbound.close_idle(entry.id);
+            self.outbound.bar(entry.id);
             let state = if entry.state == EndpointState::Gone { "gone" } else { "draining" };
             eprintln!("list: {} is {state}", self.discovery.uid(entry.id));
             if entry.state == EndpointState::Gone {
@@ -296,7 +334,7 @@
             self.addresses.retain(|id, _| {
                 let listed = entries.iter().any(|entry| entry.id == *id);
                 if !listed {
-                    outbound.close_idle(*id);
+                    outbound.bar(*id);
                 }
                 listed
             });
@@ -381,8 +419,8 @@
         open.out += 1;
         let request = open.forward.request(address, until - now);
         let (outbound, inbox) = (self.outbound.clone(), self.inbox.clone());
+        let progress = self.outbound.progress();
         spawn_local(async move {
-            let progress = Progress::default();
             let exchange = timeout_at(until, outbound.attempt(endpoint, address, request, &progress));
             let ended = tokio::select! {
                 biased;
--- a/src/net/inbound.rs
+++ b/src/net/inbound.rs
@@ -1,7 +1,7 @@
 //! Clients' connections: takes requests, gives final answers, and drains at the end.
 
 use super::budget::{Budget, Holder, Permit};
-use super::config::Names;
+use super::counters::{Counters, End};
 use super::driver::{Answer, Arrival, Forward, Inbox, Input};
 use super::outbound::{BODY_MOST, BUFFER_MOST, Outbound};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
@@ -56,11 +56,14 @@
     classes: Vec<String>,
     tenants: Vec<String>,
     budget: Rc<Budget>,
+    counters: Rc<Counters>,
     outbound: Rc<Outbound>,
     inbox: Inbox,
     next: Cell<u64>,
     /// The X-Request-IDs of the requests in work, as clients choose them.
     ids: RefCell<HashSet<String>>,
+    /// Clients are let in.
+    serving: Cell<bool>,
     draining: Cell<bool>,
     /// Accepting fails; said once in the log until it works again.
     failing: Cell<bool>,
@@ -133,29 +136,38 @@
     /// No clients yet.
     pub fn new(
         settings: Settings,
-        names: &Names,
+        classes: Vec<String>,
+        tenants: Vec<String>,
         budget: Rc<Budget>,
+        counters: Rc<Counters>,
         outbound: Rc<Outbound>,
         inbox: Inbox,
     ) -> Rc<Self> {
-        let list = |names: &[super::config::Named]| names.iter().map(|n| n.name.clone()).collect();
         Rc::new(Inbound {
-            classes: list(&names.classes),
-            tenants: list(&names.tenants),
+            classes,
+            tenants,
             settings,
             budget,
+            counters,
             outbound,
             inbox,
             next: Cell::new(0),
             ids: RefCell::default(),
+            serving: Cell::new(false),
             draining: Cell::new(false),
             failing: Cell::new(false),
             close: watch::Sender::new(()),
         })
     }
 
+    /// Whether this process takes clients.
+    pub fn takes_clients(&self) -> bool {
+        self.serving.get() && !self.draining.get()
+    }
+
     /// Serves until told to end, then drains: all that the kernel has accepted is answered.
     pub async fn serve(self: Rc<Self>, listener: TcpListener, mut term: Signal) {
+        self.serving.set(true);
         loop {
             tokio::select! {
                 _ = term.recv() => break,
@@ -278,14 +290,23 @@
     ) -> Result<Reply, Infallible> {
         turn.busy.set(true);
         let mut reply = if request.uri().path() == "/-/ready" {
-            let status = if self.draining.get() { StatusCode::SERVICE_UNAVAILABLE } else { StatusCode::OK };
+            let status =
+                if self.takes_clients() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
             plain(status, "")
-        } else if shed {
-            self.no_room("too many connections")
         } else {
-            match self.serve_request(request, turn.body_until()).await {
+            let class = self.class(request.uri());
+            let served = if shed {
+                Err((StatusCode::SERVICE_UNAVAILABLE, "too many connections"))
+            } else {
+                self.serve_request(request, turn.body_until()).await
+            };
+            match served {
                 Ok(reply) => reply,
-                Err((StatusCode::SERVICE_UNAVAILABLE, problem)) => self.no_room(problem),
+                Err((StatusCode::SERVICE_UNAVAILABLE, problem)) => {
+                    class.into_iter().for_each(|class| self.counters.ended(class, End::Rejected));
+                    self.no_room(problem)
+                }
+                // What is no proper request ends nothing that would count.
                 Err((status, problem)) => plain(status, problem),
             }
         };
@@ -333,6 +354,7 @@
         if !self.ids.borrow_mut().insert(named.to_owned()) {
             return Err((StatusCode::CONFLICT, "X-Request-ID is not fresh"));
         }
+        let taken = self.counters.taken(request.class.0);
         let id = RequestId(self.next.get());
         self.next.set(id.0 + 1);
         request.id = id;
@@ -346,6 +368,11 @@
         // Where the module were to forget a request, its client would still be told in time.
         let answer = timeout_at(came + time, answered).await;
         waiting.answered = answer.is_ok();
+        taken.end(match &answer {
+            Ok(Ok(Answer::Served(_))) => End::Completed,
+            Ok(Ok(Answer::Refused(_))) => End::Rejected,
+            _ => End::Failed,
+        });
         Ok(match answer {
             Ok(Ok(Answer::Served(body))) => Response::new(Full::new(body)),
             Ok(Ok(Answer::Refused(retry_after))) => {
@@ -359,6 +386,12 @@
         })
     }
 
+    /// The class that a path names.
+    fn class(&self, uri: &hyper::Uri) -> Option<usize> {
+        let name = uri.path().split('/').nth(1).unwrap_or_default();
+        self.classes.iter().position(|class| class == name)
+    }
+
     /// What the module is to know of a request, and the client's time.
     fn read(
         &self,
@@ -368,9 +401,7 @@
     ) -> Result<(weirwharf::Request, Duration), (StatusCode, &'static str)> {
         let bad = |problem| (StatusCode::BAD_REQUEST, problem);
         let text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
-        let name = uri.path().split('/').nth(1).unwrap_or_default();
-        let class = self.classes.iter().position(|class| class == name);
-        let class = class.ok_or((StatusCode::NOT_FOUND, "unknown class"))?;
+        let class = self.class(uri).ok_or((StatusCode::NOT_FOUND, "unknown class"))?;
         if text("x-request-id").is_none_or(str::is_empty) {
             return Err(bad("X-Request-ID is missing"));
         }
--- a/src/net/outbound.rs
+++ b/src/net/outbound.rs
@@ -1,6 +1,7 @@
 //! Connections to endpoints: attempts and probes, and how they end.
 
 use super::budget::{Budget, Holder, Permit};
+use super::counters::Counters;
 use super::discovery::Guard;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Bytes, Incoming};
@@ -28,6 +29,8 @@
 const IDLE_UNSTATED: Duration = Duration::from_secs(5);
 /// How often idle connections are looked over.
 const SWEEP: Duration = Duration::from_millis(500);
+/// No attempt takes longer to be written than this: a bar need not be remembered beyond it.
+const BAR_KEPT: Duration = Duration::from_secs(60);
 /// A probe that takes longer has failed.
 const PROBE: Duration = Duration::from_secs(1);
 /// An answer once begun comes on within this, also from an endpoint that stands still for a moment: one that
@@ -57,12 +60,25 @@
 
 /// How far an attempt has come: what is stopped before anything was written never ran.
 #[derive(Default)]
-pub struct Progress(Cell<bool>);
+pub struct Progress {
+    written: Cell<bool>,
+    /// Where it counts; a probe counts nowhere.
+    counters: Option<Rc<Counters>>,
+}
 
 impl Progress {
     /// The outcome of no longer waiting: nothing written proves that it never ran.
     pub fn given_up(&self) -> Outcome {
-        if self.0.get() { Outcome::TimedOut } else { Outcome::ConnectFailed }
+        if self.written.get() { Outcome::TimedOut } else { Outcome::ConnectFailed }
+    }
+
+    /// It is being written, or was handed back.
+    fn set(&self, written: bool) {
+        if self.written.replace(written) != written
+            && let Some(counters) = &self.counters
+        {
+            counters.sent(written);
+        }
     }
 }
 
@@ -80,6 +96,9 @@
     budget: Rc<Budget>,
     /// Idle ones, the most recently used last.
     idle: RefCell<HashMap<EndpointId, Vec<Link>>>,
+    /// When an endpoint was last barred: what was to go there by then and is not yet written stays here.
+    barred: RefCell<HashMap<EndpointId, Instant>>,
+    counters: Rc<Counters>,
     connect_timeout: Duration,
     idle_most: Duration,
     fields: Vec<LoadField>,
@@ -87,18 +106,25 @@
 
 impl Outbound {
     /// No connections yet.
-    pub fn new(settings: &Settings, budget: Rc<Budget>) -> Rc<Self> {
+    pub fn new(settings: &Settings, budget: Rc<Budget>, counters: Rc<Counters>) -> Rc<Self> {
         let (connect, idle) = (settings.limits.connect_timeout, settings.limits.idle_close);
         let or = |time: Duration, unstated| if time.is_zero() { unstated } else { time };
         Rc::new(Outbound {
             budget,
             idle: RefCell::default(),
+            barred: RefCell::default(),
+            counters,
             connect_timeout: or(connect, CONNECT_UNSTATED),
             idle_most: or(idle.mul_f64(IDLE_PART), IDLE_UNSTATED),
             fields: settings.load_reports.fields.clone(),
         })
     }
 
+    /// The progress of an attempt that is to be made.
+    pub fn progress(&self) -> Progress {
+        Progress { written: Cell::new(false), counters: Some(self.counters.clone()) }
+    }
+
     /// Sends one attempt and waits for its end. It is written at most once: only what provably was
     /// never written goes to another connection.
     pub async fn attempt(
@@ -108,6 +134,7 @@
         mut request: Request<Full<Bytes>>,
         progress: &Progress,
     ) -> Ended {
+        let began = Instant::now();
         let (mut link, response) = loop {
             let (mut link, fresh) = match self.take_idle(endpoint, address) {
                 Some(link) => (link, false),
@@ -123,13 +150,17 @@
                 }
                 continue;
             }
-            progress.0.set(true);
+            // Connecting takes time, and what was told meanwhile binds before anything is written.
+            if self.barred.borrow().get(&endpoint).is_some_and(|at| *at >= began) {
+                return Ended::bare(Outcome::ConnectFailed);
+            }
+            progress.set(true);
             match link.sender.try_send_request(request).await {
                 Ok(response) => break (link, response),
                 Err(mut error) => match error.take_message() {
                     // Handed back unsent.
                     Some(unsent) => {
-                        progress.0.set(false);
+                        progress.set(false);
                         request = unsent;
                         if fresh {
                             return Ended::bare(Outcome::ConnectFailed);
@@ -184,6 +215,15 @@
         }
     }
 
+    /// Lets nothing go to an endpoint any more that is not written yet.
+    pub fn bar(&self, endpoint: EndpointId) {
+        self.close_idle(endpoint);
+        let now = Instant::now();
+        let mut barred = self.barred.borrow_mut();
+        barred.retain(|_, at| now.duration_since(*at) < BAR_KEPT);
+        barred.insert(endpoint, now);
+    }
+
     /// Closes idle connections to an endpoint.
     pub fn close_idle(&self, endpoint: EndpointId) {
         self.idle.borrow_mut().remove(&endpoint);
--- a/src/types.rs
+++ b/src/types.rs
@@ -382,6 +382,15 @@
         /// The values of [`LoadReports::fields`], if any came.
         report: Option<Vec<f64>>,
     },
+    /// The operators take an endpoint out: nothing new goes there, whatever the list says.
+    Suspend(EndpointId),
+    /// The operators give an endpoint back, as restarted at this time.
+    Resume {
+        /// Which endpoint.
+        endpoint: EndpointId,
+        /// When it was called back: it is as cold as if it had started then.
+        at: Duration,
+    },
     /// A message from another balancer of this tier.
     PeerMessage {
         /// The sender's number.
@@ -459,6 +468,15 @@
     }
 }
 
+/// How many endpoints there are, for the operators.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Census {
+    /// Endpoints in the list.
+    pub members: usize,
+    /// Those among them that get nothing new now: draining, suspended, or avoided for their failures.
+    pub unavailable: usize,
+}
+
 /// Something to do.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
--- /dev/null
+++ b/tests/operations.rs
@@ -0,0 +1,227 @@
+//! The built sidecar as its operators run it: the door, the figures, endpoints taken out by hand.
+
+#[path = "support/node.rs"]
+mod support;
+
+use serde_json::json;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+use support::*;
+
+/// Of this many requests each of two endpoints in use gets some, but for one chance in a million.
+const MANY: usize = 20;
+
+/// Asks so often; how many requests the peer got of them.
+fn share(sidecar: &Sidecar, peer: &Peer, tag: &str) -> usize {
+    let before = peer.count();
+    for n in 0..MANY {
+        assert_eq!(sidecar.ask("quote", &format!("{tag}-{n}")).status(), 200);
+    }
+    peer.count() - before
+}
+
+#[test]
+fn the_door_answers_each_call_as_it_deserves() {
+    let peer = Peer::serving("ok");
+    let shared = Shared::new();
+    let (_sidecar, door) = shared.start(&config(&[&peer]));
+    for (method, path, status) in [
+        ("GET", "/v1/readyz", 200),
+        ("GET", "/v1/metrics", 200),
+        ("POST", "/v1/readyz", 405),
+        ("POST", "/v1/metrics", 405),
+        ("GET", "/v1/endpoints/s-0/suspend", 405),
+        ("POST", "/v1/endpoints/nobody/suspend", 404),
+        ("POST", "/v1/endpoints/nobody/resume", 404),
+        ("POST", "/v1/endpoints/s-0/reboot", 404),
+        ("POST", "/v1/endpoints/s-0/suspend/now", 404),
+        ("GET", "/", 404),
+        ("GET", "/v1/readyz/", 404),
+    ] {
+        let answer = call(door, method, path);
+        assert_eq!(answer.status(), status, "{method} {path}");
+        assert_eq!(answer.header("connection"), "close", "one call to a connection");
+    }
+    assert_eq!(call(door, "PUT", "/v1/endpoints/s-0/resume").header("allow"), "POST");
+    let mut long = "GET /v1/readyz HTTP/1.1\r\nHost: t\r\n".to_owned();
+    long.push_str(&format!("X-Long: {}\r\n\r\n", "x".repeat(40_000)));
+    for bad in ["nonsense\r\n\r\n", "GET /v1/readyz HTTP/1.1\r\nno colon\r\n\r\n", &long] {
+        let mut caller = Client::connect(door).unwrap();
+        caller.send(bad);
+        let status = caller.receive().map_or(400, |answer| answer.status());
+        assert!((400..500).contains(&status), "{status}");
+    }
+    assert_eq!(call(door, "GET", "/v1/readyz").status(), 200);
+}
+
+#[test]
+fn without_control_there_is_no_door_and_a_path_of_it_is_no_class() {
+    let peer = Peer::serving("ok");
+    let sidecar = Sidecar::start(&config(&[&peer]));
+    let mut client = sidecar.client();
+    client.send("GET /v1/readyz HTTP/1.1\r\nHost: t\r\n\r\n");
+    assert_eq!(client.receive().unwrap().status(), 404);
+}
+
+#[test]
+fn silent_and_unfinished_callers_do_not_keep_others_from_the_door() {
+    let peer = Peer::serving("ok");
+    let shared = Shared::new();
+    let (sidecar, door) = shared.start(&config(&[&peer]));
+    let half = "POST /v1/endpoints/s-0/suspend HTTP/1.1\r\nHost: t\r\nContent-Length: 5\r\n\r\nab";
+    let waiting: Vec<Client> = (0..200)
+        .map(|n| {
+            let mut caller = Client::connect(door).unwrap();
+            caller.send(["", "GET /v1/rea", half][n % 3]);
+            caller
+        })
+        .collect();
+    let start = Instant::now();
+    assert_eq!(call(door, "GET", "/v1/readyz").status(), 200);
+    assert!(start.elapsed() < Duration::from_secs(1), "answered after {:?}", start.elapsed());
+    drop(waiting);
+    assert_eq!(sidecar.ask("quote", "r1").status(), 200, "half an order is none");
+    assert_eq!(figure(door, "members_unavailable"), 0);
+}
+
+#[test]
+fn the_figures_count_every_end_of_a_request() {
+    let (silent, shared) = (Arc::new(AtomicBool::new(false)), Shared::new());
+    let held = silent.clone();
+    let peer = Peer::new(move |request| match request.header("x-request-id") {
+        "fails" => Do::Write(answer("500 Oh", "", "")),
+        _ if held.load(Ordering::SeqCst) => Do::Silence,
+        _ => Do::Serve("ok"),
+    });
+    let (sidecar, door) = shared.start(&config_at(&[peer.address]));
+    for class in ["quote", "book", "pay"] {
+        for end in ["completed", "rejected", "failed"] {
+            assert_eq!(figure(door, &format!("downstream_requests.{class}.{end}")), 0);
+        }
+    }
+    assert_eq!(sidecar.ask("quote", "served").status(), 200);
+    assert_eq!(sidecar.ask("book", "fails").status(), 502);
+    assert_eq!(figure(door, "upstream_requests"), 2);
+    assert_eq!(figure(door, "downstream_requests.quote.completed"), 1);
+    assert_eq!(figure(door, "downstream_requests.book.failed"), 1);
+    silent.store(true, Ordering::SeqCst);
+    let mut waiting = sidecar.client();
+    waiting.send(&request("book", "waits", "10000m"));
+    wait_for("the request to be pending", || figure(door, "pending") == 1);
+    wait_for("its attempt", || figure(door, "upstream_requests") == 3);
+    drop(waiting);
+    wait_for("its end", || figure(door, "pending") == 0);
+    assert_eq!((figure(door, "members"), figure(door, "members_unavailable")), (1, 0));
+    assert_eq!(call(door, "POST", "/v1/endpoints/s-0/suspend").status(), 200);
+    assert_eq!((figure(door, "members"), figure(door, "members_unavailable")), (1, 1));
+    let mut refused = sidecar.client();
+    refused.send(&request("quote", "refused", "300m"));
+    assert_eq!(refused.receive().unwrap().status(), 503);
+    assert_eq!(figure(door, "downstream_requests.quote.rejected"), 1);
+}
+
+#[test]
+fn a_suspended_endpoint_gets_nothing_until_it_is_called_back() {
+    let (first, second) = (Peer::serving("ok"), Peer::serving("ok"));
+    let shared = Shared::new();
+    let (sidecar, door) = shared.start(&config(&[&first, &second]));
+    assert!(share(&sidecar, &first, "before") > 0, "it was in use");
+    let connections = first.connections.load(Ordering::SeqCst);
+    for _ in 0..2 {
+        assert_eq!(call(door, "POST", "/v1/endpoints/s-0/suspend").status(), 200);
+    }
+    assert_eq!(share(&sidecar, &first, "out"), 0);
+    assert_eq!(first.connections.load(Ordering::SeqCst), connections, "no new connection either");
+    // Two calls out, one call back.
+    assert_eq!(call(door, "POST", "/v1/endpoints/s-0/resume").status(), 200);
+    let start = Instant::now();
+    wait_for("its return", || share(&sidecar, &first, &format!("back-{:?}", start.elapsed())) > 0);
+    assert!(start.elapsed() < Duration::from_secs(5), "used again after {:?}", start.elapsed());
+}
+
+#[test]
+fn a_ban_outlives_the_listing_and_is_lifted_by_the_uid_alone() {
+    let (first, second) = (Peer::serving("ok"), Peer::serving("ok"));
+    let (one, two) = (target("s-0", first.address, "up"), target("s-1", second.address, "up"));
+    let discovery = Discovery::new(list(8, true, &[one.clone(), two.clone()]));
+    let mut config = config(&[&first, &second]);
+    config["discovery"] = json!(discovery.address.to_string());
+    let shared = Shared::new();
+    let (sidecar, door) = shared.start(&config);
+    assert_eq!(call(door, "POST", "/v1/endpoints/s-0/suspend").status(), 200);
+    discovery.say(&list(9, false, &[target("s-0", first.address, "removed")]).to_string());
+    wait_for("its leaving", || figure(door, "members") == 1);
+    assert_eq!(call(door, "POST", "/v1/endpoints/s-0/suspend").status(), 200, "it is still known");
+    discovery.say(&list(10, false, std::slice::from_ref(&one)).to_string());
+    wait_for("its coming back", || figure(door, "members") == 2);
+    assert_eq!(share(&sidecar, &first, "listed"), 0);
+    discovery.say(&list(11, true, std::slice::from_ref(&two)).to_string());
+    wait_for("its leaving again", || figure(door, "members") == 1);
+    assert_eq!(call(door, "POST", "/v1/endpoints/s-0/resume").status(), 200);
+    assert_eq!(call(door, "POST", "/v1/endpoints/s-0/resume").status(), 404, "now nobody has it");
+    discovery.say(&list(12, false, &[one]).to_string());
+    wait_for("its use", || share(&sidecar, &first, &format!("{:?}", Instant::now())) > 0);
+}
+
+#[test]
+fn a_ban_is_in_force_in_the_next_process_from_its_first_send() {
+    let (first, second) = (Peer::serving("ok"), Peer::serving("ok"));
+    let (shared, config) = (Shared::new(), config(&[&first, &second]));
+    let (sidecar, door) = shared.start(&config);
+    assert_eq!(call(door, "POST", "/v1/endpoints/s-0/suspend").status(), 200);
+    drop(sidecar); // killed outright
+    let (sidecar, door) = shared.start(&config);
+    assert_eq!(figure(door, "members_unavailable"), 1);
+    assert_eq!(share(&sidecar, &first, "next"), 0);
+}
+
+#[test]
+fn a_ban_that_cannot_be_kept_is_refused_and_one_that_cannot_be_read_stops_nothing() {
+    let peer = Peer::serving("ok");
+    let shared = Shared::new();
+    std::fs::write(shared.0.join("suspended-n0.json"), "{torn").unwrap();
+    let (sidecar, door) = shared.start(&config(&[&peer]));
+    assert_eq!(sidecar.ask("quote", "r1").status(), 200);
+    // A directory stands where the new file has to be written: that holds for root too.
+    std::fs::create_dir(shared.0.join("suspended-n0.new")).unwrap();
+    assert_eq!(call(door, "POST", "/v1/endpoints/s-0/suspend").status(), 500);
+    assert_eq!(figure(door, "members_unavailable"), 0, "what was refused is not in force");
+    std::fs::remove_dir(shared.0.join("suspended-n0.new")).unwrap();
+    assert_eq!(call(door, "POST", "/v1/endpoints/s-0/suspend").status(), 200);
+    assert_eq!(figure(door, "members_unavailable"), 1);
+}
+
+#[test]
+fn what_is_still_connecting_when_an_endpoint_is_suspended_does_not_go_there() {
+    // Connections to it come up only once its backlog has room.
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let mut filling = Vec::new();
+    while let Ok(stream) = std::net::TcpStream::connect_timeout(&address, Duration::from_secs(1)) {
+        filling.push(stream);
+    }
+    let mut config = config_at(&[address]);
+    config["settings"]["limits"]["connectTimeoutMs"] = json!(20000.0);
+    let shared = Shared::new();
+    let (sidecar, door) = shared.start(&config);
+    let mut client = sidecar.client();
+    client.send(&request("book", "r1", "5000m"));
+    wait_for("the request", || figure(door, "pending") == 1);
+    assert_eq!(call(door, "POST", "/v1/endpoints/s-0/suspend").status(), 200);
+    let written = Arc::new(Mutex::new(Vec::new()));
+    let read = written.clone();
+    std::thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            let read = read.clone();
+            std::thread::spawn(move || {
+                let mut text = Vec::new();
+                let _ = std::io::Read::read_to_end(&mut stream, &mut text);
+                read.lock().unwrap().extend(text);
+            });
+        }
+    });
+    drop(filling);
+    assert_eq!(client.receive().unwrap().status(), 503);
+    assert!(written.lock().unwrap().is_empty(), "nothing was written to it");
+}
