Upgrade under load: listen beside the old process and part all limits with it

Seen to fail without it: the three tests of an upgrade (without the wait for the first list, without following the file of bans), and the cold budget of two processes without parting what was measured. Wrong guess on the way: the first form of the test waited at the shared address for the new process, where the old one answers; it now asks the new one's door.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -166,6 +166,8 @@
     /// What the operators have taken out, listed or not, and when they gave back what may still be cold.
     suspended: HashSet<EndpointId>,
     resumed: HashMap<EndpointId, Duration>,
+    /// Processes that are this balancer together.
+    processes: f64,
     /// Ready endpoints: of the own zone, of others, each first those of this balancer's part, then all.
     pools: [Vec<usize>; 4],
     requests: HashMap<RequestId, Pending>,
@@ -228,6 +230,7 @@
             index: HashMap::new(),
             suspended: HashSet::new(),
             resumed: HashMap::new(),
+            processes: 1.0,
             pools: Default::default(),
             requests: HashMap::new(),
             held: Vec::new(),
@@ -277,6 +280,7 @@
             },
             Event::Suspend(id) => self.on_suspend(now, id, out),
             Event::Resume { endpoint, at } => self.on_resume(now, endpoint, at, out),
+            Event::Shared { processes } => self.on_shared(processes),
             Event::ProbeEnded { .. } | Event::PeerMessage { .. } => {}
         }
     }
@@ -303,7 +307,8 @@
             Membership::Failed => {
                 if ask {
                     // Jittered and doubling, so that instances refused together do not return together.
-                    let doubled = ASK_BACKOFF * f64::from(1u32 << self.ask_failures.min(4));
+                    let doubled =
+                        ASK_BACKOFF * self.processes * f64::from(1u32 << self.ask_failures.min(4));
                     let wait = doubled * (0.5 + self.draws.uniform());
                     self.ask_failures += 1;
                     self.set_timer(Duration::from_secs_f64(wait), Timer::Ask, out);
@@ -360,6 +365,18 @@
         }
     }
 
+    /// What was seen of all requests says too much of a part of them: cold endpoints would get their whole
+    /// budget from each process. Alone again, this one sees for itself what has become its own.
+    fn on_shared(&mut self, processes: u32) {
+        let processes = f64::from(processes.max(1));
+        let part = (self.processes / processes).min(1.0);
+        for rate in [&mut self.arrivals, &mut self.served, &mut self.proven] {
+            rate.value *= part;
+        }
+        self.endpoints.iter_mut().for_each(|e| e.cold_tokens *= part);
+        self.processes = processes;
+    }
+
     fn update_endpoints(&mut self, now: Duration, entries: Vec<EndpointInfo>) {
         let warm_within = self.settings.rules.warm_within;
         self.resumed.retain(|_, at| now.saturating_sub(*at) < warm_within);
--- a/src/main.rs
+++ b/src/main.rs
@@ -12,6 +12,7 @@
     pub mod driver;
     pub mod inbound;
     pub mod outbound;
+    pub mod overlap;
 }
 
 use net::bans::{Bans, Standing};
@@ -20,16 +21,29 @@
 use net::control::Door;
 use net::counters::Counters;
 use net::discovery::{Call, Discovery};
-use net::driver::{Clock, Driver, Input};
+use net::driver::{Clock, Driver, Inbox, Input};
 use net::inbound::Inbound;
 use net::outbound::Outbound;
+use net::overlap::Overlap;
+use std::io;
+use std::net::SocketAddr;
 use std::process::ExitCode;
-use tokio::net::TcpListener;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::{LocalSet, spawn_local};
+use tokio::time::timeout;
 use weirwharf::Balancer;
 
+/// How often other processes of this sidecar are looked for.
+const LOOK: Duration = Duration::from_millis(100);
+/// A new process waits for its first list no longer than this: it has 6 s to say that it is ready.
+const LIST_WAIT: Duration = Duration::from_millis(2500);
+/// Connections that may wait to be accepted; the system may allow fewer.
+const BACKLOG: u32 = 1024;
+
 fn main() -> ExitCode {
     let config = match Config::from_env() {
         Ok(config) => config,
@@ -68,7 +82,7 @@
         settings.clone(),
         classes,
         tenants,
-        budget,
+        budget.clone(),
         counters.clone(),
         outbound.clone(),
         inbox.clone(),
@@ -86,9 +100,18 @@
     let driver =
         Driver::new(balancer, clock, attempts, outbound.clone(), discovery.clone(), calls, inbox.clone());
     let mut driver = spawn_local(driver.run(inputs));
-    spawn_local(discovery.run(asked));
-    spawn_local(outbound.sweep());
-    let listener = TcpListener::bind(listen).await.map_err(|e| format!("listen: {listen}: {e}"))?;
+    spawn_local(discovery.clone().run(asked));
+    spawn_local(outbound.clone().sweep());
+    let overlap = control.and_then(|_| join(&name));
+    if let Some(overlap) = overlap {
+        let sharing = Sharing { overlap, budget, inbound: inbound.clone(), outbound, inbox: inbox.clone() };
+        if sharing.look() > 0 {
+            // The older process serves meanwhile; the list known at its start may have aged with it.
+            let _ = timeout(LIST_WAIT, discovery.heard()).await;
+        }
+        spawn_local(sharing.keep_up());
+    }
+    let listener = listen_at(listen, control.is_some()).map_err(|e| format!("listen: {listen}: {e}"))?;
     if let Some(control) = control {
         let door = TcpListener::bind(control).await.map_err(|e| format!("control: {control}: {e}"))?;
         eprintln!("{name}: operators' door at {control}");
@@ -103,6 +126,51 @@
     }
 }
 
+/// Listens for clients; shared, another process of this sidecar may do so at the same address.
+fn listen_at(address: SocketAddr, shared: bool) -> io::Result<TcpListener> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    socket.set_reuseaddr(true)?;
+    if shared {
+        socket.set_reuseport(true)?;
+    }
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
+/// Makes this process known to others of the same sidecar. Where that fails it serves as if alone.
+fn join(name: &str) -> Option<Overlap> {
+    let joined = Overlap::join(&std::env::temp_dir(), name);
+    joined.inspect_err(|e| eprintln!("$TMPDIR: {e}; other processes of this sidecar go unseen")).ok()
+}
+
+/// Parts with other processes of this sidecar what it may hold.
+struct Sharing {
+    overlap: Overlap,
+    budget: Rc<Budget>,
+    inbound: Rc<Inbound>,
+    outbound: Rc<Outbound>,
+    inbox: Inbox,
+}
+
+impl Sharing {
+    /// Looks for others, and parts with them; how many there are.
+    fn look(&self) -> usize {
+        let others = self.overlap.others();
+        if self.budget.share(others + 1) {
+            let _ = self.inbox.send(Input::Shared(others + 1));
+            self.outbound.shrink();
+        }
+        others
+    }
+
+    async fn keep_up(self) {
+        loop {
+            tokio::time::sleep(LOOK).await;
+            self.inbound.succeeded(self.look() > 0);
+        }
+    }
+}
+
 /// What the operators had said of endpoints before this process began.
 fn standing(bans: &Bans) -> Standing {
     bans.read().unwrap_or_else(|problem| {
--- a/src/net/budget.rs
+++ b/src/net/budget.rs
@@ -38,6 +38,8 @@
     total: usize,
     clients_most: usize,
     requests_most: usize,
+    /// Processes of this sidecar: each keeps to its part.
+    sharers: Cell<usize>,
     requests: Cell<usize>,
     clients: Cell<usize>,
     shed: Cell<usize>,
@@ -60,17 +62,27 @@
         let clients_most = (total * 5 / 8).min(memory_mb * 1024 / 4 / CONNECTION_KIB).max(1);
         let requests_most = (memory_mb * 1024 / 2 / REQUEST_KIB).max(1);
         let (requests, clients, shed, endpoints) = Default::default();
-        let freed = Notify::new();
-        Rc::new(Budget { total, clients_most, requests_most, requests, clients, shed, endpoints, freed })
+        let (sharers, freed) = (Cell::new(1), Notify::new());
+        Rc::new(Budget {
+            total,
+            clients_most,
+            requests_most,
+            sharers,
+            requests,
+            clients,
+            shed,
+            endpoints,
+            freed,
+        })
     }
 
     /// A permit, if there is room for one.
     pub fn take(self: &Rc<Self>, holder: Holder) -> Option<Permit> {
         let room = match holder {
-            Holder::Client => self.clients.get() < self.clients_most && self.in_use() < self.total,
-            Holder::Shed => self.shed.get() < SHED_MOST,
-            Holder::Endpoint => self.in_use() < self.total,
-            Holder::Request => self.requests.get() < self.requests_most,
+            Holder::Client => self.clients_fit() && self.sockets_fit(),
+            Holder::Shed => self.shed.get() < self.part(SHED_MOST),
+            Holder::Endpoint => self.sockets_fit(),
+            Holder::Request => self.requests.get() < self.part(self.requests_most),
         };
         room.then(|| {
             let count = self.count(holder);
@@ -79,9 +91,32 @@
         })
     }
 
+    /// Parts everything among so many processes; whether they are not as many as before. What is held over
+    /// the part stays held until it ends.
+    pub fn share(&self, processes: usize) -> bool {
+        self.sharers.replace(processes.max(1)) != processes.max(1)
+    }
+
     /// Whether only the connections to endpoints stand in the way of one more client.
     pub fn endpoints_crowd(&self) -> bool {
-        self.clients.get() < self.clients_most && self.in_use() >= self.total
+        self.clients_fit() && !self.sockets_fit()
+    }
+
+    /// Whether more sockets are held than there is a part for.
+    pub fn over(&self) -> bool {
+        self.in_use() > self.part(self.total)
+    }
+
+    fn clients_fit(&self) -> bool {
+        self.clients.get() < self.part(self.clients_most)
+    }
+
+    fn sockets_fit(&self) -> bool {
+        self.in_use() < self.part(self.total)
+    }
+
+    fn part(&self, whole: usize) -> usize {
+        (whole / self.sharers.get()).max(1)
     }
 
     /// Connected clients.
@@ -117,3 +152,28 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn two_processes_part_what_one_has() {
+        let held = |budget: &Rc<Budget>, holder| {
+            let permits: Vec<Permit> = std::iter::from_fn(|| budget.take(holder)).collect();
+            permits.len()
+        };
+        let budget = Budget::new(384, 48);
+        let alone = [Holder::Client, Holder::Endpoint, Holder::Request].map(|h| held(&budget, h));
+        let kept: Vec<Permit> = std::iter::from_fn(|| budget.take(Holder::Endpoint)).collect();
+        budget.share(2);
+        assert!(budget.over() && budget.take(Holder::Endpoint).is_none());
+        drop(kept);
+        let parted = [Holder::Client, Holder::Endpoint, Holder::Request].map(|h| held(&budget, h));
+        for (part, whole) in parted.into_iter().zip(alone) {
+            assert_eq!(part, whole / 2);
+        }
+        budget.share(1);
+        assert_eq!(held(&budget, Holder::Endpoint), alone[1]);
+    }
+}
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -16,6 +16,7 @@
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::sync::watch;
 use tokio::task::{AbortHandle, spawn_local};
 use tokio::time::timeout;
 use weirwharf::{
@@ -99,6 +100,8 @@
     ids: RefCell<wire::Names>,
     rev: Cell<u64>,
     draws: RefCell<Pcg32>,
+    /// A list has come since the start.
+    heard: watch::Sender<bool>,
     inbox: Inbox,
 }
 
@@ -124,7 +127,8 @@
         let draws = RefCell::new(Pcg32::seed_from_u64(seed));
         let (ids, rev) = Default::default();
         let address = Cell::new(address);
-        Rc::new(Discovery { address, mode, names, ids, rev, draws, inbox })
+        let heard = watch::Sender::new(false);
+        Rc::new(Discovery { address, mode, names, ids, rev, draws, heard, inbox })
     }
 
     /// The list as last held, to start from.
@@ -275,8 +279,14 @@
         }
     }
 
+    /// Waits until a list has come.
+    pub async fn heard(&self) {
+        let _ = self.heard.subscribe().wait_for(|heard| *heard).await; // fails only without a sender
+    }
+
     fn take(&self, list: List) {
         self.rev.set(list.rev);
+        self.heard.send_replace(true);
         if !list.targets.is_empty() {
             let sort = if list.all { "whole list" } else { "changes" };
             eprintln!("list: {sort}, rev {}, {} entries", list.rev, list.targets.len());
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -45,6 +45,8 @@
     Known(String, oneshot::Sender<bool>),
     /// What the operators have said of endpoints, as it stands now; confirmed once it is in force.
     Standing(Standing, oneshot::Sender<()>),
+    /// So many processes are this sidecar together.
+    Shared(usize),
     /// The operators ask how many endpoints there are.
     Census(oneshot::Sender<Census>),
     /// The process must end: fail what is still open.
@@ -222,6 +224,10 @@
                 self.follow(standing);
                 let _ = done.send(());
             }
+            Input::Shared(processes) => {
+                eprintln!("processes of this sidecar: {processes}");
+                self.handle(Event::Shared { processes: processes as u32 });
+            }
             Input::Census(to) => drop(to.send(self.balancer.census(self.clock.now()))),
             Input::GiveUp => {
                 let open = self.requests.iter().filter(|(_, open)| open.answer.is_some());
--- a/src/net/inbound.rs
+++ b/src/net/inbound.rs
@@ -65,6 +65,8 @@
     /// Clients are let in.
     serving: Cell<bool>,
     draining: Cell<bool>,
+    /// Another process of this sidecar takes clients too.
+    succeeded: Cell<bool>,
     /// Accepting fails; said once in the log until it works again.
     failing: Cell<bool>,
     /// Each change says that connections are to make room, or while draining, to end.
@@ -155,6 +157,7 @@
             ids: RefCell::default(),
             serving: Cell::new(false),
             draining: Cell::new(false),
+            succeeded: Cell::new(false),
             failing: Cell::new(false),
             close: watch::Sender::new(()),
         })
@@ -165,6 +168,11 @@
         self.serving.get() && !self.draining.get()
     }
 
+    /// Whether another process of this sidecar takes clients too.
+    pub fn succeeded(&self, by_another: bool) {
+        self.succeeded.set(by_another);
+    }
+
     /// Serves until told to end, then drains: all that the kernel has accepted is answered.
     pub async fn serve(self: Rc<Self>, listener: TcpListener, mut term: Signal) {
         self.serving.set(true);
@@ -177,12 +185,16 @@
         let asked = Instant::now();
         eprintln!("draining: {} clients connected", self.budget.clients());
         self.draining.set(true);
-        while timeout_at(asked + DRAIN_ACCEPT, self.accept(&listener)).await.is_ok() {}
         let longest = self.settings.classes.iter().map(|c| c.deadline).max().unwrap_or_default();
         let until = asked + longest.min(DEADLINE_MOST) + DRAIN_SLACK;
-        // What still waits in the backlog counts as taken: closing the listener would reset it.
-        while Instant::now() < until && timeout(BACKLOG_EMPTY, self.accept(&listener)).await.is_ok() {}
-        drop(listener);
+        if self.succeeded.get() {
+            self.hand_over(listener);
+        } else {
+            while timeout_at(asked + DRAIN_ACCEPT, self.accept(&listener)).await.is_ok() {}
+            // What still waits in the backlog counts as taken: closing the listener would reset it.
+            while Instant::now() < until && timeout(BACKLOG_EMPTY, self.accept(&listener)).await.is_ok() {}
+            drop(listener);
+        }
         self.close.send_replace(());
         if timeout_at(until, self.all_gone()).await.is_err() {
             let _ = self.inbox.send(Input::GiveUp);
@@ -191,6 +203,18 @@
         eprintln!("drained in {} ms", asked.elapsed().as_millis());
     }
 
+    /// Takes what waits in the backlog and closes the listener in one go: all that comes later goes to the
+    /// process that listens beside this one. A wait in between would let more in, only to be reset.
+    fn hand_over(self: &Rc<Self>, listener: TcpListener) {
+        let Ok(listener) = listener.into_std() else { return };
+        while let Ok((stream, _)) = listener.accept() {
+            let taken = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream));
+            if let Ok(stream) = taken {
+                self.admit(stream, self.budget.take(Holder::Client));
+            }
+        }
+    }
+
     async fn all_gone(&self) {
         while self.budget.clients() > 0 {
             self.budget.freed().await;
@@ -203,11 +227,7 @@
         match listener.accept().await {
             Ok((stream, _)) => {
                 self.failing.set(false);
-                let permit = permit.or_else(|| self.budget.take(Holder::Client));
-                let shed = permit.is_none();
-                let permit = permit.or_else(|| self.budget.take(Holder::Shed));
-                let this = self.clone();
-                spawn_local(async move { this.connection(stream, shed, permit).await });
+                self.admit(stream, permit.or_else(|| self.budget.take(Holder::Client)));
             }
             Err(e) => {
                 if !self.failing.replace(true) {
@@ -219,6 +239,14 @@
         }
     }
 
+    /// Serves a connection; without a permit only to say that there is no room.
+    fn admit(self: &Rc<Self>, stream: TcpStream, permit: Option<Permit>) {
+        let shed = permit.is_none();
+        let permit = permit.or_else(|| self.budget.take(Holder::Shed));
+        let this = self.clone();
+        spawn_local(async move { this.connection(stream, shed, permit).await });
+    }
+
     /// A permit for one more client; none where it can only be told that there is no room.
     async fn room(&self) -> Option<Permit> {
         loop {
--- a/src/types.rs
+++ b/src/types.rs
@@ -391,6 +391,11 @@
         /// When it was called back: it is as cold as if it had started then.
         at: Duration,
     },
+    /// So many processes are this balancer together from now on, and part its requests among them.
+    Shared {
+        /// This one included.
+        processes: u32,
+    },
     /// A message from another balancer of this tier.
     PeerMessage {
         /// The sender's number.
--- a/tests/operations.rs
+++ b/tests/operations.rs
@@ -225,3 +225,91 @@
     assert_eq!(client.receive().unwrap().status(), 503);
     assert!(written.lock().unwrap().is_empty(), "nothing was written to it");
 }
+
+/// The configuration of the next process of the same sidecar, whose list is followed at `discovery`.
+fn followed(config: &serde_json::Value, discovery: &Discovery) -> serde_json::Value {
+    let mut config = config.clone();
+    config["discovery"] = json!(discovery.address.to_string());
+    config
+}
+
+/// Says stop when dropped, also where a test fails: its threads would go on for good.
+struct Stop<'a>(&'a AtomicBool);
+
+impl Drop for Stop<'_> {
+    fn drop(&mut self) {
+        self.0.store(true, Ordering::SeqCst);
+    }
+}
+
+#[test]
+fn during_an_upgrade_every_connection_is_answered_by_one_process_or_the_other() {
+    let peer = Peer::serving("ok");
+    let discovery = Discovery::new(list(8, true, &[target("s-0", peer.address, "up")]));
+    let config = followed(&config(&[&peer]), &discovery);
+    let shared = Shared::new();
+    let (mut old, _) = shared.start(&config);
+    let (stop, asked) = (AtomicBool::new(false), std::sync::atomic::AtomicUsize::new(0));
+    std::thread::scope(|scope| {
+        let stopping = Stop(&stop);
+        let callers: Vec<_> = (0..4)
+            .map(|caller| {
+                let (stop, asked, address) = (&stop, &asked, old.address);
+                scope.spawn(move || {
+                    while !stop.load(Ordering::SeqCst) {
+                        let id = format!("c{caller}-{}", asked.fetch_add(1, Ordering::SeqCst));
+                        let mut client = Client::connect(address).expect("some process accepts");
+                        client.send(&request("book", &id, "10000m"));
+                        let answer = client.receive().unwrap_or_else(|| panic!("{id} was cut off"));
+                        assert_eq!(answer.status(), 200, "{id}");
+                    }
+                })
+            })
+            .collect();
+        let (new, door) = shared.start(&config);
+        let count = |door| figure(door, "downstream_requests.book.completed");
+        wait_for("the new process to serve", || count(door) > 20);
+        old.signal("-TERM");
+        assert!(old.ended().success());
+        let before = asked.load(Ordering::SeqCst);
+        wait_for("more requests", || asked.load(Ordering::SeqCst) > before + 50);
+        drop(stopping);
+        callers.into_iter().for_each(|caller| caller.join().unwrap());
+        drop(new);
+    });
+}
+
+#[test]
+fn an_order_to_either_process_of_an_upgrade_reaches_both() {
+    let (first, second) = (Peer::serving("ok"), Peer::serving("ok"));
+    let both = [target("s-0", first.address, "up"), target("s-1", second.address, "up")];
+    let discovery = Discovery::new(list(8, true, &both));
+    let config = followed(&config(&[&first, &second]), &discovery);
+    let shared = Shared::new();
+    let (_old, at_old) = shared.start(&config);
+    let (_new, at_new) = shared.start(&config);
+    for (told, other) in [(at_old, at_new), (at_new, at_old)] {
+        assert_eq!(call(told, "POST", "/v1/endpoints/s-0/suspend").status(), 200);
+        wait_for("the other process", || figure(other, "members_unavailable") == 1);
+        assert_eq!(call(told, "POST", "/v1/endpoints/s-0/resume").status(), 200);
+        wait_for("the other process", || figure(other, "members_unavailable") == 0);
+    }
+}
+
+#[test]
+fn a_new_process_beside_an_old_one_begins_with_the_list_as_it_is_now() {
+    let (gone, here) = (Peer::serving("gone"), Peer::serving("here"));
+    let discovery = Discovery::new(list(9, true, &[target("s-1", here.address, "up")]));
+    let shared = Shared::new();
+    // What both are told at their start still names the one that has gone since.
+    let config = followed(&config(&[&gone, &here]), &discovery);
+    let (old, door) = shared.start(&config);
+    wait_for("its first list", || figure(door, "members") == 1);
+    let before = gone.count();
+    let (new, _) = shared.start(&config);
+    drop(old);
+    for n in 0..MANY {
+        assert_eq!(new.ask("quote", &format!("r{n}")).body, b"here");
+    }
+    assert_eq!(gone.count(), before);
+}
--- a/tests/support/node.rs
+++ b/tests/support/node.rs
@@ -424,7 +424,13 @@
         let mut config = config.clone();
         let door = nowhere();
         config["control"] = json!(door.to_string());
-        (Sidecar::start_with(&config, &format!("export TMPDIR={};", self.0.display())), door)
+        let sidecar = Sidecar::start_with(&config, &format!("export TMPDIR={};", self.0.display()));
+        // Where clients connect, an older process may have answered.
+        wait_for("the door", || {
+            let open = Client::connect(door).is_some();
+            open && call(door, "GET", "/v1/readyz").status() == 200
+        });
+        (sidecar, door)
     }
 }
 
--- a/tests/suspension.rs
+++ b/tests/suspension.rs
@@ -112,3 +112,28 @@
     d.feed(Event::Suspend(EndpointId(77)));
     assert_eq!(census(&d), (3, 1), "one that is not listed is no member");
 }
+
+#[test]
+fn two_processes_together_send_a_cold_endpoint_no_more_than_one_would() {
+    let burst = |processes: u32| {
+        let rules = Rules { fall_multiple: 4.0, fall_after: Duration::from_secs(10), ..Rules::default() };
+        let settings = Settings { tier: 1, tiers: 2, rules, ..Settings::default() };
+        let mut d = Driver::new(settings, endpoints(4));
+        sends_of(&mut d, 400);
+        d.feed(Event::Shared { processes });
+        let at = d.now;
+        d.feed(Event::Resume { endpoint: OUT, at });
+        d.advance(ms(2000));
+        let burst = (0..60).flat_map(|_| {
+            let (id, actions) = d.request(ms(900));
+            // Its client leaves at once: what it spent of the cold budget is spent.
+            d.feed(Event::RequestGone(id));
+            d.end(id, Outcome::Cancelled, ms(1));
+            sends(&actions)
+        });
+        burst.filter(|to| *to == OUT).count()
+    };
+    let (alone, shared) = (burst(1), burst(2));
+    assert!(alone >= 4, "{alone} sends: too few to tell");
+    assert!(shared * 2 <= alone + 1, "{shared} sends each of two, {alone} of one alone");
+}
