Pass large bodies and answers through piece by piece, and wait for slow clients

13 slow requests were still cut off at first. A first guess, heads or held bodies out of time, was ruled out by a log line at both places, which never came. The cause: a large body refused while it was still coming, whose connection closed under the client's writing.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -107,6 +107,8 @@
     /// How long the connection it went out on had lain idle; none for a new one.
     idle: Duration,
     fate: Fate,
+    /// The endpoint has all of it and works on it: only then is it a call in flight.
+    counted: bool,
 }
 
 /// A request until it is finished and all its attempts have ended.
@@ -119,6 +121,10 @@
     attempts: Vec<Attempt>,
     finished: bool,
     streaming: bool,
+    /// Its body is still coming.
+    passing: bool,
+    /// Its body can't be sent again.
+    spent: bool,
 }
 
 struct Endpoint {
@@ -260,6 +266,12 @@
         match event {
             Event::Membership(news) => self.on_membership(now, news, out),
             Event::Request(request) => self.on_request(now, request, out),
+            Event::Whole { request, time_left } => self.on_whole(now, request, time_left, out),
+            Event::Spent(id) => {
+                if let Some(pending) = self.requests.get_mut(&id) {
+                    pending.spent = true;
+                }
+            }
             Event::StreamStarted { request, .. } => {
                 if let Some(pending) = self.requests.get_mut(&request) {
                     pending.streaming = true;
@@ -464,13 +476,33 @@
             part *= self.settings.classes[class].late_value.max(REPEAT_LEAST);
         }
         let (arrived, deadline, attempts) = (now, now + request.time_left, Vec::new());
+        let (finished, streaming, passing, spent) = (false, false, request.passing, false);
         let pending =
-            Pending { class, arrived, deadline, part, attempts, finished: false, streaming: false };
+            Pending { class, arrived, deadline, part, attempts, finished, streaming, passing, spent };
         self.requests.insert(id, pending);
-        self.set_timer(request.time_left, Timer::Deadline(id), out);
+        if !passing {
+            self.set_timer(request.time_left, Timer::Deadline(id), out);
+        }
         self.advance(now, id, out);
     }
 
+    /// A slow body has come whole: only now does the endpoint begin, and the request's time run.
+    fn on_whole(&mut self, now: Duration, id: RequestId, left: Duration, out: &mut Vec<Action>) {
+        let Some(pending) = self.requests.get_mut(&id).filter(|p| p.passing) else { return };
+        (pending.passing, pending.arrived, pending.deadline) = (false, now, now + left);
+        let mut begun = Vec::new();
+        for attempt in pending.attempts.iter_mut().filter(|a| a.fate == Fate::Out && !a.counted) {
+            (attempt.counted, attempt.sent) = (true, now);
+            begun.push(attempt.endpoint);
+        }
+        for i in begun.iter().filter_map(|endpoint| self.index.get(endpoint).copied()) {
+            let side = self.side(i);
+            self.endpoints[i].in_flight += 1;
+            self.windows[side].out += 1;
+        }
+        self.set_timer(left, Timer::Deadline(id), out);
+    }
+
     /// Sends a request that has no attempt out, or holds it, or gives it up.
     fn advance(&mut self, now: Duration, id: RequestId, out: &mut Vec<Action>) {
         let Some(pending) = self.requests.get(&id) else { return };
@@ -512,8 +544,9 @@
             endpoint.heard = None;
             idle = Duration::ZERO;
         }
-        endpoint.in_flight += 1;
-        self.windows[side].out += 1;
+        let counted = !pending.passing;
+        endpoint.in_flight += u32::from(counted);
+        self.windows[side].out += u32::from(counted);
         (endpoint.cold_tokens, endpoint.cold_at) = (cold_tokens - 1.0, now);
         pending.attempts.push(Attempt {
             endpoint: endpoint.info.id,
@@ -522,12 +555,13 @@
             sent: now,
             idle,
             fate: Fate::Out,
+            counted,
         });
         let timeout = pending.deadline.saturating_sub(now);
         out.push(Action::Send { request: id, endpoint: endpoint.info.id, timeout });
         let (number, class) = (AttemptNo(pending.attempts.len() as u32 - 1), pending.class);
         let overdue = self.latency[class].overdue(if silent { OVERDUE_SPREADS } else { SILENT_SPREADS });
-        if self.latency[class].seen >= LATENCY_FIRST && overdue < timeout {
+        if counted && self.latency[class].seen >= LATENCY_FIRST && overdue < timeout {
             self.set_timer(overdue, Timer::Overdue(id, number), out);
         }
     }
@@ -587,7 +621,7 @@
         let idle = attempt.idle;
         attempt.fate = if ended.outcome.never_ran() { Fate::NeverRan } else { Fate::MayHaveRun };
         let class = pending.class;
-        let endpoint = attempt.endpoint;
+        let (endpoint, counted, spent) = (attempt.endpoint, attempt.counted, pending.spent);
         if ended.outcome == Outcome::Ok && idle >= self.reaped_after {
             self.stale -= STALE_REFUTED;
         }
@@ -602,7 +636,14 @@
         {
             self.note_silence(now, silent);
         }
-        self.learn(now, endpoint, class, &ended);
+        if counted {
+            self.learn(now, endpoint, class, &ended);
+        } else if let Some(&i) = self.index.get(&endpoint)
+            && ended.outcome == Outcome::ConnectFailed
+            && !spent
+        {
+            self.endpoints[i].add_heat(now);
+        }
         if ended.finished {
             self.finish(id, out);
         }
@@ -687,6 +728,9 @@
     /// Rule 2: whether a further attempt is allowed at all.
     fn may_repeat(&self, now: Duration, id: RequestId) -> bool {
         let Some(pending) = self.requests.get(&id) else { return false };
+        if pending.spent {
+            return false;
+        }
         let ran = pending.may_have_run().next();
         match (self.settings.classes[pending.class].semantics, ran) {
             (_, None) | (Semantics::Safe, _) => true,
--- a/src/main.rs
+++ b/src/main.rs
@@ -13,6 +13,7 @@
     pub mod inbound;
     pub mod outbound;
     pub mod overlap;
+    pub mod passing;
 }
 
 use net::bans::{Bans, Standing};
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -4,7 +4,8 @@
 
 use super::bans::Standing;
 use super::discovery::{Call, Discovery, News};
-use super::outbound::{Ended, Outbound};
+use super::outbound::{Ended, Outbound, Passing, Progress};
+use super::passing::{Payload, Upload};
 use http_body_util::Full;
 use hyper::body::Bytes;
 use hyper::header::{self, HeaderName, HeaderValue};
@@ -17,7 +18,7 @@
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
 use tokio::sync::oneshot;
 use tokio::task::spawn_local;
-use tokio::time::{Instant, sleep_until, timeout_at};
+use tokio::time::{Instant, sleep_until};
 use weirwharf::{
     Action, AttemptEnded, AttemptNo, Balancer, Census, EndpointId, EndpointState, Event, Membership,
     Outcome, RequestId, TimerToken,
@@ -33,6 +34,8 @@
 pub enum Input {
     /// A request has come whole.
     Arrived(Box<Arrival>),
+    /// The body of a request that was passing has gone on whole; its answer must be on its way by then.
+    Whole(RequestId, Instant),
     /// Its client has gone.
     ClientGone(RequestId),
     /// An attempt ended.
@@ -74,13 +77,30 @@
     /// End-to-end headers.
     pub headers: HeaderMap,
     /// Its body.
-    pub body: Bytes,
+    pub body: Content,
+}
+
+/// The body of a request.
+pub enum Content {
+    /// Held whole.
+    Held(Bytes),
+    /// Passed on as it comes.
+    Passed(Rc<Upload>),
+}
+
+impl Content {
+    /// It has begun to go out, and can't be sent again.
+    fn spent(&self) -> bool {
+        matches!(self, Content::Passed(upload) if upload.spent())
+    }
 }
 
 /// A final answer.
 pub enum Answer {
     /// Served, with the body of an endpoint's answer.
     Served(Bytes),
+    /// Served, with a large answer that has begun.
+    Passing(Box<Passing>),
     /// Refused: trying again is harmless, after this long if it is stated.
     Refused(Option<Duration>),
     /// Failed.
@@ -212,6 +232,7 @@
     fn take(&mut self, input: Input) {
         match input {
             Input::Arrived(arrival) => self.arrived(*arrival),
+            Input::Whole(id, deadline) => self.whole(id, deadline),
             Input::ClientGone(id) => self.gone(id),
             Input::AttemptEnded(id, attempt, ended) => self.attempt_ended(id, attempt, ended),
             Input::ProbeEnded(endpoint, Ended { outcome, report, .. }, elapsed) => {
@@ -250,6 +271,17 @@
         self.handle(Event::Request(request));
     }
 
+    fn whole(&mut self, id: RequestId, deadline: Instant) {
+        let Some(open) = self.requests.get_mut(&id) else { return };
+        let now = Instant::now();
+        open.deadline = deadline;
+        if let Some(tried) = open.tries.last_mut() {
+            tried.sent = now; // the endpoint begins only now
+        }
+        let time_left = deadline.saturating_duration_since(now);
+        self.handle(Event::Whole { request: id, time_left });
+    }
+
     fn gone(&mut self, id: RequestId) {
         let Some(open) = self.requests.get_mut(&id) else { return };
         if open.answer.take().is_some() {
@@ -267,7 +299,8 @@
         }
         open.out -= 1;
         let (endpoint, sent, elapsed) = (tried.endpoint, tried.sent, tried.sent.elapsed());
-        let Ended { mut outcome, body, rejected, report } = ended;
+        let Ended { mut outcome, body, passing, rejected, report } = ended;
+        let spent = open.forward.body.spent();
         if outcome == Outcome::TimedOut {
             self.outbound.close_unheard(endpoint, sent);
         }
@@ -276,11 +309,14 @@
             outcome = Outcome::Cancelled;
             self.finish(id, Answer::Rejected);
         } else if outcome == Outcome::Ok {
-            self.finish(id, Answer::Served(body));
+            self.finish(id, passing.map_or(Answer::Served(body), Answer::Passing));
         } else {
             self.count(outcome_name(outcome));
         }
         let finished = self.requests.get(&id).is_none_or(|open| open.answer.is_none());
+        if spent {
+            self.handle(Event::Spent(id));
+        }
         self.handle(Event::AttemptEnded(AttemptEnded {
             request: id,
             attempt,
@@ -423,15 +459,25 @@
         let (cancel, mut cancelled) = oneshot::channel();
         open.tries.push(Try { endpoint, sent: now, cancel: Some(cancel) });
         open.out += 1;
-        let request = open.forward.request(address, until - now);
+        let progress = Rc::new(self.outbound.progress());
+        let request = open.forward.request(address, until - now, &progress);
+        let upload = match &open.forward.body {
+            Content::Held(_) => None,
+            Content::Passed(upload) => Some(upload.clone()),
+        };
         let (outbound, inbox) = (self.outbound.clone(), self.inbox.clone());
-        let progress = self.outbound.progress();
         spawn_local(async move {
-            let exchange = timeout_at(until, outbound.attempt(endpoint, address, request, &progress));
+            let out_of_time = async {
+                match upload {
+                    None => sleep_until(until).await,
+                    Some(upload) => upload.out_of_time().await,
+                }
+            };
             let ended = tokio::select! {
                 biased;
                 _ = &mut cancelled => Ended::bare(Outcome::Cancelled),
-                ended = exchange => ended.unwrap_or_else(|_| Ended::bare(progress.given_up())),
+                ended = outbound.attempt(endpoint, address, request, &progress) => ended,
+                () = out_of_time => Ended::bare(progress.given_up()),
             };
             let _ = inbox.send(Input::AttemptEnded(id, attempt, ended));
         });
@@ -454,7 +500,7 @@
         let Some(open) = self.requests.get_mut(&id) else { return };
         let Some(to) = open.answer.take() else { return };
         match &answer {
-            Answer::Served(_) => {}
+            Answer::Served(_) | Answer::Passing(_) => {}
             Answer::Refused(_) => self.count("refused"),
             Answer::Failed => self.count("failed"),
             Answer::Rejected => self.count("rejected"),
@@ -475,8 +521,15 @@
 }
 
 impl Forward {
-    fn request(&self, address: SocketAddr, left: Duration) -> Request<Full<Bytes>> {
-        let mut request = Request::new(Full::new(self.body.clone()));
+    fn request(&self, address: SocketAddr, left: Duration, progress: &Rc<Progress>) -> Request<Payload> {
+        let (body, left) = match &self.body {
+            Content::Held(body) => (Payload::Held(Full::new(body.clone())), left),
+            Content::Passed(upload) => {
+                let (pieces, progress) = (None, progress.clone());
+                (Payload::Passed { upload: upload.clone(), pieces, progress }, upload.time)
+            }
+        };
+        let mut request = Request::new(body);
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = self.uri.clone();
         *request.headers_mut() = self.headers.clone();
--- a/src/net/inbound.rs
+++ b/src/net/inbound.rs
@@ -1,11 +1,12 @@
 //! Clients' connections: takes requests, gives final answers, and drains at the end.
 
 use super::budget::{Budget, Holder, Permit};
-use super::counters::{Counters, End};
-use super::driver::{Answer, Arrival, Forward, Inbox, Input};
-use super::outbound::{BODY_MOST, BUFFER_MOST, Outbound};
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use hyper::body::{Body, Bytes, Incoming};
+use super::counters::{Counters, End, Taken};
+use super::driver::{Answer, Arrival, Content, Forward, Inbox, Input};
+use super::outbound::{BODY_MOST, BUFFER_MOST, Outbound, Passing};
+use super::passing::{LARGE_MOST, PassError, Pieces, Upload};
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Body, Bytes, Frame, Incoming, SizeHint};
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -14,7 +15,9 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashSet;
 use std::convert::Infallible;
+use std::pin::Pin;
 use std::rc::Rc;
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::signal::unix::Signal;
@@ -25,14 +28,22 @@
 
 /// Kept back from a client's time, for the answer to reach it.
 const ANSWER_MARGIN: Duration = Duration::from_millis(10);
-/// A connection's first request must have come whole within this of the accept: a peer that sends none
-/// is owed an error or a close within 3 s, and would keep a client's place all that time.
-const FIRST_MOST: Duration = Duration::from_secs(2);
+/// The head of a connection's first request must have come within this of the accept: a client may take 2 s
+/// for it, and a peer that sends none is owed an error or a close within 3 s.
+const FIRST_MOST: Duration = Duration::from_millis(2500);
+/// Its body may lag behind its pace until this after the accept, for the same reason ...
+const FIRST_BODY: Duration = Duration::from_millis(2800);
+/// ... or for this long after a head that itself came late.
+const BODY_LAG: Duration = Duration::from_millis(800);
+/// Bytes a second that a body must keep to besides: half of the slowest that clients send.
+const BODY_PACE: f64 = 32_000.0;
 /// The head of a later request must have come within this of the answer before it: a silent client does
 /// not keep its socket for good.
 const HEAD_MOST: Duration = Duration::from_secs(30);
-/// A later request's body must have come within this of its head.
+/// A later request's body may lag behind its pace by this.
 const BODY_TIME: Duration = Duration::from_secs(2);
+/// A body that passes through may take so long: the largest at the slowest pace.
+const UPLOAD_MOST: Duration = Duration::from_secs(1100);
 /// Wait after a failed accept: out of descriptors it would fail again at once, and spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 /// New connections come for up to 0.4 s after SIGTERM, so we accept for a little longer.
@@ -74,14 +85,14 @@
 }
 
 /// A request in work: tells the driver when its client leaves before its answer.
-struct Waiting<'a> {
-    inbound: &'a Inbound,
+struct Waiting {
+    inbound: Rc<Inbound>,
     id: RequestId,
     named: String,
     answered: bool,
 }
 
-impl Drop for Waiting<'_> {
+impl Drop for Waiting {
     fn drop(&mut self) {
         self.inbound.ids.borrow_mut().remove(&self.named);
         if !self.answered {
@@ -108,7 +119,7 @@
         Turn { accepted: Instant::now(), busy, answered, last }
     }
 
-    /// When the first request must have come whole.
+    /// When the head of the first request must have come.
     fn first_until(&self) -> Instant {
         self.accepted + FIRST_MOST
     }
@@ -118,21 +129,101 @@
         !self.busy.get() && self.answered.get().is_none()
     }
 
-    /// When the body of the request whose head has just come must have come.
+    /// Until when the body of the request whose head has just come may lag behind its pace.
     fn body_until(&self) -> Instant {
         match self.answered.get() {
-            None => self.first_until(),
+            None => (self.accepted + FIRST_BODY).max(Instant::now() + BODY_LAG),
             Some(_) => Instant::now() + BODY_TIME,
         }
     }
 
+    /// An answer has been given.
+    fn over(&self) {
+        self.busy.set(false);
+        self.answered.set(Some(Instant::now()));
+    }
+
     /// How long it has been between requests; none before the first.
     fn idle(&self) -> Option<Duration> {
         self.answered.get().map(|at| at.elapsed())
     }
 }
 
-type Reply = Response<Full<Bytes>>;
+type Reply = Response<ReplyBody>;
+
+/// The body of an answer.
+enum ReplyBody {
+    Held(Full<Bytes>),
+    Passing(Box<PassingAnswer>),
+}
+
+/// A large answer on its way to the client. Dropped before its end it has lost its client.
+struct PassingAnswer {
+    /// Gone once it is over.
+    answer: Option<Passing>,
+    taken: Option<Taken>,
+    turn: Rc<Turn>,
+    _memory: Permit,
+    _waiting: Waiting,
+}
+
+impl PassingAnswer {
+    fn over(&mut self, end: End) {
+        if let Some(taken) = self.taken.take() {
+            taken.end(end);
+        }
+        if let Some(answer) = self.answer.take()
+            && end == End::Completed
+        {
+            answer.whole();
+        }
+        self.turn.over();
+    }
+}
+
+impl Body for ReplyBody {
+    type Data = Bytes;
+    type Error = PassError;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, PassError>>> {
+        let passing = match self.get_mut() {
+            ReplyBody::Held(body) => {
+                return Pin::new(body).poll_frame(context).map_err(|never| match never {});
+            }
+            ReplyBody::Passing(passing) => passing,
+        };
+        let Some(answer) = &mut passing.answer else { return Poll::Ready(None) };
+        let piece = ready!(answer.pieces.poll(context));
+        let over = answer.pieces.over();
+        match &piece {
+            // The client can tell: what is announced, or the last chunk, never comes.
+            Some(Err(_)) => passing.over(End::Failed),
+            None => passing.over(End::Completed),
+            Some(Ok(_)) if over => passing.over(End::Completed),
+            Some(Ok(_)) => {}
+        }
+        Poll::Ready(piece)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match self {
+            ReplyBody::Held(body) => body.is_end_stream(),
+            ReplyBody::Passing(passing) => passing.answer.is_none(),
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            ReplyBody::Held(body) => body.size_hint(),
+            ReplyBody::Passing(passing) => {
+                passing.answer.as_ref().map_or_else(|| SizeHint::with_exact(0), |a| a.pieces.size())
+            }
+        }
+    }
+}
 
 impl Inbound {
     /// No clients yet.
@@ -267,7 +358,7 @@
     async fn connection(self: Rc<Self>, stream: TcpStream, shed: bool, _permit: Option<Permit>) {
         let _ = stream.set_nodelay(true);
         let mut close = self.close.subscribe();
-        let turn = Turn::new();
+        let turn = Rc::new(Turn::new());
         let service = service_fn(|request| self.answer(request, shed, &turn));
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
@@ -311,10 +402,10 @@
     }
 
     async fn answer(
-        &self,
+        self: &Rc<Self>,
         request: Request<Incoming>,
         shed: bool,
-        turn: &Turn,
+        turn: &Rc<Turn>,
     ) -> Result<Reply, Infallible> {
         turn.busy.set(true);
         let mut reply = if request.uri().path() == "/-/ready" {
@@ -326,7 +417,7 @@
             let served = if shed {
                 Err((StatusCode::SERVICE_UNAVAILABLE, "too many connections"))
             } else {
-                self.serve_request(request, turn.body_until()).await
+                self.serve_request(request, turn).await
             };
             match served {
                 Ok(reply) => reply,
@@ -338,8 +429,9 @@
                 Err((status, problem)) => plain(status, problem),
             }
         };
-        turn.busy.set(false);
-        turn.answered.set(Some(Instant::now()));
+        if matches!(reply.body(), ReplyBody::Held(_)) {
+            turn.over();
+        }
         if self.draining.get() || shed || turn.last.get() {
             reply.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
         }
@@ -356,27 +448,26 @@
     }
 
     async fn serve_request(
-        &self,
+        self: &Rc<Self>,
         request: Request<Incoming>,
-        body_until: Instant,
+        turn: &Rc<Turn>,
     ) -> Result<Reply, (StatusCode, &'static str)> {
         let busy = (StatusCode::SERVICE_UNAVAILABLE, "too many requests");
-        let _memory = self.budget.take(Holder::Request).ok_or(busy)?;
+        let memory = self.budget.take(Holder::Request).ok_or(busy)?;
         let (mut head, body) = request.into_parts();
-        if body.size_hint().lower() > BODY_MOST as u64 {
+        // What is no proper request is told so before its body, of which there may be much.
+        let (mut request, time) = self.read(&head.method, &head.uri, &head.headers)?;
+        if body.size_hint().lower() > LARGE_MOST {
             return Err((StatusCode::PAYLOAD_TOO_LARGE, "body too long"));
         }
-        let body = match timeout_at(body_until, Limited::new(body, BODY_MOST).collect()).await {
-            Ok(Ok(body)) => body.to_bytes(),
-            Ok(Err(e)) if e.is::<LengthLimitError>() => {
-                return Err((StatusCode::PAYLOAD_TOO_LARGE, "body too long"));
-            }
-            Ok(Err(_)) => return Err((StatusCode::BAD_REQUEST, "body broken")),
-            Err(_) => return Err((StatusCode::REQUEST_TIMEOUT, "body never came")),
+        let (first, rest) = hold(body, turn.body_until()).await?;
+        // What passes through has buffers of its own on both sides.
+        let _buffers = match &rest {
+            Some(_) => Some(self.budget.take(Holder::Request).ok_or(busy)?),
+            None => None,
         };
         // The client counts from its last byte.
         let came = Instant::now();
-        let (mut request, time) = self.read(&head.method, &head.uri, &head.headers)?;
         let named = head.headers.get("x-request-id").and_then(|id| id.to_str().ok()).unwrap_or_default();
         // Whoever sends another client's id sends no request of its own: endpoints would answer 400.
         if !self.ids.borrow_mut().insert(named.to_owned()) {
@@ -386,30 +477,52 @@
         let id = RequestId(self.next.get());
         self.next.set(id.0 + 1);
         request.id = id;
-        let mut waiting = Waiting { inbound: self, id, named: named.to_owned(), answered: false };
+        let mut waiting = Waiting { inbound: self.clone(), id, named: named.to_owned(), answered: false };
         drop_hop_headers(&mut head.headers);
         let (answer, answered) = oneshot::channel();
+        let ours = time - ANSWER_MARGIN.min(time / 10);
+        let mut passed = None;
+        let (body, deadline, latest) = match rest {
+            None => (Content::Held(first), came + ours, came + time),
+            Some(rest) => {
+                request.passing = true;
+                let pieces = Pieces::of_client(first, rest);
+                let upload = Upload::new(id, pieces, ours, self.inbox.clone());
+                passed = Some(upload.clone());
+                (Content::Passed(upload), came + UPLOAD_MOST, came + UPLOAD_MOST)
+            }
+        };
         let forward = Forward { method: head.method, uri: head.uri, headers: head.headers, body };
-        let deadline = came + time - ANSWER_MARGIN.min(time / 10);
         let arrival = Arrival { request, deadline, forward, answer };
         let _ = self.inbox.send(Input::Arrived(Box::new(arrival)));
         // Where the module were to forget a request, its client would still be told in time.
-        let answer = timeout_at(came + time, answered).await;
+        let answer = timeout_at(latest, answered).await;
         waiting.answered = answer.is_ok();
+        if let Some(upload) = passed.filter(|upload| !upload.is_whole()) {
+            spawn_local(async move { upload.discard().await });
+        }
+        if let Ok(Ok(Answer::Passing(passing))) = answer {
+            let (answer, turn) = (Some(*passing), turn.clone());
+            let (taken, _memory, _waiting) = (Some(taken), memory, waiting);
+            let passing = PassingAnswer { answer, taken, turn, _memory, _waiting };
+            return Ok(Response::new(ReplyBody::Passing(Box::new(passing))));
+        }
         taken.end(match &answer {
             Ok(Ok(Answer::Served(_))) => End::Completed,
             Ok(Ok(Answer::Refused(_))) => End::Rejected,
             _ => End::Failed,
         });
         Ok(match answer {
-            Ok(Ok(Answer::Served(body))) => Response::new(Full::new(body)),
+            Ok(Ok(Answer::Served(body))) => Response::new(ReplyBody::Held(Full::new(body))),
             Ok(Ok(Answer::Refused(retry_after))) => {
                 let mut reply = plain(StatusCode::SERVICE_UNAVAILABLE, "refused");
                 retry_after.into_iter().for_each(|wait| say_when(&mut reply, wait));
                 reply
             }
             Ok(Ok(Answer::Rejected)) => plain(StatusCode::BAD_REQUEST, "rejected by the endpoint"),
-            Ok(Ok(Answer::Failed) | Err(_)) => plain(StatusCode::BAD_GATEWAY, "failed"),
+            Ok(Ok(Answer::Failed | Answer::Passing(_)) | Err(_)) => {
+                plain(StatusCode::BAD_GATEWAY, "failed")
+            }
             Err(_) => plain(StatusCode::GATEWAY_TIMEOUT, "out of time"),
         })
     }
@@ -466,6 +579,7 @@
             time_left: Duration::ZERO,
             work_hint,
             key: user.and_then(|user| u64::from_str_radix(user, 16).ok()),
+            passing: false,
             client_retry: text("x-retried") == Some("1"),
             write: text("x-attrs")
                 .is_some_and(|attrs| attrs.split(',').any(|attr| attr.trim() == "write=1")),
@@ -474,6 +588,24 @@
     }
 }
 
+/// Reads a body as far as it is held; with the rest of a longer one.
+async fn hold(
+    mut body: Incoming,
+    lag_until: Instant,
+) -> Result<(Bytes, Option<Incoming>), (StatusCode, &'static str)> {
+    let mut text = Vec::new();
+    while text.len() <= BODY_MOST {
+        let until = lag_until + Duration::from_secs_f64(text.len() as f64 / BODY_PACE);
+        match timeout_at(until, body.frame()).await {
+            Ok(Some(Ok(frame))) => text.extend_from_slice(frame.data_ref().map_or(&[][..], |data| data)),
+            Ok(Some(Err(_))) => return Err((StatusCode::BAD_REQUEST, "body broken")),
+            Ok(None) => return Ok((text.into(), None)),
+            Err(_) => return Err((StatusCode::REQUEST_TIMEOUT, "body never came")),
+        }
+    }
+    Ok((text.into(), Some(body)))
+}
+
 /// Waits for a time; for ever if there is none.
 async fn reached(time: Option<Instant>) {
     match time {
@@ -483,7 +615,7 @@
 }
 
 fn plain(status: StatusCode, text: &'static str) -> Reply {
-    let mut reply = Response::new(Full::new(Bytes::from_static(text.as_bytes())));
+    let mut reply = Response::new(ReplyBody::Held(Full::new(Bytes::from_static(text.as_bytes()))));
     *reply.status_mut() = status;
     reply
 }
--- a/src/net/outbound.rs
+++ b/src/net/outbound.rs
@@ -3,8 +3,9 @@
 use super::budget::{Budget, Holder, Permit};
 use super::counters::Counters;
 use super::discovery::Guard;
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::{Bytes, Incoming};
+use super::passing::{Payload, Pieces};
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Body, Bytes, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{HeaderMap, Request, Response, StatusCode, header};
 use hyper_util::rt::TokioIo;
@@ -15,10 +16,10 @@
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::task::spawn_local;
-use tokio::time::{Instant, timeout};
+use tokio::time::{Instant, timeout, timeout_at};
 use weirwharf::{EndpointId, LoadField, Outcome, Settings};
 
-/// No body on the wire is longer.
+/// A body or an answer up to this is held whole; a longer one passes through.
 pub const BODY_MOST: usize = 64 * 1024;
 /// Buffer of a connection, either way; also bounds a message's head.
 pub const BUFFER_MOST: usize = 64 * 1024;
@@ -36,6 +37,9 @@
 /// An answer once begun comes on within this, also from an endpoint that stands still for a moment: one that
 /// stalls is broken, and to wait on would spend the time for another attempt.
 const ANSWER_GAP: Duration = Duration::from_millis(500);
+/// An answer that does not say how long it is passes through once it has not ended for so long: it may be a large
+/// one, whose first bytes are waited for.
+const PASS_AFTER: Duration = Duration::from_millis(250);
 /// Limit of an attempt's connection where the settings say nothing.
 const CONNECT_UNSTATED: Duration = Duration::from_millis(500);
 
@@ -43,8 +47,10 @@
 pub struct Ended {
     /// The outcome.
     pub outcome: Outcome,
-    /// The body of a 200.
+    /// The body of a 200, as far as it is held.
     pub body: Bytes,
+    /// The rest of a large answer, to be passed on.
+    pub passing: Option<Box<Passing>>,
     /// The endpoint says that the request itself is at fault: no other would take it either.
     pub rejected: bool,
     /// The load report, if one came.
@@ -54,7 +60,23 @@
 impl Ended {
     /// An end that brought nothing but itself.
     pub fn bare(outcome: Outcome) -> Self {
-        Ended { outcome, body: Bytes::new(), rejected: false, report: None }
+        Ended { outcome, body: Bytes::new(), passing: None, rejected: false, report: None }
+    }
+}
+
+/// A large answer that has begun, and its connection.
+pub struct Passing {
+    /// What there is of it.
+    pub pieces: Pieces,
+    endpoint: EndpointId,
+    link: Link,
+    outbound: Rc<Outbound>,
+}
+
+impl Passing {
+    /// It came whole: its connection can be used again.
+    pub fn whole(self) {
+        self.outbound.keep(self.endpoint, self.link);
     }
 }
 
@@ -72,8 +94,18 @@
         if self.written.get() { Outcome::TimedOut } else { Outcome::ConnectFailed }
     }
 
+    /// Whether it has been written.
+    pub fn is_written(&self) -> bool {
+        self.written.get()
+    }
+
+    /// The outcome of a connection that broke.
+    fn broken(&self) -> Outcome {
+        if self.written.get() { Outcome::Reset } else { Outcome::ConnectFailed }
+    }
+
     /// It is being written, or was handed back.
-    fn set(&self, written: bool) {
+    pub fn set(&self, written: bool) {
         if self.written.replace(written) != written
             && let Some(counters) = &self.counters
         {
@@ -83,7 +115,7 @@
 }
 
 struct Link {
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<Payload>,
     address: SocketAddr,
     idle_since: Instant,
     /// Dropping a link closes its connection, also with an answer still to come.
@@ -128,14 +160,14 @@
     /// Sends one attempt and waits for its end. It is written at most once: only what provably was
     /// never written goes to another connection.
     pub async fn attempt(
-        &self,
+        self: &Rc<Self>,
         endpoint: EndpointId,
         address: SocketAddr,
-        mut request: Request<Full<Bytes>>,
+        mut request: Request<Payload>,
         progress: &Progress,
     ) -> Ended {
         let began = Instant::now();
-        let (mut link, response) = loop {
+        let (link, response) = loop {
             let (mut link, fresh) = match self.take_idle(endpoint, address) {
                 Some(link) => (link, false),
                 None => match self.connect(address).await {
@@ -154,7 +186,9 @@
             if self.barred.borrow().get(&endpoint).is_some_and(|at| *at >= began) {
                 return Ended::bare(Outcome::ConnectFailed);
             }
-            progress.set(true);
+            // What passes through is written only with its last piece, which sets this itself.
+            let held = matches!(request.body(), Payload::Held(_));
+            progress.set(held);
             match link.sender.try_send_request(request).await {
                 Ok(response) => break (link, response),
                 Err(mut error) => match error.take_message() {
@@ -167,21 +201,36 @@
                         }
                     }
                     // Some of it may have been written, so all of it may have come.
-                    None => return Ended::bare(Outcome::Reset),
+                    None => return Ended::bare(progress.broken()),
                 },
             }
         };
-        let ended = self.read(response).await;
-        if ended.outcome != Outcome::Reset && !link.sender.is_closed() {
+        let (mut ended, rest) = self.read(response).await;
+        match rest {
+            Some(pieces) if ended.outcome == Outcome::Ok => {
+                let outbound = self.clone();
+                ended.passing = Some(Box::new(Passing { pieces, endpoint, link, outbound }));
+            }
+            // What else an error has to say is not wanted.
+            Some(_) => {}
+            // An answer to half a body leaves the other half to be written.
+            None if ended.outcome != Outcome::Reset && progress.is_written() => self.keep(endpoint, link),
+            None => {}
+        }
+        ended
+    }
+
+    /// Keeps a connection for later.
+    fn keep(&self, endpoint: EndpointId, mut link: Link) {
+        if !link.sender.is_closed() {
             link.idle_since = Instant::now();
             self.idle.borrow_mut().entry(endpoint).or_default().push(link);
         }
-        ended
     }
 
     /// The outcome that an answer stands for. It is read whole first, so that a break half-way is an
-    /// outcome and never a torn answer.
-    async fn read(&self, response: Response<Incoming>) -> Ended {
+    /// outcome and never a torn answer. Of a large one there is a rest, and the outcome is its beginning's.
+    async fn read(&self, response: Response<Incoming>) -> (Ended, Option<Pieces>) {
         let (head, body) = response.into_parts();
         let never_ran = head.headers.get("x-not-processed").is_some_and(|v| v.as_bytes() == b"1");
         let outcome = match head.status {
@@ -191,18 +240,22 @@
         };
         let rejected = matches!(head.status, StatusCode::BAD_REQUEST | StatusCode::NOT_FOUND);
         let report = self.inline_report(&head.headers);
-        match whole(body).await {
-            Some(body) => Ended { outcome, body, rejected, report },
+        let ended = |body| Ended { outcome, body, passing: None, rejected, report };
+        match hold(body).await {
+            Some(Held::Whole(body)) => (ended(body), None),
+            Some(Held::Large(pieces)) => (ended(Bytes::new()), Some(pieces)),
             // The head of a refusal says it all, whatever became of its body.
-            None if outcome == Outcome::Full => Ended::bare(Outcome::Full),
-            None => Ended::bare(Outcome::Reset),
+            None if outcome == Outcome::Full => (Ended::bare(Outcome::Full), None),
+            None => (Ended::bare(Outcome::Reset), None),
         }
     }
 
     /// Asks an endpoint for its load.
-    pub async fn probe(&self, endpoint: EndpointId, address: SocketAddr) -> Ended {
+    pub async fn probe(self: &Rc<Self>, endpoint: EndpointId, address: SocketAddr) -> Ended {
         let request = Request::get("/-/load").header(header::HOST, address.to_string());
-        let Ok(request) = request.body(Full::default()) else { return Ended::bare(Outcome::Error) };
+        let Ok(request) = request.body(Payload::Held(Full::default())) else {
+            return Ended::bare(Outcome::Error);
+        };
         let progress = Progress::default();
         match timeout(PROBE, self.attempt(endpoint, address, request, &progress)).await {
             Ok(mut ended) => {
@@ -315,13 +368,34 @@
     }
 }
 
-/// The whole body of an answer; none if it is too long, breaks or stalls.
-async fn whole(body: Incoming) -> Option<Bytes> {
-    let (mut body, mut text) = (Limited::new(body, BODY_MOST), Vec::new());
-    while let Some(frame) = timeout(ANSWER_GAP, body.frame()).await.ok()? {
-        text.extend_from_slice(frame.ok()?.data_ref().map_or(&[][..], |data| data));
+/// What of an answer is held.
+enum Held {
+    Whole(Bytes),
+    Large(Pieces),
+}
+
+/// Reads an answer as far as it is held; none if it breaks or stalls before.
+async fn hold(mut body: Incoming) -> Option<Held> {
+    let size = body.size_hint();
+    if size.lower() > BODY_MOST as u64 {
+        return Some(Held::Large(Pieces::of_endpoint(Bytes::new(), body)));
+    }
+    let began = Instant::now();
+    let mut text = Vec::new();
+    loop {
+        let gap_ends = Instant::now() + ANSWER_GAP;
+        let until = if size.exact().is_some() { gap_ends } else { gap_ends.min(began + PASS_AFTER) };
+        match timeout_at(until, body.frame()).await {
+            Ok(Some(frame)) => text.extend_from_slice(frame.ok()?.data_ref().map_or(&[][..], |data| data)),
+            Ok(None) => return Some(Held::Whole(text.into())),
+            Err(_) if until < gap_ends => break,
+            Err(_) => return None,
+        }
+        if text.len() > BODY_MOST {
+            break;
+        }
     }
-    Some(text.into())
+    Some(Held::Large(Pieces::of_endpoint(text.into(), body)))
 }
 
 /// A load report's field as endpoints name it.
--- a/src/types.rs
+++ b/src/types.rs
@@ -358,6 +358,15 @@
     Membership(Membership),
     /// A request arrived and is owed one final answer.
     Request(Request),
+    /// The body of a request that was passing has come, and gone on, whole.
+    Whole {
+        /// The request.
+        request: RequestId,
+        /// Time until the client gives it up.
+        time_left: Duration,
+    },
+    /// The body of a request has begun to go out, and can't be sent again.
+    Spent(RequestId),
     /// A streamed answer has begun; the client owns the attempt now.
     StreamStarted {
         /// The request.
@@ -424,6 +433,8 @@
     pub client_retry: bool,
     /// It writes.
     pub write: bool,
+    /// Its body is still coming and passes through as it comes: its time runs from [`Event::Whole`] on.
+    pub passing: bool,
 }
 
 /// How an attempt ended.
@@ -565,6 +576,7 @@
             key: None,
             client_retry: false,
             write: false,
+            passing: false,
         })
     }
 }
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -312,6 +312,7 @@
                 key,
                 client_retry: attrs & 2 != 0,
                 write: attrs & 4 != 0,
+                passing: false,
             });
             (Some(name), event)
         }
