Close a connection after a large answer that began before SIGTERM, and drop clients that read none

Such an answer's head could not say that it was the connection's last, and the connection stayed open until all time was up, 3.45 s after the signal; now the sidecar ends once the answer has. Wrong guess on the way: that hyper missed the shutdown; the test itself had kept the listener open by asking too often. A client that takes nothing of a large answer for 20 s is dropped: it would keep its place and the endpoint's connection for good. The part of a file's name made of the sidecar's stood twice; once now.

--- a/src/net/bans.rs
+++ b/src/net/bans.rs
@@ -45,6 +45,11 @@
     Content(#[from] serde_json::Error),
 }
 
+/// A sidecar's name as a part of a file's.
+pub fn plain(name: &str) -> String {
+    name.chars().map(|c| if c.is_ascii_alphanumeric() { c } else { '_' }).collect()
+}
+
 /// The file with the standing.
 #[derive(Clone, Debug)]
 pub struct Bans {
@@ -56,8 +61,7 @@
 impl Bans {
     /// The file of the sidecar of this name in a directory.
     pub fn new(directory: &Path, name: &str) -> Self {
-        let plain = |c: char| if c.is_ascii_alphanumeric() { c } else { '_' };
-        let stem: String = format!("suspended-{}", name.chars().map(plain).collect::<String>());
+        let stem = format!("suspended-{}", plain(name));
         let file = |ending: &str| directory.join(format!("{stem}.{ending}"));
         Bans { file: file("json"), lock: file("lock"), new: file("new") }
     }
--- a/src/net/inbound.rs
+++ b/src/net/inbound.rs
@@ -21,7 +21,7 @@
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::signal::unix::Signal;
-use tokio::sync::{oneshot, watch};
+use tokio::sync::{Notify, oneshot, watch};
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 use weirwharf::{ClassId, RequestId, Semantics, Settings, TenantId};
@@ -44,6 +44,8 @@
 const BODY_TIME: Duration = Duration::from_secs(2);
 /// A body that passes through may take so long: the largest at the slowest pace.
 const UPLOAD_MOST: Duration = Duration::from_secs(1100);
+/// A client that takes nothing of a large answer for this long is not reading it any more.
+const READ_MOST: Duration = Duration::from_secs(20);
 /// Wait after a failed accept: out of descriptors it would fail again at once, and spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 /// New connections come for up to 0.4 s after SIGTERM, so we accept for a little longer.
@@ -110,13 +112,17 @@
     answered: Cell<Option<Instant>>,
     /// The next answer is the connection's last, and says so.
     last: Cell<bool>,
+    /// When a piece of a large answer was last asked for; none while there is no such answer.
+    moved: Cell<Option<Instant>>,
+    /// A large answer has come to its end, or begun.
+    turned: Notify,
 }
 
 impl Turn {
     /// A connection just accepted.
     fn new() -> Self {
-        let (busy, answered, last) = Default::default();
-        Turn { accepted: Instant::now(), busy, answered, last }
+        let (busy, answered, last, moved) = Default::default();
+        Turn { accepted: Instant::now(), busy, answered, last, moved, turned: Notify::new() }
     }
 
     /// When the head of the first request must have come.
@@ -137,6 +143,11 @@
         }
     }
 
+    /// When a client that reads nothing of a large answer has had its time.
+    fn stuck_at(&self) -> Option<Instant> {
+        self.moved.get().map(|at| at + READ_MOST)
+    }
+
     /// An answer has been given.
     fn over(&self) {
         self.busy.set(false);
@@ -178,6 +189,8 @@
             answer.whole();
         }
         self.turn.over();
+        self.turn.moved.set(None);
+        self.turn.turned.notify_one();
     }
 }
 
@@ -196,6 +209,7 @@
             ReplyBody::Passing(passing) => passing,
         };
         let Some(answer) = &mut passing.answer else { return Poll::Ready(None) };
+        passing.turn.moved.set(Some(Instant::now()));
         let piece = ready!(answer.pieces.poll(context));
         let over = answer.pieces.over();
         match &piece {
@@ -391,6 +405,13 @@
                         return;
                     }
                 }
+                // Its answer did not yet say that it would be the last.
+                () = turn.turned.notified() => if turn.last.get() && !turn.busy.get() {
+                    connection.as_mut().graceful_shutdown();
+                },
+                () = reached(turn.stuck_at()) => if turn.stuck_at().is_some_and(|at| at <= Instant::now()) {
+                    return;
+                },
                 () = reached(fresh_until) => {
                     fresh_until = None;
                     if !turn.busy.get() {
@@ -503,6 +524,8 @@
         }
         if let Ok(Ok(Answer::Passing(passing))) = answer {
             let (answer, turn) = (Some(*passing), turn.clone());
+            turn.moved.set(Some(Instant::now()));
+            turn.turned.notify_one();
             let (taken, _memory, _waiting) = (Some(taken), memory, waiting);
             let passing = PassingAnswer { answer, taken, turn, _memory, _waiting };
             return Ok(Response::new(ReplyBody::Passing(Box::new(passing))));
--- a/src/net/overlap.rs
+++ b/src/net/overlap.rs
@@ -1,5 +1,6 @@
 //! Which processes of this sidecar live: during an upgrade there are two, and together they are one.
 
+use super::bans::plain;
 use std::fs::{self, File, TryLockError};
 use std::io;
 use std::path::{Path, PathBuf};
@@ -16,8 +17,7 @@
 impl Overlap {
     /// Makes this process known to the others of the sidecar of this name.
     pub fn join(directory: &Path, name: &str) -> io::Result<Self> {
-        let plain = |c: char| if c.is_ascii_alphanumeric() { c } else { '_' };
-        let stem = format!("process-{}-", name.chars().map(plain).collect::<String>());
+        let stem = format!("process-{}-", plain(name));
         let process = std::process::id();
         // Locked before it has its name: under it an unlocked file is taken for a dead process's.
         let new = directory.join(format!("new-{stem}{process}"));
--- a/tests/passing.rs
+++ b/tests/passing.rs
@@ -348,3 +348,34 @@
     assert_eq!(client.receive().unwrap().body, b"one");
     assert_eq!(client.receive().unwrap().body, b"two");
 }
+
+#[test]
+fn a_large_answer_under_way_at_sigterm_comes_whole_and_then_the_connection_is_closed() {
+    let (seen, wait) = signal();
+    let at = endpoint(move |_, reader| {
+        let (body, mut to) = (large(LARGE), reader.into_inner());
+        let _ = write!(to, "HTTP/1.1 200 OK\r\nContent-Length: {LARGE}\r\n\r\n");
+        let _ = to.write_all(&body[..100_000]);
+        wait.lock().unwrap().recv_timeout(PATIENCE).expect("the signal was sent");
+        let _ = to.write_all(&body[100_000..]);
+    });
+    let mut sidecar = Sidecar::start(&config_at(&[at]));
+    let mut client = stream(&sidecar);
+    client.write_all(request("quote", "r1", "10000m").as_bytes()).unwrap();
+    client.read_exact(&mut [0; 1000]).unwrap();
+    let start = std::time::Instant::now();
+    sidecar.signal("-TERM");
+    // Asked more often, the backlog would never be found empty, and the listener stay open for that.
+    while sidecar.ready().is_some() {
+        assert!(start.elapsed() < PATIENCE);
+        thread::sleep(Duration::from_millis(150));
+    }
+    thread::sleep(Duration::from_millis(100)); // for what follows on that
+    seen.send(()).unwrap();
+    let mut rest = Vec::new();
+    client.read_to_end(&mut rest).unwrap();
+    assert!(rest.ends_with(&large(LARGE)[LARGE - 1000..]), "whole");
+    assert!(sidecar.ended().success());
+    // Left open, the connection would be held until all time is up, 3.45 s after the signal.
+    assert!(start.elapsed() < Duration::from_secs(3), "ended after {:?}", start.elapsed());
+}
