Let who only asks for readiness go where places for clients are short

A log line at each head showed 1,858 of 2,500 heads of a node to be GET /-/ready, up to 450 a second, whose connections then stayed; with about 100 that sent half a head they took all 192 places, and silent ones the 24 over the cap for 2 s each, so that nothing was accepted meanwhile (net/inbound.rs, room and connection).

Half the places was too early for tests/node_limits.rs, whose idle connections are to stay. Both new tests fail without it.

--- a/src/net/budget.rs
+++ b/src/net/budget.rs
@@ -119,6 +119,11 @@
         (whole / self.sharers.get()).max(1)
     }
 
+    /// Whether no more than an eighth of the clients' places are left.
+    pub fn crowded(&self) -> bool {
+        self.clients.get() * 8 >= self.part(self.clients_most) * 7
+    }
+
     /// Connected clients.
     pub fn clients(&self) -> usize {
         self.clients.get() + self.shed.get()
--- a/src/net/inbound.rs
+++ b/src/net/inbound.rs
@@ -37,6 +37,8 @@
 const BODY_LAG: Duration = Duration::from_millis(800);
 /// Bytes a second that a body must keep to besides: half of the slowest that clients send.
 const BODY_PACE: f64 = 32_000.0;
+/// A connection over the cap has this long to bring the head that is answered with a refusal.
+const SHED_FIRST_MOST: Duration = Duration::from_millis(500);
 /// The head of a later request must have come within this of the answer before it: a silent client does
 /// not keep its socket for good.
 const HEAD_MOST: Duration = Duration::from_secs(30);
@@ -381,7 +383,9 @@
             .max_buf_size(BUFFER_MOST)
             .serve_connection(TokioIo::new(stream), service);
         tokio::pin!(connection);
-        let (mut first_until, mut fresh_until) = (Some(turn.first_until()), None);
+        // Over the cap there are few places even to say so: silence must not take them.
+        let first = if shed { turn.accepted + SHED_FIRST_MOST } else { turn.first_until() };
+        let (mut first_until, mut fresh_until) = (Some(first), None);
         loop {
             tokio::select! {
                 biased;
@@ -429,7 +433,8 @@
         turn: &Rc<Turn>,
     ) -> Result<Reply, Infallible> {
         turn.busy.set(true);
-        let mut reply = if request.uri().path() == "/-/ready" {
+        let asks_ready = request.uri().path() == "/-/ready";
+        let mut reply = if asks_ready {
             let status =
                 if self.takes_clients() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
             plain(status, "")
@@ -453,7 +458,9 @@
         if matches!(reply.body(), ReplyBody::Held(_)) {
             turn.over();
         }
-        if self.draining.get() || shed || turn.last.get() {
+        // Who only asks whether we are ready and stays takes a place that requests want, where few are left.
+        let in_the_way = asks_ready && self.budget.crowded();
+        if self.draining.get() || shed || turn.last.get() || in_the_way {
             reply.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
         }
         Ok(reply)
--- a/tests/node_limits.rs
+++ b/tests/node_limits.rs
@@ -224,3 +224,36 @@
     assert!(answers.iter().all(|answer| matches!(answer.status(), 200 | 503)));
     assert_eq!(answers.iter().filter(|answer| answer.body == b"too many requests").count(), 1);
 }
+
+#[test]
+fn a_crowd_that_asks_for_readiness_and_stays_does_not_take_the_clients_places() {
+    let peer = Peer::serving("ok");
+    let mut config = config(&[&peer]);
+    config["limits"]["sockets"] = json!(96);
+    let sidecar = Sidecar::start(&config);
+    let mut crowd = Vec::new();
+    for n in 0..100 {
+        let mut client = sidecar.client();
+        client.send("GET /-/ready HTTP/1.1\r\nHost: t\r\n\r\n");
+        assert_eq!(client.receive().expect("an answer").status(), 200);
+        crowd.push(client);
+        if n % 10 == 9 {
+            assert_eq!(sidecar.ask("quote", &format!("r{n}")).status(), 200, "after {n} of them");
+        }
+    }
+}
+
+#[test]
+fn silent_peers_over_the_cap_do_not_keep_clients_waiting() {
+    let peer = Peer::serving("ok");
+    let mut config = config(&[&peer]);
+    config["limits"]["sockets"] = json!(96);
+    let sidecar = Sidecar::start(&config);
+    // All the clients' places, and all those over the cap.
+    let silent: Vec<Client> = (0..54).map(|_| sidecar.client()).collect();
+    let start = Instant::now();
+    let status = sidecar.ask("quote", "r").status();
+    assert!(matches!(status, 200 | 503), "{status}");
+    assert!(start.elapsed() < Duration::from_millis(1800), "answered after {:?}", start.elapsed());
+    drop(silent);
+}
