Give a silent watch up after 3 s, so that two calls fit before news counts as told

A line is due every 2 s and news counts as told after 6 s, of which 4 s went into the silence. The new test fails with 4 s.

--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -28,8 +28,9 @@
 /// A call not answered after this long has failed: discovery itself gives up well before.
 const ANSWER: Duration = Duration::from_secs(3);
 /// A watch brings at least an empty line every 2 s: one silent for this long is dead, as that of a
-/// machine cut off is, which nothing else would ever tell.
-const SILENCE: Duration = Duration::from_secs(4);
+/// machine cut off is, which nothing else would ever tell. News counts as told after 6 s: what is left
+/// of them has to do for two calls, as the first may fail.
+const SILENCE: Duration = Duration::from_secs(3);
 /// No list, and no line of a watch, is longer than this.
 const LIST_MOST: usize = 4 << 20;
 /// First wait before a watch that the node keeps up itself is tried again; doubles with each failure.
--- a/tests/node_list.rs
+++ b/tests/node_list.rs
@@ -136,3 +136,18 @@
         assert!(sidecar.ended().success());
     }
 }
+
+#[test]
+fn a_silent_watch_is_given_up_while_there_is_time_for_two_calls() {
+    let peer = Peer::serving("ok");
+    let discovery = Discovery::new(list(8, false, &[]));
+    let sidecar = following(&peer, &discovery, "subscribe");
+    wait_for("the first watch", || discovery.calls().len() == 1);
+    let start = std::time::Instant::now();
+    wait_for("a second watch", || discovery.calls().len() == 2);
+    // News counts as told after 6 s. Lines are due every 2 s, and the module waits 0.25 s at least.
+    let silent = start.elapsed();
+    assert!(silent > std::time::Duration::from_secs(3), "{silent:?}: a late line is no silence");
+    assert!(silent < std::time::Duration::from_millis(4200), "{silent:?}");
+    assert_eq!(sidecar.ask("quote", "r").status(), 200);
+}
