Answer a passing body that comes to no proper end with a 400, and blame no endpoint for it

Such a body, over 32 MiB, broken or stalled, ended as a refusal, which invites the client to send it again. The new test fails without it. With a door, 26 descriptors more are needed at the least: at the old least figure the door's reserve left none to serve with.

--- a/src/main.rs
+++ b/src/main.rs
@@ -71,7 +71,7 @@
     let clock = Clock::start();
     let balancer =
         Balancer::new(settings.clone(), seed, clock.now()).map_err(|e| format!("settings: {e}"))?;
-    let sockets = sockets - control.map_or(0, |_| DOOR_RESERVE.min(sockets / 4));
+    let sockets = sockets - control.map_or(0, |_| DOOR_RESERVE);
     let budget = Budget::new(sockets, memory_mb);
     let (inbox, inputs) = mpsc::unbounded_channel();
     let (calls, asked) = mpsc::unbounded_channel();
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -6,6 +6,7 @@
 use thiserror::Error;
 use weirwharf::{Settings, wire};
 
+use super::budget::{DOOR_RESERVE, LEAST_SOCKETS};
 use super::discovery::List;
 
 /// What is wrong with the configuration: the field and the problem, on one line.
@@ -113,17 +114,18 @@
             .map_err(|e| error(&e.field.replacen("conf", "settings", 1), e.problem))?;
         let names: Names = serde_path_to_error::deserialize(&file.settings)
             .map_err(|e| error(&format!("settings.{}", e.path()), e.inner()))?;
-        if file.limits.sockets < super::budget::LEAST_SOCKETS {
-            let problem = format!("at least {} are needed", super::budget::LEAST_SOCKETS);
-            return Err(error("limits.sockets", problem));
+        let control = match var("ROUTER_CONTROL").or(file.control) {
+            Some(text) => Some(address("control", Some(text))?),
+            None => None,
+        };
+        let least = LEAST_SOCKETS + control.map_or(0, |_| DOOR_RESERVE);
+        if file.limits.sockets < least {
+            return Err(error("limits.sockets", format!("at least {least} are needed")));
         }
         Ok(Config {
             name: var("ROUTER_NAME").unwrap_or(file.name),
             listen: address("listen", var("ROUTER_LISTEN").or(file.listen))?,
-            control: match var("ROUTER_CONTROL").or(file.control) {
-                Some(text) => Some(address("control", Some(text))?),
-                None => None,
-            },
+            control,
             discovery: address("discovery", discovery.or(file.discovery))?,
             seed: u64::from_str_radix(&file.seed, 16)
                 .map_err(|_| error("seed", format!("`{}` is not hex", file.seed)))?,
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -93,6 +93,11 @@
     fn spent(&self) -> bool {
         matches!(self, Content::Passed(upload) if upload.spent())
     }
+
+    /// It came to no proper end.
+    fn faulty(&self) -> bool {
+        matches!(self, Content::Passed(upload) if upload.faulty())
+    }
 }
 
 /// A final answer.
@@ -300,12 +305,12 @@
         open.out -= 1;
         let (endpoint, sent, elapsed) = (tried.endpoint, tried.sent, tried.sent.elapsed());
         let Ended { mut outcome, body, passing, rejected, report } = ended;
-        let spent = open.forward.body.spent();
+        let (spent, rejected) = (open.forward.body.spent(), rejected || open.forward.body.faulty());
         if outcome == Outcome::TimedOut {
             self.outbound.close_unheard(endpoint, sent);
         }
         if rejected {
-            // It says nothing of the endpoint, and to send it again would spend what honest requests need.
+            // A fault of the request's own says nothing of the endpoint, and to send it again would spend what honest requests need.
             outcome = Outcome::Cancelled;
             self.finish(id, Answer::Rejected);
         } else if outcome == Outcome::Ok {
--- a/src/net/inbound.rs
+++ b/src/net/inbound.rs
@@ -549,7 +549,7 @@
                 retry_after.into_iter().for_each(|wait| say_when(&mut reply, wait));
                 reply
             }
-            Ok(Ok(Answer::Rejected)) => plain(StatusCode::BAD_REQUEST, "rejected by the endpoint"),
+            Ok(Ok(Answer::Rejected)) => plain(StatusCode::BAD_REQUEST, "the request is at fault"),
             Ok(Ok(Answer::Failed | Answer::Passing(_)) | Err(_)) => {
                 plain(StatusCode::BAD_GATEWAY, "failed")
             }
--- a/src/net/passing.rs
+++ b/src/net/passing.rs
@@ -117,6 +117,8 @@
     /// All of it before an attempt has it, and what the attempt has left after that.
     pieces: RefCell<Option<Pieces>>,
     spent: Cell<bool>,
+    /// It broke off, stalled or grew too long: the client's fault, and no endpoint's.
+    faulty: Cell<bool>,
     size: SizeHint,
     request: RequestId,
     /// What the client gives from its last byte on, less what is kept back for the answer.
@@ -133,8 +135,8 @@
     pub fn new(request: RequestId, pieces: Pieces, time: Duration, inbox: Inbox) -> Rc<Self> {
         let (size, deadline) = (pieces.size(), watch::Sender::new(None));
         let (pieces, moved) = (RefCell::new(Some(pieces)), Cell::new(Instant::now()));
-        let spent = Cell::new(false);
-        Rc::new(Upload { pieces, spent, size, request, time, deadline, moved, inbox })
+        let (spent, faulty) = Default::default();
+        Rc::new(Upload { pieces, spent, faulty, size, request, time, deadline, moved, inbox })
     }
 
     /// It has begun to go out, and can't be sent again.
@@ -142,6 +144,11 @@
         self.spent.get()
     }
 
+    /// It came to no proper end.
+    pub fn faulty(&self) -> bool {
+        self.faulty.get()
+    }
+
     /// All of it has come and been handed on.
     pub fn is_whole(&self) -> bool {
         self.deadline.borrow().is_some()
@@ -232,6 +239,7 @@
                 }
                 let piece = ready!(passing.poll(context));
                 upload.moved.set(Instant::now());
+                upload.faulty.set(matches!(piece, Some(Err(_))));
                 if piece.is_none() || passing.over() {
                     progress.set(true);
                     upload.whole();
--- a/tests/passing.rs
+++ b/tests/passing.rs
@@ -379,3 +379,25 @@
     // Left open, the connection would be held until all time is up, 3.45 s after the signal.
     assert!(start.elapsed() < Duration::from_secs(3), "ended after {:?}", start.elapsed());
 }
+
+#[test]
+fn a_large_body_that_comes_to_no_proper_end_is_told_so_and_held_against_nobody() {
+    let at = endpoint(|_, mut reader| {
+        let _ = reader.read_to_end(&mut Vec::new());
+    });
+    let sidecar = Sidecar::start(&config_at(&[at]));
+    let chunk = |length: usize| [format!("{length:x}\r\n").as_bytes(), &large(length), b"\r\n"].concat();
+    let broken = [chunk(100_000), chunk(100_000), b"no length\r\n".to_vec()].concat();
+    let long = [chunk(1 << 20).repeat(33), b"0\r\n\r\n".to_vec()].concat();
+    for (id, body) in [("broken", broken), ("long", long)] {
+        let mut to = stream(&sidecar);
+        to.write_all(post(id, "Transfer-Encoding: chunked").as_bytes()).unwrap();
+        let mut writing = to.try_clone().unwrap();
+        let writer = thread::spawn(move || writing.write_all(&body));
+        // What is cut off while it is still being sent may reach the client as a reset.
+        let status = Message::read(&mut BufReader::new(to)).map_or(400, |answer| answer.status());
+        assert_eq!(status, 400, "{id}");
+        let _ = writer.join();
+    }
+    assert_eq!(sidecar.ready(), Some(200));
+}
