--- a/src/net/outbound.rs
+++ b/src/net/outbound.rs
@@ -3,7 +3,7 @@
 use super::budget::{Budget, Holder, Permit};
 use super::counters::Counters;
 use super::discovery::Guard;
-use super::passing::{Payload, Pieces};
+use super::passing::{LARGE_MOST, Payload, Pieces};
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Bytes, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
@@ -16,7 +16,7 @@
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::task::spawn_local;
-use tokio::time::{Instant, timeout, timeout_at};
+use tokio::time::{Instant, timeout};
 use weirwharf::{EndpointId, LoadField, Outcome, Settings};
 
 /// A body or an answer up to this is held whole; a longer one passes through.
@@ -37,9 +37,11 @@
 /// An answer once begun comes on within this, also from an endpoint that stands still for a moment: one that
 /// stalls is broken, and to wait on would spend the time for another attempt.
 const ANSWER_GAP: Duration = Duration::from_millis(500);
-/// An answer that does not say how long it is passes through once it has not ended for so long: it may be a large
+/// An answer that does not say how long it is passes through once it has come on for so long: it may be a large
 /// one, whose first bytes are waited for.
-const PASS_AFTER: Duration = Duration::from_millis(250);
+const PASS_AFTER: Duration = Duration::from_millis(100);
+/// One that has brought so much may well be large.
+const LIKELY_LARGE: usize = 16 * 1024;
 /// Limit of an attempt's connection where the settings say nothing.
 const CONNECT_UNSTATED: Duration = Duration::from_millis(500);
 
@@ -377,21 +379,25 @@
 /// Reads an answer as far as it is held; none if it breaks or stalls before.
 async fn hold(mut body: Incoming) -> Option<Held> {
     let size = body.size_hint();
+    if size.lower() > LARGE_MOST {
+        return None; // no endpoint gives so much: what announces it is spoilt
+    }
     if size.lower() > BODY_MOST as u64 {
         return Some(Held::Large(Pieces::of_endpoint(Bytes::new(), body)));
     }
+    let stated = size.exact().is_some();
     let began = Instant::now();
     let mut text = Vec::new();
-    loop {
-        let gap_ends = Instant::now() + ANSWER_GAP;
-        let until = if size.exact().is_some() { gap_ends } else { gap_ends.min(began + PASS_AFTER) };
-        match timeout_at(until, body.frame()).await {
+    while text.len() <= BODY_MOST {
+        match timeout(ANSWER_GAP, body.frame()).await {
             Ok(Some(frame)) => text.extend_from_slice(frame.ok()?.data_ref().map_or(&[][..], |data| data)),
             Ok(None) => return Some(Held::Whole(text.into())),
-            Err(_) if until < gap_ends => break,
+            // A large one may pause; a small one that does is broken.
+            Err(_) if !stated && text.len() >= LIKELY_LARGE => break,
             Err(_) => return None,
         }
-        if text.len() > BODY_MOST {
+        // Only while it comes on: one that stalls is better had from another endpoint.
+        if !stated && began.elapsed() >= PASS_AFTER {
             break;
         }
     }
