Name the product gullpulley and move its parts to their houses

Three names (weirwharf, runtrack, benchlink) stood for one program. Package, library and binary are gullpulley now, the adapter gullpulley-adapter; types.rs is api.rs, wire.rs and its binary are adapter/, balance.rs is policy/.

--- a/src/bin/weirwharf-benchlink.rs
+++ b/src/adapter/main.rs
@@ -1,13 +1,13 @@
 //! Hosts balancer instances for the simulator: batches on standard input, replies on standard output.
 #![forbid(unsafe_code)]
 
+use gullpulley::adapter::{self, Line, ListMode, Names, WireError};
+use gullpulley::{Action, Balancer, EndpointInfo, Event, Membership, RequestId};
 use std::collections::HashMap;
 use std::io::{self, BufRead, BufWriter, Write};
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::process::ExitCode;
 use std::time::Duration;
-use weirwharf::wire::{self, Line, ListMode, Names, WireError};
-use weirwharf::{Action, Balancer, EndpointInfo, Event, Membership, RequestId};
 
 fn main() -> ExitCode {
     // A panic of the module is reported on the wire; the default hook's trace would only add noise.
@@ -15,7 +15,7 @@
     match serve(io::stdin().lock(), io::stdout().lock()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(problem) => {
-            eprintln!("weirwharf-benchlink: {problem}");
+            eprintln!("gullpulley-adapter: {problem}");
             ExitCode::FAILURE
         }
     }
@@ -76,7 +76,7 @@
     fn take(&mut self, number: u64, text: &str) -> Result<(), WireError> {
         let error =
             |field: &str, problem: String| WireError { line: number, field: field.to_owned(), problem };
-        let line = wire::parse(number, text, &mut self.names)?;
+        let line = adapter::parse(number, text, &mut self.names)?;
         if self.filling.is_some() != matches!(line, Line::Entry(_)) {
             return Err(error("message", "entries and the table they belong to do not match".to_owned()));
         }
@@ -173,13 +173,13 @@
         if let Err(panic) = outcome {
             let problem = panic.downcast_ref::<String>().map(String::as_str);
             let problem = problem.or(panic.downcast_ref::<&str>().copied()).unwrap_or("panic");
-            self.reply.push_str(&wire::print_fault(instance, problem));
+            self.reply.push_str(&adapter::print_fault(instance, problem));
             self.reply.push('\n');
             return Ok(());
         }
         for action in &self.actions {
             let request = host.note(action);
-            self.reply.push_str(&wire::print(instance, action, &request, &self.names));
+            self.reply.push_str(&adapter::print(instance, action, &request, &self.names));
             self.reply.push('\n');
         }
         for id in about.into_iter().chain(self.actions.iter().filter_map(about_request)) {
--- a/src/wire.rs
+++ b/src/adapter/mod.rs
@@ -1,6 +1,6 @@
 //! The simulator's wire, parsed and printed. Nothing here decides anything.
 
-use crate::types::*;
+use crate::api::*;
 use serde::Deserialize;
 use serde::de::IgnoredAny;
 use std::collections::HashMap;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,7 +4,7 @@
 //! own clock and carry out the [`Action`]s it appends:
 //!
 //! ```
-//! use weirwharf::{Action, Balancer, EndpointInfo, Event, Membership, RequestId, Settings};
+//! use gullpulley::{Action, Balancer, EndpointInfo, Event, Membership, RequestId, Settings};
 //! use std::time::Duration;
 //!
 //! let mut balancer = Balancer::new(Settings::default(), 7, Duration::ZERO)?;
@@ -15,7 +15,7 @@
 //! let left = Duration::from_millis(800);
 //! balancer.handle(Duration::from_millis(5), Event::request(RequestId(42), left), &mut actions);
 //! assert!(actions.iter().any(|a| matches!(a, Action::Send { request: RequestId(42), .. })));
-//! # Ok::<(), weirwharf::SettingsError>(())
+//! # Ok::<(), gullpulley::SettingsError>(())
 //! ```
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
@@ -24,10 +24,10 @@
 #[doc = include_str!("../README.md")]
 struct Readme;
 
-mod balance;
+pub mod adapter;
+mod api;
+mod policy;
 mod stats;
-mod types;
-pub mod wire;
 
-pub use balance::Balancer;
-pub use types::*;
+pub use api::*;
+pub use policy::Balancer;
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,4 +1,4 @@
-//! `runtrack`: the sidecar. Start-up, signals and exit codes; the rest is in `net/` and, for all
+//! `gullpulley`: the sidecar. Start-up, signals and exit codes; the rest is in `net/` and, for all
 //! decisions, in the library.
 #![forbid(unsafe_code)]
 
@@ -16,6 +16,7 @@
     pub mod passing;
 }
 
+use gullpulley::Balancer;
 use net::bans::{Bans, Standing};
 use net::budget::{Budget, DOOR_RESERVE};
 use net::config::{Config, Named};
@@ -36,7 +37,6 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::timeout;
-use weirwharf::Balancer;
 
 /// How often other processes of this sidecar are looked for.
 const LOOK: Duration = Duration::from_millis(100);
@@ -49,7 +49,7 @@
     let config = match Config::from_env() {
         Ok(config) => config,
         Err(problem) => {
-            eprintln!("runtrack: {problem}");
+            eprintln!("gullpulley: {problem}");
             return ExitCode::FAILURE;
         }
     };
@@ -57,7 +57,7 @@
     match runtime.map_err(|e| e.to_string()).and_then(|rt| LocalSet::new().block_on(&rt, run(config))) {
         Ok(()) => ExitCode::SUCCESS,
         Err(problem) => {
-            eprintln!("runtrack: {problem}");
+            eprintln!("gullpulley: {problem}");
             ExitCode::FAILURE
         }
     }
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -1,10 +1,10 @@
 //! What a sidecar is told at its start: `ROUTER_*` and the JSON file that `ROUTER_CONFIG` names.
 
+use gullpulley::{Settings, adapter};
 use serde::Deserialize;
 use serde_json::Value;
 use std::net::SocketAddr;
 use thiserror::Error;
-use weirwharf::{Settings, wire};
 
 use super::budget::{DOOR_RESERVE, LEAST_SOCKETS};
 use super::discovery::List;
@@ -110,7 +110,7 @@
         let file: File = serde_path_to_error::deserialize(&mut json)
             .map_err(|e| error(&e.path().to_string(), e.inner()))?;
         json.end().map_err(|e| error("ROUTER_CONFIG", e))?;
-        let settings = wire::settings(1, &file.settings.to_string())
+        let settings = adapter::settings(1, &file.settings.to_string())
             .map_err(|e| error(&e.field.replacen("conf", "settings", 1), e.problem))?;
         let names: Names = serde_path_to_error::deserialize(&file.settings)
             .map_err(|e| error(&format!("settings.{}", e.path()), e.inner()))?;
--- a/src/net/counters.rs
+++ b/src/net/counters.rs
@@ -1,10 +1,10 @@
 //! What the operators may read: counts since the start of the process, each taken once, where the fact
 //! occurs. How many endpoints there are, and which of them are avoided, the module says.
 
+use gullpulley::Census;
 use std::cell::Cell;
 use std::fmt::Write;
 use std::rc::Rc;
-use weirwharf::Census;
 
 /// How a request ended, as its client sees it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -2,6 +2,9 @@
 
 use super::config::Names;
 use super::driver::{Inbox, Input};
+use gullpulley::{
+    CellId, Discovery as Mode, EndpointId, EndpointInfo, EndpointState, KindId, Membership, ZoneId, adapter,
+};
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::body::{Bytes, Incoming};
 use hyper::{Request, Response, StatusCode, header};
@@ -19,9 +22,6 @@
 use tokio::sync::watch;
 use tokio::task::{AbortHandle, spawn_local};
 use tokio::time::timeout;
-use weirwharf::{
-    CellId, Discovery as Mode, EndpointId, EndpointInfo, EndpointState, KindId, Membership, ZoneId, wire,
-};
 
 /// A connection to discovery that is not up after this long has failed.
 const CONNECT: Duration = Duration::from_secs(1);
@@ -98,7 +98,7 @@
     address: Cell<SocketAddr>,
     mode: Mode,
     names: Names,
-    ids: RefCell<wire::Names>,
+    ids: RefCell<adapter::Names>,
     rev: Cell<u64>,
     draws: RefCell<Pcg32>,
     /// A list has come since the start.
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -6,6 +6,10 @@
 use super::discovery::{Call, Discovery, News};
 use super::outbound::{Ended, Outbound, Passing, Progress};
 use super::passing::{Payload, Upload};
+use gullpulley::{
+    Action, AttemptEnded, AttemptNo, Balancer, Census, EndpointId, EndpointState, Event, Membership,
+    Outcome, RequestId, TimerToken,
+};
 use http_body_util::Full;
 use hyper::body::Bytes;
 use hyper::header::{self, HeaderName, HeaderValue};
@@ -19,10 +23,6 @@
 use tokio::sync::oneshot;
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep_until};
-use weirwharf::{
-    Action, AttemptEnded, AttemptNo, Balancer, Census, EndpointId, EndpointState, Event, Membership,
-    Outcome, RequestId, TimerToken,
-};
 
 /// Unusual outcomes are summed up in the log this often.
 const SUMMARY: Duration = Duration::from_secs(10);
@@ -59,7 +59,7 @@
 /// A request as it came in.
 pub struct Arrival {
     /// For the module; its time left is set here.
-    pub request: weirwharf::Request,
+    pub request: gullpulley::Request,
     /// When the answer must be on its way.
     pub deadline: Instant,
     /// What goes on to an endpoint.
--- a/src/net/inbound.rs
+++ b/src/net/inbound.rs
@@ -5,6 +5,7 @@
 use super::driver::{Answer, Arrival, Content, Forward, Inbox, Input};
 use super::outbound::{BODY_MOST, BUFFER_MOST, Outbound, Passing};
 use super::passing::{LARGE_MOST, PassError, Pieces, Upload};
+use gullpulley::{ClassId, RequestId, Semantics, Settings, TenantId};
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Bytes, Frame, Incoming, SizeHint};
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
@@ -24,7 +25,6 @@
 use tokio::sync::{Notify, oneshot, watch};
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
-use weirwharf::{ClassId, RequestId, Semantics, Settings, TenantId};
 
 /// Kept back from a client's time, for the answer to reach it.
 const ANSWER_MARGIN: Duration = Duration::from_millis(10);
@@ -569,7 +569,7 @@
         method: &Method,
         uri: &hyper::Uri,
         headers: &HeaderMap,
-    ) -> Result<(weirwharf::Request, Duration), (StatusCode, &'static str)> {
+    ) -> Result<(gullpulley::Request, Duration), (StatusCode, &'static str)> {
         let bad = |problem| (StatusCode::BAD_REQUEST, problem);
         let text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
         let class = self.class(uri).ok_or((StatusCode::NOT_FOUND, "unknown class"))?;
@@ -602,7 +602,7 @@
         let user = query.filter_map(|pair| pair.strip_prefix("user=")).next();
         let work_hint =
             text("x-cost").map(|cost| micros(cost, 1.0).ok_or(bad("X-Cost is bad"))).transpose()?;
-        let request = weirwharf::Request {
+        let request = gullpulley::Request {
             id: RequestId(0),
             class: ClassId(class),
             tenant: TenantId(tenant),
--- a/src/net/outbound.rs
+++ b/src/net/outbound.rs
@@ -4,6 +4,7 @@
 use super::counters::Counters;
 use super::discovery::Guard;
 use super::passing::{LARGE_MOST, Payload, Pieces};
+use gullpulley::{EndpointId, LoadField, Outcome, Settings};
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Bytes, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
@@ -17,7 +18,6 @@
 use tokio::net::TcpStream;
 use tokio::task::spawn_local;
 use tokio::time::{Instant, timeout, timeout_at};
-use weirwharf::{EndpointId, LoadField, Outcome, Settings};
 
 /// A body or an answer up to this is held whole; a longer one passes through.
 pub const BODY_MOST: usize = 64 * 1024;
--- a/src/net/overlap.rs
+++ b/src/net/overlap.rs
@@ -64,7 +64,7 @@
 
     #[test]
     fn a_locked_mark_is_a_living_process_and_any_other_is_swept_away() {
-        let directory = std::env::temp_dir().join(format!("runtrack-overlap-{}", std::process::id()));
+        let directory = std::env::temp_dir().join(format!("gullpulley-overlap-{}", std::process::id()));
         fs::create_dir_all(&directory).unwrap();
         let overlap = Overlap::join(&directory, "n/0").unwrap();
         assert_eq!(overlap.others(), 0, "its own mark is no other");
--- a/src/net/passing.rs
+++ b/src/net/passing.rs
@@ -3,6 +3,7 @@
 
 use super::driver::{Inbox, Input};
 use super::outbound::Progress;
+use gullpulley::RequestId;
 use http_body_util::Full;
 use hyper::body::{Body, Bytes, Frame, Incoming, SizeHint};
 use std::cell::{Cell, RefCell};
@@ -15,7 +16,6 @@
 use thiserror::Error;
 use tokio::sync::watch;
 use tokio::time::{Instant, Sleep, sleep, sleep_until, timeout_at};
-use weirwharf::RequestId;
 
 /// No body on the wire is longer.
 pub const LARGE_MOST: u64 = 32 << 20;
--- a/src/balance.rs
+++ b/src/policy/mod.rs
@@ -1,11 +1,11 @@
-//! Every decision of the balancer. Its interface (settings, events, actions) is in `types.rs`.
+//! Every decision of the balancer. Its interface (settings, events, actions) is in `api.rs`.
 //!
 //! The ordinary path is SQ(d): sample `CHOICES` ready endpoints at random, send to the one with
 //! the fewest of this balancer's own calls in flight, break ties at random. Each exception either
 //! narrows the eligible set or adds to an endpoint's occupancy; none is a second chooser.
 
+use crate::api::*;
 use crate::stats::{Draws, Fading, LATENCY_FIRST, Latency, UNHURRIED_FIRST};
-use crate::types::*;
 use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -1,9 +1,9 @@
 //! The choice itself: unbiased samples, the lower own count wins, ties spread evenly.
 
 mod support;
+use gullpulley::*;
 use std::collections::HashMap;
 use support::*;
-use weirwharf::*;
 
 /// Where `count` requests go when each ends well before the next begins.
 fn spread(d: &mut Driver, count: usize) -> HashMap<EndpointId, usize> {
--- a/tests/contract.rs
+++ b/tests/contract.rs
@@ -1,9 +1,9 @@
 //! What an embedder may rely on when its events are odd: each case has a stated behaviour.
 
 mod support;
+use gullpulley::*;
 use std::time::Duration;
 use support::*;
-use weirwharf::*;
 
 #[test]
 fn a_clock_that_goes_backwards_is_taken_as_standing_still() {
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -1,9 +1,9 @@
 //! One small test for each failure found; `docs/incidents/` and the commits tell their stories.
 
 mod support;
+use gullpulley::*;
 use std::collections::HashMap;
 use support::*;
-use weirwharf::*;
 
 /// An outcome and its time for endpoints of which `bad` is true; the others answer in 20 ms.
 fn where_bad(
--- a/tests/passing_decisions.rs
+++ b/tests/passing_decisions.rs
@@ -1,8 +1,8 @@
 //! Requests whose bodies pass through, driving the module alone.
 
 mod support;
+use gullpulley::*;
 use support::*;
-use weirwharf::*;
 
 fn passing(d: &mut Driver, id: u64) -> (RequestId, Vec<Action>) {
     let id = RequestId(id);
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -1,10 +1,10 @@
 //! Random legal event sequences; the checker of `support` asserts the four rules throughout.
 
 mod support;
+use gullpulley::*;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 use support::*;
-use weirwharf::*;
 
 #[derive(Clone, Debug)]
 enum Step {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -1,9 +1,9 @@
 //! The four rules, each by itself, driving the module alone.
 
 mod support;
+use gullpulley::*;
 use std::time::Duration;
 use support::*;
-use weirwharf::*;
 
 const KEYED_CELL: Semantics = Semantics::Keyed { group: Group::Cell, window: Duration::from_millis(400) };
 
--- a/tests/shape.rs
+++ b/tests/shape.rs
@@ -1,6 +1,6 @@
 //! The module is ported by hand: it must stay short and narrow.
 
-const MODULE: &str = include_str!("../src/balance.rs");
+const MODULE: &str = include_str!("../src/policy/mod.rs");
 
 #[test]
 fn module_stays_within_its_lines() {
@@ -17,5 +17,5 @@
 
 #[test]
 fn module_does_not_know_the_wire() {
-    assert!(!MODULE.contains("wire::"));
+    assert!(!MODULE.contains("adapter::"));
 }
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -1,9 +1,9 @@
 //! A small driver for the module, and a rule checker that knows nothing of how the module decides.
 #![allow(dead_code)]
 
+use gullpulley::*;
 use std::collections::HashMap;
 use std::time::Duration;
-use weirwharf::*;
 
 pub fn ms(n: u64) -> Duration {
     Duration::from_millis(n)
--- a/tests/support/node.rs
+++ b/tests/support/node.rs
@@ -279,10 +279,10 @@
 /// The built program with this configuration, to be run through `prefix` in a shell.
 fn command(config: &str, prefix: &str) -> (Command, std::path::PathBuf) {
     let number = STARTED.fetch_add(1, Ordering::SeqCst);
-    let file = std::env::temp_dir().join(format!("runtrack-test-{}-{number}.json", std::process::id()));
+    let file = std::env::temp_dir().join(format!("gullpulley-test-{}-{number}.json", std::process::id()));
     std::fs::write(&file, config).unwrap();
     let mut command = Command::new("/bin/sh");
-    command.arg("-c").arg(format!("{prefix} exec {}", env!("CARGO_BIN_EXE_runtrack")));
+    command.arg("-c").arg(format!("{prefix} exec {}", env!("CARGO_BIN_EXE_gullpulley")));
     for name in ["ROUTER_NAME", "ROUTER_LISTEN", "ROUTER_DISCOVERY"] {
         command.env_remove(name);
     }
@@ -414,7 +414,7 @@
 impl Shared {
     pub fn new() -> Shared {
         let number = STARTED.fetch_add(1, Ordering::SeqCst);
-        let path = std::env::temp_dir().join(format!("runtrack-shared-{}-{number}", std::process::id()));
+        let path = std::env::temp_dir().join(format!("gullpulley-shared-{}-{number}", std::process::id()));
         std::fs::create_dir(&path).unwrap();
         Shared(path)
     }
--- a/tests/suspension.rs
+++ b/tests/suspension.rs
@@ -1,9 +1,9 @@
 //! Endpoints that the operators take out and give back, driving the module alone.
 
 mod support;
+use gullpulley::*;
 use std::time::Duration;
 use support::*;
-use weirwharf::*;
 
 const OUT: EndpointId = EndpointId(1);
 
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -1,14 +1,14 @@
 //! The wire: what is parsed, what is printed, and what malformed lines get.
 
+use gullpulley::adapter::{Line, ListMode, Names, parse, print};
+use gullpulley::*;
 use std::io::Write;
 use std::process::{Command, Output, Stdio};
 use std::time::Duration;
-use weirwharf::wire::{Line, ListMode, Names, parse, print};
-use weirwharf::*;
 
 const CONF: &str = r#"{"balancers":2,"classes":[{"deadlineMs":1000.0,"lateValue":0.5,"name":"a","objectiveMs":300.0,"semantics":"safe","worth":3.0},{"deadlineMs":900,"group":"cell","objectiveMs":300,"repeatWindowMs":400,"semantics":"keyed"}],"discovery":"subscribe","limits":{"cancelling":true,"maxAttempts":6,"openCap":20000},"me":1,"myZone":1,"rules":{"askWithinMs":10000,"coldShare":0.4,"drainGraceMs":250,"fallMs":1000,"fallMultiple":2.5,"graceToAnswerMs":16,"warmWithinMs":8200},"stage":0,"telemetry":{"fields":["outstanding","novel"],"via":"on_probe"},"weightKind":"live","brandNew":[1,2]}"#;
 
-fn read(text: &str) -> Result<Line, wire::WireError> {
+fn read(text: &str) -> Result<Line, adapter::WireError> {
     parse(7, text, &mut Names::default())
 }
 
@@ -21,7 +21,7 @@
 
 /// Runs the adapter on an input and gives what it printed.
 fn host(input: &str) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_weirwharf-benchlink"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_gullpulley-adapter"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
