Cut the circle in net/: imports run one way, from sockets towards plain types

Five files imported each other (config, discovery, driver, outbound, passing). The configuration and the list as discovery words it are src/config/ of the library now, a task's guard and an attempt's progress files of their own; discovery and a passing body tell what happened to a function that they are given, not to the driver. Start-up moved from main.rs to net/mod.rs. tests/shape.rs holds the order; it was seen to name the circle when one import was put back. Node tests keep the sidecar's log and say how it ended where it never got ready.

--- a/src/adapter/main.rs
+++ b/src/adapter/main.rs
@@ -1,8 +1,8 @@
 //! Hosts balancer instances for the simulator: batches on standard input, replies on standard output.
 #![forbid(unsafe_code)]
 
-use gullpulley::adapter::{self, Line, ListMode, Names, WireError};
-use gullpulley::{Action, Balancer, EndpointInfo, Event, Membership, RequestId};
+use gullpulley::adapter::{self, Line, ListMode, WireError};
+use gullpulley::{Action, Balancer, EndpointInfo, EndpointNames, Event, Membership, RequestId};
 use std::collections::HashMap;
 use std::io::{self, BufRead, BufWriter, Write};
 use std::panic::{AssertUnwindSafe, catch_unwind};
@@ -39,7 +39,7 @@
 
 #[derive(Default)]
 struct Host {
-    names: Names,
+    names: EndpointNames,
     instances: HashMap<u32, Instance>,
     tables: HashMap<u8, Vec<EndpointInfo>>,
     /// The table being read and the entries still missing from it.
--- a/src/adapter/mod.rs
+++ b/src/adapter/mod.rs
@@ -1,9 +1,8 @@
 //! The simulator's wire, parsed and printed. Nothing here decides anything.
 
 use crate::api::*;
-use serde::Deserialize;
-use serde::de::IgnoredAny;
-use std::collections::HashMap;
+use crate::config::platform::{MAX_MS, duration, settings};
+use crate::names::EndpointNames;
 use std::str::{FromStr, Split};
 use std::time::Duration;
 use thiserror::Error;
@@ -80,41 +79,8 @@
     Failed,
 }
 
-/// Names of endpoints and their ids. An id is a hash of the name, so that it is the same at all balancers.
-#[derive(Debug, Default)]
-pub struct Names {
-    names: HashMap<EndpointId, String>,
-}
-
-impl Names {
-    /// The id of a name, new if it was never seen.
-    pub fn id(&mut self, name: &str) -> EndpointId {
-        // FNV-1a: short, and the same on every machine and in every release.
-        let mut hash: u64 = 0xcbf2_9ce4_8422_2325;
-        for byte in name.bytes() {
-            hash = (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3);
-        }
-        let mut id = EndpointId(hash);
-        while let Some(known) = self.names.get(&id) {
-            if known == name {
-                return id;
-            }
-            id = EndpointId(id.0.wrapping_add(1)); // another name has this hash
-        }
-        self.names.insert(id, name.to_owned());
-        id
-    }
-
-    /// The name of an id given out before.
-    pub fn name(&self, id: EndpointId) -> &str {
-        self.names.get(&id).map_or("-", String::as_str)
-    }
-}
-
 /// Stands in an event until the host puts the request's own id there.
 const UNSET: RequestId = RequestId(u64::MAX);
-/// No time on the wire lies beyond this many milliseconds (over thirty years).
-const MAX_MS: f64 = 1e12;
 
 struct Fields<'a> {
     line: u64,
@@ -220,7 +186,7 @@
 }
 
 /// Reads line number `line`; `names` turns endpoint names into ids.
-pub fn parse(line: u64, text: &str, names: &mut Names) -> Result<Line, WireError> {
+pub fn parse(line: u64, text: &str, names: &mut EndpointNames) -> Result<Line, WireError> {
     let mut f = Fields { line, rest: text.split(' ') };
     let word = f.text("message")?;
     let parsed = match word {
@@ -253,7 +219,12 @@
         "spawn" => {
             let (instance, seed) = (f.integer("sidecar")?, f.integer("initSeed")?);
             let text = f.remainder();
-            return Ok(Line::Spawn { instance, seed, settings: Box::new(settings(line, &text)?) });
+            let settings = settings(&text).map_err(|fault| WireError {
+                line,
+                field: fault.field,
+                problem: fault.problem,
+            })?;
+            return Ok(Line::Spawn { instance, seed, settings: Box::new(settings) });
         }
         "detach" => Line::Detach(f.integer("sidecar")?),
         "targets" => {
@@ -288,7 +259,11 @@
     if bank > 15 { Err(f.error("bank", format!("{bank} is over 15"))) } else { Ok(bank) }
 }
 
-fn event(word: &str, f: &mut Fields, names: &mut Names) -> Result<(Option<String>, Event), WireError> {
+fn event(
+    word: &str,
+    f: &mut Fields,
+    names: &mut EndpointNames,
+) -> Result<(Option<String>, Event), WireError> {
     Ok(match word {
         "order" => {
             let name = f.text("job")?.to_owned();
@@ -353,7 +328,7 @@
 }
 
 /// Prints one action of `instance`; `request` is the wire's name of the request it is about.
-pub fn print(instance: u32, action: &Action, request: &str, names: &Names) -> String {
+pub fn print(instance: u32, action: &Action, request: &str, names: &EndpointNames) -> String {
     match action {
         Action::Send { endpoint, timeout, .. } => {
             // Zero would mean "no time-out of its own", so the least that can be said is a microsecond.
@@ -384,373 +359,6 @@
     text.replace(['\n', '\r'], " ")
 }
 
-fn duration(ms: f64) -> Duration {
-    Duration::from_micros((ms * 1000.0).round() as u64)
-}
-
 fn millis(time: Duration) -> f64 {
     time.as_micros() as f64 / 1000.0
 }
-
-// ---- settings ----
-
-// Names of classes, tenants, zones and kinds, and the family, tell a decision nothing and are left out on
-// purpose, as are the prices of what a balancer cannot do here: fleet, moves, origin, peer.
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-struct Conf {
-    #[serde(default)]
-    areas: Vec<IgnoredAny>,
-    #[serde(default)]
-    tiers: Vec<IgnoredAny>,
-    #[serde(default)]
-    blend: ConfBlend,
-    #[serde(default)]
-    counted_by: ConfCounted,
-    #[serde(default)]
-    clients: ConfClients,
-    balancers: u32,
-    #[serde(default)]
-    me: u32,
-    my_zone: u32,
-    #[serde(default)]
-    stage: u32,
-    classes: Vec<ConfClass>,
-    #[serde(default)]
-    tenants: Vec<ConfTenant>,
-    #[serde(default = "one")]
-    over_share_worth: f64,
-    discovery: ConfDiscovery,
-    limits: ConfLimits,
-    rules: ConfRules,
-    #[serde(default)]
-    costs: ConfCosts,
-    #[serde(default)]
-    telemetry: ConfTelemetry,
-    #[serde(default)]
-    weight_kind: ConfWeights,
-    #[serde(default)]
-    resolution_ms: f64,
-    #[serde(default)]
-    family_info: ConfFamily,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase", default)]
-struct ConfBlend {
-    whole: f64,
-    worst_window: f64,
-    worst_class: f64,
-    worst_tenant: f64,
-    nines_part: f64,
-    nines_wanted: f64,
-}
-
-impl Default for ConfBlend {
-    fn default() -> Self {
-        let (whole, nines_wanted) = (1.0, 3.0);
-        let (worst_window, worst_class, worst_tenant, nines_part) = Default::default();
-        ConfBlend { whole, worst_window, worst_class, worst_tenant, nines_part, nines_wanted }
-    }
-}
-
-#[derive(Default, Deserialize)]
-#[serde(rename_all = "lowercase")]
-enum ConfCounted {
-    #[default]
-    Request,
-    Work,
-}
-
-#[derive(Default, Deserialize)]
-#[serde(rename_all = "camelCase", default)]
-struct ConfClients {
-    marks_retry: bool,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-struct ConfClass {
-    #[serde(default)]
-    aim_stretch: f64,
-    objective_ms: f64,
-    deadline_ms: f64,
-    semantics: ConfSemantics,
-    #[serde(default)]
-    group: ConfGroup,
-    #[serde(default)]
-    repeat_window_ms: f64,
-    #[serde(default)]
-    late_value: f64,
-    #[serde(default)]
-    streamed: bool,
-    #[serde(default = "one")]
-    worth: f64,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-struct ConfTenant {
-    #[serde(default)]
-    allowance_per_s: f64,
-    #[serde(default)]
-    portion: f64,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-struct ConfLimits {
-    #[serde(default)]
-    cancelling: bool,
-    #[serde(default)]
-    probes: bool,
-    #[serde(default)]
-    peers: bool,
-    #[serde(default)]
-    retry_after: bool,
-    #[serde(default)]
-    max_retry_after_ms: f64,
-    #[serde(default)]
-    second_copies: bool,
-    max_attempts: u32,
-    #[serde(default)]
-    connect_timeout_ms: f64,
-    #[serde(default)]
-    streams_per_conn: u32,
-    #[serde(default)]
-    idle_close_ms: f64,
-    #[serde(default)]
-    open_cap: u32,
-    #[serde(default)]
-    cpu_us_per_s: f64,
-    #[serde(default)]
-    cpu_us_per_request: f64,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-struct ConfRules {
-    #[serde(default)]
-    ask_within_ms: f64,
-    cold_share: f64,
-    warm_within_ms: f64,
-    drain_grace_ms: f64,
-    fall_multiple: f64,
-    fall_ms: f64,
-    grace_to_answer_ms: f64,
-}
-
-#[derive(Default, Deserialize)]
-#[serde(rename_all = "camelCase", default)]
-struct ConfCosts {
-    connection: f64,
-    discovery: f64,
-    cross_zone: f64,
-    waste: f64,
-    handshake: f64,
-    probe: f64,
-    late_fail: f64,
-}
-
-#[derive(Default, Deserialize)]
-#[serde(rename_all = "camelCase", default)]
-struct ConfTelemetry {
-    via: ConfVia,
-    fields: Vec<String>,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase", default)]
-struct ConfFamily {
-    passes_deadline: bool,
-    warm_keys: bool,
-}
-
-impl Default for ConfFamily {
-    fn default() -> Self {
-        ConfFamily { passes_deadline: true, warm_keys: false }
-    }
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "lowercase")]
-enum ConfSemantics {
-    Safe,
-    Keyed,
-    Unsafe,
-}
-
-#[derive(Default, Deserialize)]
-#[serde(rename_all = "lowercase")]
-enum ConfGroup {
-    #[default]
-    All,
-    Zone,
-    Cell,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "lowercase")]
-enum ConfDiscovery {
-    Automatic,
-    Subscribe,
-}
-
-#[derive(Default, Deserialize)]
-#[serde(rename_all = "snake_case")]
-enum ConfVia {
-    #[default]
-    Off,
-    Inline,
-    OnProbe,
-}
-
-#[derive(Default, Deserialize)]
-#[serde(rename_all = "lowercase")]
-enum ConfWeights {
-    #[default]
-    Off,
-    Nominal,
-    Rough,
-    Live,
-}
-
-fn one() -> f64 {
-    1.0
-}
-
-/// Reads the settings object of line number `line`; the sidecar's configuration carries the same one.
-pub fn settings(line: u64, text: &str) -> Result<Settings, WireError> {
-    let error = |field: String, problem: String| WireError { line, field, problem };
-    let mut json = serde_json::Deserializer::from_str(text);
-    let conf: Conf = serde_path_to_error::deserialize(&mut json).map_err(|e| {
-        let path = e.path().to_string();
-        let field = if path == "." { "conf".to_owned() } else { format!("conf.{path}") };
-        error(field, e.inner().to_string())
-    })?;
-    json.end().map_err(|e| error("conf".to_owned(), e.to_string()))?;
-    let time = |field: &str, ms: f64| {
-        if (0.0..=MAX_MS).contains(&ms) {
-            Ok(duration(ms))
-        } else {
-            Err(error(format!("conf.{field}"), format!("{ms} is out of range")))
-        }
-    };
-    let mut classes = Vec::new();
-    for class in &conf.classes {
-        classes.push(Class {
-            objective: time("classes.objectiveMs", class.objective_ms)?,
-            deadline: time("classes.deadlineMs", class.deadline_ms)?,
-            semantics: match class.semantics {
-                ConfSemantics::Safe => Semantics::Safe,
-                ConfSemantics::Unsafe => Semantics::Unsafe,
-                ConfSemantics::Keyed => Semantics::Keyed {
-                    group: match class.group {
-                        ConfGroup::All => Group::All,
-                        ConfGroup::Zone => Group::Zone,
-                        ConfGroup::Cell => Group::Cell,
-                    },
-                    window: time("classes.repeatWindowMs", class.repeat_window_ms)?,
-                },
-            },
-            late_value: class.late_value,
-            streamed: class.streamed,
-            worth: class.worth,
-            aim_stretch: class.aim_stretch,
-        });
-    }
-    let settings = Settings {
-        balancers: conf.balancers,
-        me: conf.me,
-        zone: ZoneId(conf.my_zone),
-        zones: conf.areas.len().max(1) as u32,
-        tier: conf.stage,
-        tiers: conf.tiers.len().max(1) as u32,
-        classes,
-        tenants: (conf.tenants.iter())
-            .map(|t| Tenant { allowance_per_s: t.allowance_per_s, portion: t.portion })
-            .collect(),
-        over_share_worth: conf.over_share_worth,
-        discovery: match conf.discovery {
-            ConfDiscovery::Automatic => Discovery::Push,
-            ConfDiscovery::Subscribe => Discovery::Ask,
-        },
-        limits: Limits {
-            cancelling: conf.limits.cancelling,
-            probes: conf.limits.probes,
-            peers: conf.limits.peers,
-            retry_after: conf.limits.retry_after,
-            max_retry_after: time("limits.maxRetryAfterMs", conf.limits.max_retry_after_ms)?,
-            second_copies: conf.limits.second_copies,
-            max_attempts: conf.limits.max_attempts,
-            connect_timeout: time("limits.connectTimeoutMs", conf.limits.connect_timeout_ms)?,
-            streams_per_connection: conf.limits.streams_per_conn,
-            idle_close: time("limits.idleCloseMs", conf.limits.idle_close_ms)?,
-            open_cap: conf.limits.open_cap,
-            cpu_per_s: time("limits.cpuUsPerS", conf.limits.cpu_us_per_s / 1000.0)?,
-            cpu_per_request: time("limits.cpuUsPerRequest", conf.limits.cpu_us_per_request / 1000.0)?,
-        },
-        rules: Rules {
-            ask_within: time("rules.askWithinMs", conf.rules.ask_within_ms)?,
-            cold_share: conf.rules.cold_share,
-            warm_within: time("rules.warmWithinMs", conf.rules.warm_within_ms)?,
-            drain_grace: time("rules.drainGraceMs", conf.rules.drain_grace_ms)?,
-            fall_multiple: conf.rules.fall_multiple,
-            fall_after: time("rules.fallMs", conf.rules.fall_ms)?,
-            answer_grace: time("rules.graceToAnswerMs", conf.rules.grace_to_answer_ms)?,
-        },
-        goal: Goal {
-            whole: conf.blend.whole,
-            worst_window: conf.blend.worst_window,
-            worst_class: conf.blend.worst_class,
-            worst_tenant: conf.blend.worst_tenant,
-            nines: conf.blend.nines_part,
-            nines_wanted: conf.blend.nines_wanted,
-            counted_by: match conf.counted_by {
-                ConfCounted::Request => CountedBy::Request,
-                ConfCounted::Work => CountedBy::Work,
-            },
-        },
-        costs: Costs {
-            connection: conf.costs.connection,
-            discovery: conf.costs.discovery,
-            cross_zone: conf.costs.cross_zone,
-            waste: conf.costs.waste,
-            handshake: conf.costs.handshake,
-            probe: conf.costs.probe,
-            late_fail: conf.costs.late_fail,
-        },
-        load_reports: LoadReports {
-            via: match conf.telemetry.via {
-                ConfVia::Off => ReportVia::Off,
-                ConfVia::Inline => ReportVia::Inline,
-                ConfVia::OnProbe => ReportVia::Probe,
-            },
-            fields: conf.telemetry.fields.iter().map(|field| load_field(field)).collect(),
-        },
-        weights: match conf.weight_kind {
-            ConfWeights::Off => WeightKind::Off,
-            ConfWeights::Nominal => WeightKind::Nominal,
-            ConfWeights::Rough => WeightKind::Rough,
-            ConfWeights::Live => WeightKind::Live,
-        },
-        tick: time("resolutionMs", conf.resolution_ms)?,
-        passes_deadline: conf.family_info.passes_deadline,
-        warm_keys: conf.family_info.warm_keys,
-        clients_mark_retries: conf.clients.marks_retry,
-    };
-    settings.validate().map_err(|e| error("conf".to_owned(), e.to_string()))?;
-    Ok(settings)
-}
-
-fn load_field(name: &str) -> LoadField {
-    match name {
-        "outstanding" => LoadField::Outstanding,
-        "backlog" => LoadField::Backlog,
-        "utilization" => LoadField::Utilization,
-        "recent_ms" => LoadField::RecentMs,
-        "throughput" => LoadField::Throughput,
-        "errors_per_s" => LoadField::ErrorsPerS,
-        _ => LoadField::Other,
-    }
-}
--- a/src/net/config.rs
+++ b/src/config/mod.rs
@@ -1,13 +1,24 @@
 //! What a sidecar is told at its start: `ROUTER_*` and the JSON file that `ROUTER_CONFIG` names.
 
-use gullpulley::{Settings, adapter};
+mod list;
+pub mod platform;
+
+pub use list::{List, State, Target};
+
+use crate::api::Settings;
 use serde::Deserialize;
 use serde_json::Value;
 use std::net::SocketAddr;
 use thiserror::Error;
 
-use super::budget::{DOOR_RESERVE, LEAST_SOCKETS};
-use super::discovery::List;
+/// Descriptors kept free for the listener, the runtime, standard streams, discovery and shed clients.
+pub const RESERVE: usize = 48;
+/// Callers that the operators' door holds at once.
+pub const DOOR_MOST: usize = 24;
+/// Descriptors kept free for the operators' door, where there is one: its listener and its callers.
+pub const DOOR_RESERVE: usize = DOOR_MOST + 2;
+/// Fewer descriptors than this leave nothing to serve with.
+pub const LEAST_SOCKETS: usize = RESERVE + 16;
 
 /// What is wrong with the configuration: the field and the problem, on one line.
 #[derive(Debug, Error)]
@@ -110,7 +121,7 @@
         let file: File = serde_path_to_error::deserialize(&mut json)
             .map_err(|e| error(&e.path().to_string(), e.inner()))?;
         json.end().map_err(|e| error("ROUTER_CONFIG", e))?;
-        let settings = adapter::settings(1, &file.settings.to_string())
+        let settings = platform::settings(&file.settings.to_string())
             .map_err(|e| error(&e.field.replacen("conf", "settings", 1), e.problem))?;
         let names: Names = serde_path_to_error::deserialize(&file.settings)
             .map_err(|e| error(&format!("settings.{}", e.path()), e.inner()))?;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -26,8 +26,11 @@
 
 pub mod adapter;
 mod api;
+pub mod config;
+mod names;
 mod policy;
 mod stats;
 
 pub use api::*;
+pub use names::EndpointNames;
 pub use policy::Balancer;
--- a/src/net/budget.rs
+++ b/src/net/budget.rs
@@ -1,20 +1,13 @@
 //! The budget of sockets: every client and endpoint connection holds a permit, so that the limits
 //! on descriptors and memory are kept by count. A request in work holds one too, for its memory.
 
+use gullpulley::config::RESERVE;
 use std::cell::Cell;
 use std::rc::Rc;
 use tokio::sync::Notify;
 
-/// Descriptors kept free for the listener, the runtime, standard streams, discovery and shed clients.
-const RESERVE: usize = 48;
 /// Clients over the cap that may still be told so, out of the reserve.
 const SHED_MOST: usize = 24;
-/// Descriptors kept free for the operators' door, where there is one: its listener and its callers.
-pub const DOOR_RESERVE: usize = DOOR_MOST + 2;
-/// Callers that the door holds at once.
-pub const DOOR_MOST: usize = 24;
-/// Fewer descriptors than this leave nothing to serve with.
-pub const LEAST_SOCKETS: usize = RESERVE + 16;
 /// The most memory that a request in work may take with its buffers, bodies and attempt, in KiB.
 const REQUEST_KIB: usize = 160;
 /// The most that a client's connection may take between requests: a head that is never whole, in KiB.
--- a/src/net/control.rs
+++ b/src/net/control.rs
@@ -1,11 +1,11 @@
 //! The operators' door: readiness, figures, and taking endpoints out and back. One call to a connection.
 
 use super::bans::{Bans, Order, Standing};
-use super::budget::DOOR_MOST;
 use super::counters::Counters;
-use super::discovery::Guard;
 use super::driver::{Inbox, Input};
+use super::guard::Guard;
 use super::inbound::Inbound;
+use gullpulley::config::DOOR_MOST;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Bytes, Incoming};
 use hyper::header::{self, HeaderValue};
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -1,9 +1,10 @@
 //! The endpoint list: asks discovery for it, and follows its changes.
 
-use super::config::Names;
-use super::driver::{Inbox, Input};
+use super::guard::Guard;
+use gullpulley::config::{List, Names, State};
 use gullpulley::{
-    CellId, Discovery as Mode, EndpointId, EndpointInfo, EndpointState, KindId, Membership, ZoneId, adapter,
+    CellId, Discovery as Mode, EndpointId, EndpointInfo, EndpointNames, EndpointState, KindId, Membership,
+    ZoneId,
 };
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::body::{Bytes, Incoming};
@@ -11,7 +12,6 @@
 use hyper_util::rt::TokioIo;
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg32;
-use serde::Deserialize;
 use std::cell::{Cell, RefCell};
 use std::collections::HashSet;
 use std::net::SocketAddr;
@@ -20,7 +20,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::watch;
-use tokio::task::{AbortHandle, spawn_local};
+use tokio::task::spawn_local;
 use tokio::time::timeout;
 
 /// A connection to discovery that is not up after this long has failed.
@@ -38,43 +38,6 @@
 /// Doublings of that wait.
 const BACKOFF_DOUBLES: u32 = 4;
 
-/// A list as discovery words it.
-#[derive(Debug, Default, Deserialize)]
-pub struct List {
-    rev: u64,
-    all: bool,
-    targets: Vec<Target>,
-}
-
-#[derive(Debug, Deserialize)]
-struct Target {
-    uid: String,
-    endpoint: SocketAddr,
-    #[serde(default)]
-    az: String,
-    #[serde(default)]
-    model: String,
-    #[serde(default)]
-    pod_group: u64,
-    state: State,
-    #[serde(default = "one")]
-    capacity_hint: f64,
-    #[serde(default)]
-    boot_ms: f64,
-}
-
-fn one() -> f64 {
-    1.0
-}
-
-#[derive(Clone, Copy, Debug, Deserialize)]
-#[serde(rename_all = "lowercase")]
-enum State {
-    Up,
-    Draining,
-    Removed,
-}
-
 /// News of the list in the module's terms, and where the endpoints are.
 pub struct News {
     /// For the module.
@@ -98,38 +61,29 @@
     address: Cell<SocketAddr>,
     mode: Mode,
     names: Names,
-    ids: RefCell<adapter::Names>,
+    ids: RefCell<EndpointNames>,
     rev: Cell<u64>,
     draws: RefCell<Pcg32>,
     /// A list has come since the start.
     heard: watch::Sender<bool>,
-    inbox: Inbox,
-}
-
-/// A task that ends with its holder.
-pub struct Guard(AbortHandle);
-
-impl Guard {
-    /// Ends this task when dropped.
-    pub fn new(task: AbortHandle) -> Self {
-        Guard(task)
-    }
-}
-
-impl Drop for Guard {
-    fn drop(&mut self) {
-        self.0.abort();
-    }
+    /// Where news goes.
+    report: Box<dyn Fn(News)>,
 }
 
 impl Discovery {
-    /// Discovery at this address.
-    pub fn new(address: SocketAddr, mode: Mode, names: Names, seed: u64, inbox: Inbox) -> Rc<Self> {
+    /// Discovery at this address; what it tells goes to `report`.
+    pub fn new(
+        address: SocketAddr,
+        mode: Mode,
+        names: Names,
+        seed: u64,
+        report: impl Fn(News) + 'static,
+    ) -> Rc<Self> {
         let draws = RefCell::new(Pcg32::seed_from_u64(seed));
         let (ids, rev) = Default::default();
         let address = Cell::new(address);
         let heard = watch::Sender::new(false);
-        Rc::new(Discovery { address, mode, names, ids, rev, draws, heard, inbox })
+        Rc::new(Discovery { address, mode, names, ids, rev, draws, heard, report: Box::new(report) })
     }
 
     /// The list as last held, to start from.
@@ -202,7 +156,7 @@
                 this.failed(&reason);
             }
         });
-        Guard(task.abort_handle())
+        Guard::new(task.abort_handle())
     }
 
     /// Where lists are pushed, a watch must always be up: the module never asks for one.
@@ -267,7 +221,7 @@
         let handshake = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await;
         let (mut sender, connection) = handshake.map_err(|e| e.to_string())?;
         let task = spawn_local(connection);
-        let guard = Guard(task.abort_handle());
+        let guard = Guard::new(task.abort_handle());
         let request = Request::get(path)
             .header(header::HOST, address.to_string())
             .body(Empty::<Bytes>::new())
@@ -302,7 +256,7 @@
     }
 
     fn tell(&self, news: News) {
-        let _ = self.inbox.send(Input::List(news)); // fails only while the process ends
+        (self.report)(news);
     }
 
     fn news(&self, list: List) -> News {
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -4,8 +4,9 @@
 
 use super::bans::Standing;
 use super::discovery::{Call, Discovery, News};
-use super::outbound::{Ended, Outbound, Passing, Progress};
+use super::outbound::{Ended, Outbound, Passing};
 use super::passing::{Payload, Upload};
+use super::progress::Progress;
 use gullpulley::{
     Action, AttemptEnded, AttemptNo, Balancer, Census, EndpointId, EndpointState, Event, Membership,
     Outcome, RequestId, TimerToken,
--- a/src/net/inbound.rs
+++ b/src/net/inbound.rs
@@ -515,7 +515,10 @@
             Some(rest) => {
                 request.passing = true;
                 let pieces = Pieces::of_client(first, rest);
-                let upload = Upload::new(id, pieces, ours, self.inbox.clone());
+                let inbox = self.inbox.clone();
+                let upload = Upload::new(pieces, ours, move |deadline| {
+                    let _ = inbox.send(Input::Whole(id, deadline)); // fails only while the process ends
+                });
                 passed = Some(upload.clone());
                 (Content::Passed(upload), came + UPLOAD_MOST, came + UPLOAD_MOST)
             }
--- /dev/null
+++ b/src/net/mod.rs
@@ -0,0 +1,180 @@
+//! The sidecar on its sockets. Start-up, signals and the parts' acquaintance are here; the rest, from
+//! plain types up, each knowing only what stands before it:
+//!
+//! `guard`, `budget`, `counters`, `bans`, `overlap`: tasks, sockets held, counts, orders, other processes;
+//! `progress`, `passing`: how far an attempt is, bodies that pass through;
+//! `outbound`, `discovery`: connections to endpoints and to discovery;
+//! `driver`: turns what happens there into the policy's events, and carries out its actions;
+//! `inbound`, `control`: clients' connections, and the operators' door.
+
+mod bans;
+mod budget;
+mod control;
+mod counters;
+mod discovery;
+mod driver;
+mod guard;
+mod inbound;
+mod outbound;
+mod overlap;
+mod passing;
+mod progress;
+
+use bans::{Bans, Standing};
+use budget::Budget;
+use control::Door;
+use counters::Counters;
+use discovery::{Call, Discovery};
+use driver::{Clock, Driver, Inbox, Input};
+use gullpulley::Balancer;
+use gullpulley::config::{Config, DOOR_RESERVE, Named};
+use inbound::Inbound;
+use outbound::Outbound;
+use overlap::Overlap;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpSocket};
+use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::spawn_local;
+use tokio::time::timeout;
+
+/// How often other processes of this sidecar are looked for.
+const LOOK: Duration = Duration::from_millis(100);
+/// A new process waits for its first list no longer than this: it has 6 s to say that it is ready.
+const LIST_WAIT: Duration = Duration::from_millis(2500);
+/// Connections that may wait to be accepted; the system may allow fewer.
+const BACKLOG: u32 = 1024;
+
+/// Serves until SIGTERM and drains, on a `LocalSet`.
+pub async fn run(config: Config) -> Result<(), String> {
+    let Config { name, listen, control, discovery, seed, sockets, memory_mb, known, settings, names } =
+        config;
+    let term = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
+    let hup = signal(SignalKind::hangup()).map_err(|e| format!("SIGHUP: {e}"))?;
+    let clock = Clock::start();
+    let balancer =
+        Balancer::new(settings.clone(), seed, clock.now()).map_err(|e| format!("settings: {e}"))?;
+    let sockets = sockets - control.map_or(0, |_| DOOR_RESERVE);
+    let budget = Budget::new(sockets, memory_mb);
+    let (inbox, inputs) = mpsc::unbounded_channel();
+    let (calls, asked) = mpsc::unbounded_channel();
+    let listed = |named: &[Named]| named.iter().map(|n| n.name.clone()).collect::<Vec<_>>();
+    let (classes, tenants) = (listed(&names.classes), listed(&names.tenants));
+    let counters = Counters::new(&classes);
+    let outbound = Outbound::new(&settings, budget.clone(), counters.clone());
+    let inbound = Inbound::new(
+        settings.clone(),
+        classes,
+        tenants,
+        budget.clone(),
+        counters.clone(),
+        outbound.clone(),
+        inbox.clone(),
+    );
+    let news = inbox.clone();
+    let discovery = Discovery::new(discovery, settings.discovery, names, seed, move |said| {
+        let _ = news.send(Input::List(said)); // fails only while the process ends
+    });
+    let bans = Bans::new(&std::env::temp_dir(), &name);
+    if control.is_some() {
+        // Before the first list, so before the first send.
+        let _ = inbox.send(Input::Standing(standing(&bans), oneshot::channel().0));
+    }
+    // The list as last held is there before the first client.
+    let _ = inbox.send(Input::List(discovery.cached(known)));
+    let attempts = settings.limits.max_attempts;
+    spawn_local(reload(hup, calls.clone()));
+    let driver =
+        Driver::new(balancer, clock, attempts, outbound.clone(), discovery.clone(), calls, inbox.clone());
+    let mut driver = spawn_local(driver.run(inputs));
+    spawn_local(discovery.clone().run(asked));
+    spawn_local(outbound.clone().sweep());
+    let overlap = control.and_then(|_| join(&name));
+    if let Some(overlap) = overlap {
+        let sharing = Sharing { overlap, budget, inbound: inbound.clone(), outbound, inbox: inbox.clone() };
+        if sharing.look() > 0 {
+            // The older process serves meanwhile; the list known at its start may have aged with it.
+            let _ = timeout(LIST_WAIT, discovery.heard()).await;
+        }
+        spawn_local(sharing.keep_up());
+    }
+    let listener = listen_at(listen, control.is_some()).map_err(|e| format!("listen: {listen}: {e}"))?;
+    if let Some(control) = control {
+        let door = TcpListener::bind(control).await.map_err(|e| format!("control: {control}: {e}"))?;
+        eprintln!("{name}: operators' door at {control}");
+        let behind = Door::new(bans, counters, inbound.clone(), inbox);
+        spawn_local(behind.clone().follow());
+        spawn_local(behind.serve(door));
+    }
+    eprintln!("{name}: serving on {listen}");
+    tokio::select! {
+        () = inbound.serve(listener, term) => Ok(()),
+        ended = &mut driver => Err(format!("the driver ended: {ended:?}")),
+    }
+}
+
+/// Listens for clients; shared, another process of this sidecar may do so at the same address.
+fn listen_at(address: SocketAddr, shared: bool) -> io::Result<TcpListener> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    socket.set_reuseaddr(true)?;
+    if shared {
+        socket.set_reuseport(true)?;
+    }
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
+/// Makes this process known to others of the same sidecar. Where that fails it serves as if alone.
+fn join(name: &str) -> Option<Overlap> {
+    let joined = Overlap::join(&std::env::temp_dir(), name);
+    joined.inspect_err(|e| eprintln!("$TMPDIR: {e}; other processes of this sidecar go unseen")).ok()
+}
+
+/// Parts with other processes of this sidecar what it may hold.
+struct Sharing {
+    overlap: Overlap,
+    budget: Rc<Budget>,
+    inbound: Rc<Inbound>,
+    outbound: Rc<Outbound>,
+    inbox: Inbox,
+}
+
+impl Sharing {
+    /// Looks for others, and parts with them; how many there are.
+    fn look(&self) -> usize {
+        let others = self.overlap.others();
+        if self.budget.share(others + 1) {
+            let _ = self.inbox.send(Input::Shared(others + 1));
+            self.outbound.shrink();
+        }
+        others
+    }
+
+    async fn keep_up(self) {
+        loop {
+            tokio::time::sleep(LOOK).await;
+            self.inbound.succeeded(self.look() > 0);
+        }
+    }
+}
+
+/// What the operators had said of endpoints before this process began.
+fn standing(bans: &Bans) -> Standing {
+    bans.read().unwrap_or_else(|problem| {
+        eprintln!("suspended endpoints: {problem}; none is taken out");
+        Standing::default()
+    })
+}
+
+/// At each SIGHUP reads the configuration again and follows discovery to where it is by now.
+async fn reload(mut hup: Signal, calls: mpsc::UnboundedSender<Call>) {
+    while hup.recv().await.is_some() {
+        match Config::moved_discovery() {
+            Ok(address) => drop(calls.send(Call::Move(address))), // fails only while the process ends
+            Err(problem) => eprintln!("SIGHUP: {problem}; the configuration stays as it was"),
+        }
+    }
+}
--- a/src/net/outbound.rs
+++ b/src/net/outbound.rs
@@ -2,15 +2,16 @@
 
 use super::budget::{Budget, Holder, Permit};
 use super::counters::Counters;
-use super::discovery::Guard;
+use super::guard::Guard;
 use super::passing::{LARGE_MOST, Payload, Pieces};
+use super::progress::Progress;
 use gullpulley::{EndpointId, LoadField, Outcome, Settings};
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Bytes, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{HeaderMap, Request, Response, StatusCode, header};
 use hyper_util::rt::TokioIo;
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -80,40 +81,6 @@
     }
 }
 
-/// How far an attempt has come: what is stopped before anything was written never ran.
-#[derive(Default)]
-pub struct Progress {
-    written: Cell<bool>,
-    /// Where it counts; a probe counts nowhere.
-    counters: Option<Rc<Counters>>,
-}
-
-impl Progress {
-    /// The outcome of no longer waiting: nothing written proves that it never ran.
-    pub fn given_up(&self) -> Outcome {
-        if self.written.get() { Outcome::TimedOut } else { Outcome::ConnectFailed }
-    }
-
-    /// Whether it has been written.
-    pub fn is_written(&self) -> bool {
-        self.written.get()
-    }
-
-    /// The outcome of a connection that broke.
-    fn broken(&self) -> Outcome {
-        if self.written.get() { Outcome::Reset } else { Outcome::ConnectFailed }
-    }
-
-    /// It is being written, or was handed back.
-    pub fn set(&self, written: bool) {
-        if self.written.replace(written) != written
-            && let Some(counters) = &self.counters
-        {
-            counters.sent(written);
-        }
-    }
-}
-
 struct Link {
     sender: SendRequest<Payload>,
     address: SocketAddr,
@@ -154,7 +121,7 @@
 
     /// The progress of an attempt that is to be made.
     pub fn progress(&self) -> Progress {
-        Progress { written: Cell::new(false), counters: Some(self.counters.clone()) }
+        Progress::counted(self.counters.clone())
     }
 
     /// Sends one attempt and waits for its end. It is written at most once: only what provably was
--- a/src/net/passing.rs
+++ b/src/net/passing.rs
@@ -1,9 +1,7 @@
 //! Bodies too large to be held: they pass through piece by piece, each way. What is not read waits in the
 //! sockets, so that memory stays bounded however slow the reader is.
 
-use super::driver::{Inbox, Input};
-use super::outbound::Progress;
-use gullpulley::RequestId;
+use super::progress::Progress;
 use http_body_util::Full;
 use hyper::body::{Body, Bytes, Frame, Incoming, SizeHint};
 use std::cell::{Cell, RefCell};
@@ -120,23 +118,24 @@
     /// It broke off, stalled or grew too long: the client's fault, and no endpoint's.
     faulty: Cell<bool>,
     size: SizeHint,
-    request: RequestId,
     /// What the client gives from its last byte on, less what is kept back for the answer.
     pub time: Duration,
     /// When the answer must be on its way; known once the body has come whole.
     deadline: watch::Sender<Option<Instant>>,
     /// When a piece last went on.
     moved: Cell<Instant>,
-    inbox: Inbox,
+    /// Told the deadline once the body has come whole.
+    when_whole: Box<dyn Fn(Instant)>,
 }
 
 impl Upload {
-    /// One that nobody has begun to pass on.
-    pub fn new(request: RequestId, pieces: Pieces, time: Duration, inbox: Inbox) -> Rc<Self> {
+    /// One that nobody has begun to pass on; `when_whole` is told the deadline once its last byte has come.
+    pub fn new(pieces: Pieces, time: Duration, when_whole: impl Fn(Instant) + 'static) -> Rc<Self> {
         let (size, deadline) = (pieces.size(), watch::Sender::new(None));
         let (pieces, moved) = (RefCell::new(Some(pieces)), Cell::new(Instant::now()));
         let (spent, faulty) = Default::default();
-        Rc::new(Upload { pieces, spent, faulty, size, request, time, deadline, moved, inbox })
+        let when_whole = Box::new(when_whole);
+        Rc::new(Upload { pieces, spent, faulty, size, time, deadline, moved, when_whole })
     }
 
     /// It has begun to go out, and can't be sent again.
@@ -188,7 +187,7 @@
     fn whole(&self) {
         let deadline = Instant::now() + self.time;
         self.deadline.send_replace(Some(deadline));
-        let _ = self.inbox.send(Input::Whole(self.request, deadline)); // fails only while the process ends
+        (self.when_whole)(deadline);
     }
 }
 
--- /dev/null
+++ b/src/net/progress.rs
@@ -0,0 +1,45 @@
+//! How far an attempt has come, and what that makes of its end.
+
+use super::counters::Counters;
+use gullpulley::Outcome;
+use std::cell::Cell;
+use std::rc::Rc;
+
+/// How far an attempt has come: what is stopped before anything was written never ran.
+#[derive(Default)]
+pub struct Progress {
+    written: Cell<bool>,
+    /// Where it counts; a probe counts nowhere.
+    counters: Option<Rc<Counters>>,
+}
+
+impl Progress {
+    /// Of an attempt that is to be made and counted.
+    pub fn counted(counters: Rc<Counters>) -> Self {
+        Progress { written: Cell::new(false), counters: Some(counters) }
+    }
+
+    /// The outcome of no longer waiting: nothing written proves that it never ran.
+    pub fn given_up(&self) -> Outcome {
+        if self.written.get() { Outcome::TimedOut } else { Outcome::ConnectFailed }
+    }
+
+    /// Whether it has been written.
+    pub fn is_written(&self) -> bool {
+        self.written.get()
+    }
+
+    /// The outcome of a connection that broke.
+    pub fn broken(&self) -> Outcome {
+        if self.written.get() { Outcome::Reset } else { Outcome::ConnectFailed }
+    }
+
+    /// It is being written, or was handed back.
+    pub fn set(&self, written: bool) {
+        if self.written.replace(written) != written
+            && let Some(counters) = &self.counters
+        {
+            counters.sent(written);
+        }
+    }
+}
--- a/tests/shape.rs
+++ b/tests/shape.rs
@@ -38,3 +38,21 @@
         }
     }
 }
+
+/// A file of the sockets imports only files that need nothing of it, directly or by way of others.
+#[test]
+fn the_sockets_files_import_one_way() {
+    let mut files = files("src/net");
+    files.remove("mod"); // tells the story, and ties all together
+    let mut known: Vec<String> = Vec::new();
+    while known.len() < files.len() {
+        let settled = |text: &str| {
+            let imports = text.lines().filter_map(|line| line.trim().strip_prefix("use super::"));
+            let mut names = imports.map(|import| import.split([':', ';']).next().unwrap());
+            names.all(|name| !files.contains_key(name) || known.iter().any(|k| k == name))
+        };
+        let next = files.iter().find(|(name, text)| !known.contains(name) && settled(text));
+        let left: Vec<&String> = files.keys().filter(|name| !known.contains(name)).collect();
+        known.push(next.unwrap_or_else(|| panic!("these import in a circle: {left:?}")).0.clone());
+    }
+}
--- a/tests/support/node.rs
+++ b/tests/support/node.rs
@@ -5,7 +5,7 @@
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::process::{Child, Command, ExitStatus, Stdio};
+use std::process::{Child, Command, ExitStatus};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -272,6 +272,7 @@
     pub child: Child,
     pub address: SocketAddr,
     file: std::path::PathBuf,
+    log: std::path::PathBuf,
 }
 
 static STARTED: AtomicUsize = AtomicUsize::new(0);
@@ -305,13 +306,23 @@
 
     pub fn start_with(config: &Value, prefix: &str) -> Sidecar {
         let (mut command, file) = command(&config.to_string(), prefix);
-        let child = command.stderr(Stdio::null()).spawn().unwrap();
+        let log = file.with_extension("log");
+        let child = command.stderr(std::fs::File::create(&log).unwrap()).spawn().unwrap();
         let address = config["listen"].as_str().unwrap().parse().unwrap();
-        let sidecar = Sidecar { child, address, file };
-        wait_for("readiness", || sidecar.ready() == Some(200));
+        let mut sidecar = Sidecar { child, address, file, log };
+        wait_for("readiness", || {
+            let ended = sidecar.child.try_wait().unwrap();
+            assert!(ended.is_none(), "it ended with {ended:?} before it was ready: {}", sidecar.log());
+            sidecar.ready() == Some(200)
+        });
         sidecar
     }
 
+    /// What it has written to its log so far.
+    pub fn log(&self) -> String {
+        std::fs::read_to_string(&self.log).unwrap()
+    }
+
     /// Replaces its configuration file.
     pub fn reconfigure(&self, config: &str) {
         std::fs::write(&self.file, config).unwrap();
@@ -365,6 +376,7 @@
         let _ = self.child.kill();
         let _ = self.child.wait();
         let _ = std::fs::remove_file(&self.file);
+        let _ = std::fs::remove_file(&self.log);
     }
 }
 
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -1,6 +1,6 @@
 //! The wire: what is parsed, what is printed, and what malformed lines get.
 
-use gullpulley::adapter::{Line, ListMode, Names, parse, print};
+use gullpulley::adapter::{Line, ListMode, parse, print};
 use gullpulley::*;
 use std::io::Write;
 use std::process::{Command, Output, Stdio};
@@ -9,7 +9,7 @@
 const CONF: &str = r#"{"balancers":2,"classes":[{"deadlineMs":1000.0,"lateValue":0.5,"name":"a","objectiveMs":300.0,"semantics":"safe","worth":3.0},{"deadlineMs":900,"group":"cell","objectiveMs":300,"repeatWindowMs":400,"semantics":"keyed"}],"discovery":"subscribe","limits":{"cancelling":true,"maxAttempts":6,"openCap":20000},"me":1,"myZone":1,"rules":{"askWithinMs":10000,"coldShare":0.4,"drainGraceMs":250,"fallMs":1000,"fallMultiple":2.5,"graceToAnswerMs":16,"warmWithinMs":8200},"stage":0,"telemetry":{"fields":["outstanding","novel"],"via":"on_probe"},"weightKind":"live","brandNew":[1,2]}"#;
 
 fn read(text: &str) -> Result<Line, adapter::WireError> {
-    parse(7, text, &mut Names::default())
+    parse(7, text, &mut EndpointNames::default())
 }
 
 fn event(text: &str) -> Event {
@@ -177,7 +177,7 @@
 
 #[test]
 fn actions_are_printed_in_the_order_of_the_page() {
-    let mut names = Names::default();
+    let mut names = EndpointNames::default();
     let endpoint = names.id("10.0.0.1:80");
     let request = RequestId(1);
     let print = |action| print(3, &action, "t/x", &names);
@@ -257,7 +257,7 @@
 
 #[test]
 fn an_endpoint_has_the_same_id_at_every_host() {
-    let (mut one, mut two) = (Names::default(), Names::default());
+    let (mut one, mut two) = (EndpointNames::default(), EndpointNames::default());
     let (a, b) = (one.id("10.18.74.7:11203"), one.id("10.18.74.7:11204"));
     two.id("10.144.17.242:11244");
     assert_eq!((two.id("10.18.74.7:11204"), two.id("10.18.74.7:11203")), (b, a));
