--- a/src/api.rs
+++ b/src/api.rs
@@ -302,7 +302,7 @@
     #[error("{field}: {value} is out of range")]
     OutOfRange {
         /// The setting.
-        field: &'static str,
+        field: String,
         /// Its value.
         value: f64,
     },
@@ -674,11 +674,11 @@
 impl Settings {
     /// Checks that the settings make sense.
     pub fn validate(&self) -> Result<(), SettingsError> {
-        fn within(field: &'static str, value: f64, low: f64, high: f64) -> Result<(), SettingsError> {
+        fn within(field: &str, value: f64, low: f64, high: f64) -> Result<(), SettingsError> {
             if (low..=high).contains(&value) {
                 Ok(())
             } else {
-                Err(SettingsError::OutOfRange { field, value })
+                Err(SettingsError::OutOfRange { field: field.to_owned(), value })
             }
         }
         if self.classes.is_empty() {
@@ -695,21 +695,25 @@
             ("goal.worst_window", goal.worst_window),
             ("goal.worst_class", goal.worst_class),
             ("goal.worst_tenant", goal.worst_tenant),
-            ("goal.nines", goal.nines),
+            ("goal.nines_part", goal.nines),
             ("goal.nines_wanted", goal.nines_wanted),
         ] {
             within(field, value, 0.0, 1e6)?;
         }
-        for class in &self.classes {
-            within("classes[].worth", class.worth, 0.0, 1e12)?;
-            within("classes[].late_value", class.late_value, 0.0, 1.0)?;
-            within("classes[].aim_stretch", class.aim_stretch, 0.0, 1e6)?;
-            within("classes[].objective", class.objective.as_secs_f64(), 1e-6, 1e6)?;
-            within("classes[].deadline", class.deadline.as_secs_f64(), 1e-6, 1e6)?;
+        for (i, class) in self.classes.iter().enumerate() {
+            for (field, value, low, high) in [
+                ("worth", class.worth, 0.0, 1e12),
+                ("late_value", class.late_value, 0.0, 1.0),
+                ("aim_stretch", class.aim_stretch, 0.0, 1e6),
+                ("objective", class.objective.as_secs_f64(), 1e-6, 1e6),
+                ("deadline", class.deadline.as_secs_f64(), 1e-6, 1e6),
+            ] {
+                within(&format!("classes[{i}].{field}"), value, low, high)?;
+            }
         }
-        for tenant in &self.tenants {
-            within("tenants[].allowance_per_s", tenant.allowance_per_s, 0.0, 1e12)?;
-            within("tenants[].portion", tenant.portion, 0.0, 1.0)?;
+        for (i, tenant) in self.tenants.iter().enumerate() {
+            within(&format!("tenants[{i}].allowance_per_s"), tenant.allowance_per_s, 0.0, 1e12)?;
+            within(&format!("tenants[{i}].portion"), tenant.portion, 0.0, 1.0)?;
         }
         Ok(())
     }
--- a/src/config/platform.rs
+++ b/src/config/platform.rs
@@ -268,10 +268,11 @@
         }
     };
     let mut classes = Vec::new();
-    for class in &conf.classes {
+    for (i, class) in conf.classes.iter().enumerate() {
+        let time = |field: &str, ms: f64| time(&format!("classes[{i}].{field}"), ms);
         classes.push(Class {
-            objective: time("classes.objectiveMs", class.objective_ms)?,
-            deadline: time("classes.deadlineMs", class.deadline_ms)?,
+            objective: time("objectiveMs", class.objective_ms)?,
+            deadline: time("deadlineMs", class.deadline_ms)?,
             semantics: match class.semantics {
                 ConfSemantics::Safe => Semantics::Safe,
                 ConfSemantics::Unsafe => Semantics::Unsafe,
@@ -281,7 +282,7 @@
                         ConfGroup::Zone => Group::Zone,
                         ConfGroup::Cell => Group::Cell,
                     },
-                    window: time("classes.repeatWindowMs", class.repeat_window_ms)?,
+                    window: time("repeatWindowMs", class.repeat_window_ms)?,
                 },
             },
             late_value: class.late_value,
@@ -370,10 +371,32 @@
         warm_keys: conf.family_info.warm_keys,
         clients_mark_retries: conf.clients.marks_retry,
     };
-    settings.validate().map_err(|e| error("conf".to_owned(), e.to_string()))?;
+    settings.validate().map_err(|e| match e {
+        SettingsError::NoClasses => {
+            error("conf.classes".to_owned(), "there must be at least one".to_owned())
+        }
+        SettingsError::OutOfRange { field, value } => {
+            error(format!("conf.{}", spelled(&field)), format!("{value} is out of range"))
+        }
+    })?;
     Ok(settings)
 }
 
+/// A field of the settings as the object spells it.
+fn spelled(field: &str) -> String {
+    let field = field.replace("goal.", "blend.");
+    let field = match field.strip_suffix("objective").or(field.strip_suffix("deadline")) {
+        Some(_) => field + "_ms",
+        None => field,
+    };
+    let mut words = field.split('_');
+    let first = words.next().unwrap_or_default().to_owned();
+    words.fold(first, |spelled, word| {
+        let (head, tail) = word.split_at(word.len().min(1));
+        spelled + &head.to_uppercase() + tail
+    })
+}
+
 fn load_field(name: &str) -> LoadField {
     match name {
         "outstanding" => LoadField::Outstanding,
--- a/src/net/control.rs
+++ b/src/net/control.rs
@@ -61,6 +61,7 @@
 enum Place<'a> {
     Ready,
     Metrics,
+    Drain,
     Endpoint(&'a str, Order),
 }
 
@@ -70,6 +71,7 @@
         let place = match (parts.next()?, parts.next(), parts.next()) {
             ("readyz", None, None) => Place::Ready,
             ("metrics", None, None) => Place::Metrics,
+            ("drain", None, None) => Place::Drain,
             ("endpoints", Some(uid), Some("suspend")) => Place::Endpoint(uid, Order::Suspend),
             ("endpoints", Some(uid), Some("resume")) => Place::Endpoint(uid, Order::Resume),
             _ => return None,
@@ -80,7 +82,7 @@
     fn method(&self) -> Method {
         match self {
             Place::Ready | Place::Metrics => Method::GET,
-            Place::Endpoint(..) => Method::POST,
+            Place::Drain | Place::Endpoint(..) => Method::POST,
         }
     }
 }
@@ -180,6 +182,11 @@
                 Some(census) => text(StatusCode::OK, self.counters.report(census)),
                 None => text(StatusCode::SERVICE_UNAVAILABLE, "ending\n"),
             },
+            Place::Drain => {
+                eprintln!("operators: drain");
+                self.inbound.drain();
+                text(StatusCode::OK, "draining\n")
+            }
             Place::Endpoint(uid, order) => self.order(uid, order).await,
         }
     }
--- a/src/net/inbound.rs
+++ b/src/net/inbound.rs
@@ -80,6 +80,8 @@
     /// Clients are let in.
     serving: Cell<bool>,
     draining: Cell<bool>,
+    /// Told when the operators want it to end.
+    asked_to_drain: Notify,
     /// Another process of this sidecar takes clients too.
     succeeded: Cell<bool>,
     /// Accepting fails; said once in the log until it works again.
@@ -264,6 +266,7 @@
             ids: RefCell::default(),
             serving: Cell::new(false),
             draining: Cell::new(false),
+            asked_to_drain: Notify::new(),
             succeeded: Cell::new(false),
             failing: Cell::new(false),
             close: watch::Sender::new(()),
@@ -275,6 +278,11 @@
         self.serving.get() && !self.draining.get()
     }
 
+    /// Ends it as SIGTERM does.
+    pub fn drain(&self) {
+        self.asked_to_drain.notify_one();
+    }
+
     /// Whether another process of this sidecar takes clients too.
     pub fn succeeded(&self, by_another: bool) {
         self.succeeded.set(by_another);
@@ -286,6 +294,7 @@
         loop {
             tokio::select! {
                 _ = term.recv() => break,
+                () = self.asked_to_drain.notified() => break,
                 () = self.accept(&listener) => {}
             }
         }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -27,31 +27,39 @@
 use discovery::{Call, Discovery};
 use driver::{Clock, Driver, Inbox, Input};
 use gullpulley::Balancer;
-use gullpulley::config::{Config, DOOR_RESERVE, Named};
+use gullpulley::config::{
+    Config, ConfigError, DOOR_RESERVE, Difference, Fault, Named, Vars, differences, keys,
+};
 use inbound::Inbound;
 use outbound::Outbound;
 use overlap::Overlap;
 use std::io;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{mpsc, oneshot};
-use tokio::task::spawn_local;
+use tokio::task::{spawn_blocking, spawn_local};
 use tokio::time::timeout;
 
 /// How often other processes of this sidecar are looked for.
 const LOOK: Duration = Duration::from_millis(100);
 /// A new process waits for its first list no longer than this: it has 6 s to say that it is ready.
 const LIST_WAIT: Duration = Duration::from_millis(2500);
+/// How often and how long after each other a faulty file is looked at: it may just be being written.
+const RELOAD_LOOKS: u32 = 5;
+const RELOAD_LOOK: Duration = Duration::from_millis(100);
 /// Connections that may wait to be accepted; the system may allow fewer.
 const BACKLOG: u32 = 1024;
 
-/// Serves until SIGTERM and drains, on a `LocalSet`.
-pub async fn run(config: Config) -> Result<(), String> {
-    let Config { name, listen, control, discovery, seed, sockets, memory_mb, known, settings, names } =
-        config;
+/// Serves until SIGTERM and drains, on a `LocalSet`. At SIGHUP the configuration's file is read again.
+pub async fn run(config: Config, file: PathBuf) -> Result<(), String> {
+    let reload = Reload { file, held: config.entries() };
+    let Config {
+        name, listen, control, discovery, seed, sockets, memory_mb, known, settings, names, ..
+    } = config;
     let term = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
     let hup = signal(SignalKind::hangup()).map_err(|e| format!("SIGHUP: {e}"))?;
     let clock = Clock::start();
@@ -86,7 +94,7 @@
     // The list as last held is there before the first client.
     let _ = inbox.send(Input::List(discovery.cached(known)));
     let attempts = settings.limits.max_attempts;
-    spawn_local(reload(hup, calls.clone()));
+    spawn_local(reload.follow(hup, calls.clone()));
     let driver =
         Driver::new(balancer, clock, attempts, outbound.clone(), discovery.clone(), calls, inbox.clone());
     let mut driver = spawn_local(driver.run(inputs));
@@ -169,12 +177,58 @@
     })
 }
 
-/// At each SIGHUP reads the configuration again and follows discovery to where it is by now.
-async fn reload(mut hup: Signal, calls: mpsc::UnboundedSender<Call>) {
-    while hup.recv().await.is_some() {
-        match Config::moved_discovery() {
-            Ok(address) => drop(calls.send(Call::Move(address))), // fails only while the process ends
-            Err(problem) => eprintln!("SIGHUP: {problem}; the configuration stays as it was"),
+/// What a SIGHUP changes.
+struct Reload {
+    file: PathBuf,
+    /// What is in force, as a configuration's entries.
+    held: Vec<(String, String)>,
+}
+
+impl Reload {
+    /// At each SIGHUP reads the configuration again: what can change does, what can't is said, and a faulty file
+    /// changes nothing.
+    async fn follow(mut self, mut hup: Signal, calls: mpsc::UnboundedSender<Call>) {
+        while hup.recv().await.is_some() {
+            match self.read().await {
+                Ok(config) => self.apply(config, &calls),
+                Err(faults) => {
+                    for fault in faults.0 {
+                        eprintln!("SIGHUP: {fault}; the configuration stays as it was");
+                    }
+                }
+            }
+        }
+    }
+
+    /// Reads the file; a faulty one may be half written, and is looked at again before that is said.
+    async fn read(&self) -> Result<Config, ConfigError> {
+        let mut looks = 0;
+        loop {
+            let file = self.file.clone();
+            // A slow disk must not hold up requests.
+            let read = spawn_blocking(move || Config::load(&file, &Vars::of_process().after_the_start()));
+            let read = read.await.unwrap_or_else(|e| Err(Fault::new("", "", e, "").into()));
+            looks += 1;
+            if read.is_ok() || looks == RELOAD_LOOKS {
+                return read;
+            }
+            tokio::time::sleep(RELOAD_LOOK).await;
+        }
+    }
+
+    fn apply(&mut self, config: Config, calls: &mpsc::UnboundedSender<Call>) {
+        for Difference { key, before, after } in differences(&self.held, &config.entries()) {
+            let [before, after] = [&before, &after].map(|value| value.as_deref().unwrap_or("unsaid"));
+            if keys::LIVE.contains(&key.as_str()) {
+                eprintln!("SIGHUP: {key} is {after}, it was {before}");
+                self.held
+                    .iter_mut()
+                    .filter(|(held, _)| *held == key)
+                    .for_each(|(_, value)| *value = after.to_owned());
+            } else {
+                eprintln!("SIGHUP: {key} stays {before}; {after} holds from the next start");
+            }
         }
+        let _ = calls.send(Call::Move(config.discovery)); // fails only while the process ends
     }
 }
