Split the sockets' two longest files by what they hold

inbound.rs (710 lines) held clients' connections, the reading of requests and the bodies of answers; driver.rs (561) also the messages and the clock. request.rs, turn.rs, reply.rs, message.rs and clock.rs stand by themselves now, the longest file is driver.rs with 429. Text moved; a request in work holds the set of ids and the inbox instead of the whole of inbound, so that reply.rs does not know it.

--- a/src/net/control.rs
+++ b/src/net/control.rs
@@ -2,9 +2,9 @@
 
 use super::bans::{Bans, Order, Standing};
 use super::counters::Counters;
-use super::driver::{Inbox, Input};
 use super::guard::Guard;
 use super::inbound::Inbound;
+use super::message::{Inbox, Input};
 use gullpulley::config::DOOR_MOST;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Bytes, Incoming};
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -3,23 +3,19 @@
 //! request, no attempt beyond the limit or the deadline, nothing sent for what is finished.
 
 use super::bans::Standing;
+use super::clock::Clock;
 use super::discovery::{Call, Discovery, News};
-use super::outbound::{Ended, Outbound, Passing};
-use super::passing::{Payload, Upload};
-use super::progress::Progress;
+use super::message::{Answer, Arrival, Content, Forward, Inbox, Input};
+use super::outbound::{Ended, Outbound};
 use gullpulley::{
-    Action, AttemptEnded, AttemptNo, Balancer, Census, EndpointId, EndpointState, Event, Membership,
-    Outcome, RequestId, TimerToken,
+    Action, AttemptEnded, AttemptNo, Balancer, EndpointId, EndpointState, Event, Membership, Outcome,
+    RequestId, TimerToken,
 };
-use http_body_util::Full;
-use hyper::body::Bytes;
-use hyper::header::{self, HeaderName, HeaderValue};
-use hyper::{HeaderMap, Method, Request, Uri};
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
 use tokio::sync::oneshot;
 use tokio::task::spawn_local;
@@ -28,93 +24,6 @@
 /// Unusual outcomes are summed up in the log this often.
 const SUMMARY: Duration = Duration::from_secs(10);
 
-/// Where the rest of the sidecar reports to the driver.
-pub type Inbox = UnboundedSender<Input>;
-
-/// Something that happened on a socket.
-pub enum Input {
-    /// A request has come whole.
-    Arrived(Box<Arrival>),
-    /// The body of a request that was passing has gone on whole; its answer must be on its way by then.
-    Whole(RequestId, Instant),
-    /// Its client has gone.
-    ClientGone(RequestId),
-    /// An attempt ended.
-    AttemptEnded(RequestId, AttemptNo, Ended),
-    /// A probe ended; it took so long.
-    ProbeEnded(EndpointId, Ended, Duration),
-    /// News from discovery.
-    List(News),
-    /// The operators ask whether anybody has this uid.
-    Known(String, oneshot::Sender<bool>),
-    /// What the operators have said of endpoints, as it stands now; confirmed once it is in force.
-    Standing(Standing, oneshot::Sender<()>),
-    /// So many processes are this sidecar together.
-    Shared(usize),
-    /// The operators ask how many endpoints there are.
-    Census(oneshot::Sender<Census>),
-    /// The process must end: fail what is still open.
-    GiveUp,
-}
-
-/// A request as it came in.
-pub struct Arrival {
-    /// For the module; its time left is set here.
-    pub request: gullpulley::Request,
-    /// When the answer must be on its way.
-    pub deadline: Instant,
-    /// What goes on to an endpoint.
-    pub forward: Forward,
-    /// Where the final answer goes.
-    pub answer: oneshot::Sender<Answer>,
-}
-
-/// A request as it goes on to an endpoint.
-pub struct Forward {
-    /// Its method.
-    pub method: Method,
-    /// Path and query.
-    pub uri: Uri,
-    /// End-to-end headers.
-    pub headers: HeaderMap,
-    /// Its body.
-    pub body: Content,
-}
-
-/// The body of a request.
-pub enum Content {
-    /// Held whole.
-    Held(Bytes),
-    /// Passed on as it comes.
-    Passed(Rc<Upload>),
-}
-
-impl Content {
-    /// It has begun to go out, and can't be sent again.
-    fn spent(&self) -> bool {
-        matches!(self, Content::Passed(upload) if upload.spent())
-    }
-
-    /// It came to no proper end.
-    fn faulty(&self) -> bool {
-        matches!(self, Content::Passed(upload) if upload.faulty())
-    }
-}
-
-/// A final answer.
-pub enum Answer {
-    /// Served, with the body of an endpoint's answer.
-    Served(Bytes),
-    /// Served, with a large answer that has begun.
-    Passing(Box<Passing>),
-    /// Refused: trying again is harmless, after this long if it is stated.
-    Refused(Option<Duration>),
-    /// Failed.
-    Failed,
-    /// Failed by a fault of the request's own.
-    Rejected,
-}
-
 struct Try {
     endpoint: EndpointId,
     sent: Instant,
@@ -132,26 +41,6 @@
     out: usize,
 }
 
-/// One monotonic clock, anchored once to Unix time so that endpoints' start times compare with it.
-#[derive(Clone, Copy)]
-pub struct Clock {
-    start: Instant,
-    unix: Duration,
-}
-
-impl Clock {
-    /// A clock that starts now.
-    pub fn start() -> Self {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Clock { start: Instant::now(), unix }
-    }
-
-    /// The time now.
-    pub fn now(&self) -> Duration {
-        self.unix + self.start.elapsed()
-    }
-}
-
 /// Owns the module, its timers, and the requests and attempts in flight.
 pub struct Driver {
     balancer: Balancer,
@@ -526,28 +415,6 @@
     }
 }
 
-impl Forward {
-    fn request(&self, address: SocketAddr, left: Duration, progress: &Rc<Progress>) -> Request<Payload> {
-        let (body, left) = match &self.body {
-            Content::Held(body) => (Payload::Held(Full::new(body.clone())), left),
-            Content::Passed(upload) => {
-                let (pieces, progress) = (None, progress.clone());
-                (Payload::Passed { upload: upload.clone(), pieces, progress }, upload.time)
-            }
-        };
-        let mut request = Request::new(body);
-        *request.method_mut() = self.method.clone();
-        *request.uri_mut() = self.uri.clone();
-        *request.headers_mut() = self.headers.clone();
-        let headers = request.headers_mut();
-        let text = |text: String| HeaderValue::from_str(&text).unwrap_or(HeaderValue::from_static(""));
-        headers.insert(header::HOST, text(address.to_string()));
-        let timeout = text(format!("{}u", left.as_micros()));
-        headers.insert(HeaderName::from_static("x-timeout"), timeout);
-        request
-    }
-}
-
 fn outcome_name(outcome: Outcome) -> &'static str {
     match outcome {
         Outcome::Ok => "ok",
--- a/src/net/inbound.rs
+++ b/src/net/inbound.rs
@@ -1,24 +1,25 @@
 //! Clients' connections: takes requests, gives final answers, and drains at the end.
 
 use super::budget::{Budget, Holder, Permit};
-use super::counters::{Counters, End, Taken};
-use super::driver::{Answer, Arrival, Content, Forward, Inbox, Input};
-use super::outbound::{BODY_MOST, BUFFER_MOST, Outbound, Passing};
-use super::passing::{LARGE_MOST, PassError, Pieces, Upload};
-use gullpulley::{ClassId, RequestId, Semantics, Settings, TenantId};
-use http_body_util::{BodyExt, Full};
-use hyper::body::{Body, Bytes, Frame, Incoming, SizeHint};
-use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
+use super::counters::{Counters, End};
+use super::message::{Answer, Arrival, Content, Forward, Inbox, Input};
+use super::outbound::{BUFFER_MOST, Outbound};
+use super::passing::{LARGE_MOST, Pieces, Upload};
+use super::reply::{PassingAnswer, Reply, ReplyBody, Waiting, plain, say_when};
+use super::request::{Wording, drop_hop_headers, hold};
+use super::turn::{FIRST_MOST, Turn};
+use gullpulley::RequestId;
+use http_body_util::Full;
+use hyper::body::{Body, Incoming};
+use hyper::header::{self, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Method, Request, Response, StatusCode};
+use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use std::cell::{Cell, RefCell};
 use std::collections::HashSet;
 use std::convert::Infallible;
-use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll, ready};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::signal::unix::Signal;
@@ -28,26 +29,13 @@
 
 /// Kept back from a client's time, for the answer to reach it.
 const ANSWER_MARGIN: Duration = Duration::from_millis(10);
-/// The head of a connection's first request must have come within this of the accept: a client may take 2 s
-/// for it, and a peer that sends none is owed an error or a close within 3 s.
-const FIRST_MOST: Duration = Duration::from_millis(2500);
-/// Its body may lag behind its pace until this after the accept, for the same reason ...
-const FIRST_BODY: Duration = Duration::from_millis(2800);
-/// ... or for this long after a head that itself came late.
-const BODY_LAG: Duration = Duration::from_millis(800);
-/// Bytes a second that a body must keep to besides: half of the slowest that clients send.
-const BODY_PACE: f64 = 32_000.0;
 /// A connection over the cap has this long to bring the head that is answered with a refusal.
 const SHED_FIRST_MOST: Duration = Duration::from_millis(500);
 /// The head of a later request must have come within this of the answer before it: a silent client does
 /// not keep its socket for good.
 const HEAD_MOST: Duration = Duration::from_secs(30);
-/// A later request's body may lag behind its pace by this.
-const BODY_TIME: Duration = Duration::from_secs(2);
 /// A body that passes through may take so long: the largest at the slowest pace.
 const UPLOAD_MOST: Duration = Duration::from_secs(1100);
-/// A client that takes nothing of a large answer for this long is not reading it any more.
-const READ_MOST: Duration = Duration::from_secs(20);
 /// Wait after a failed accept: out of descriptors it would fail again at once, and spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 /// New connections come for up to 0.4 s after SIGTERM, so we accept for a little longer.
@@ -67,16 +55,14 @@
 
 /// What all clients' connections share.
 pub struct Inbound {
-    settings: Settings,
-    classes: Vec<String>,
-    tenants: Vec<String>,
+    wording: Wording,
     budget: Rc<Budget>,
     counters: Rc<Counters>,
     outbound: Rc<Outbound>,
     inbox: Inbox,
     next: Cell<u64>,
     /// The X-Request-IDs of the requests in work, as clients choose them.
-    ids: RefCell<HashSet<String>>,
+    ids: Rc<RefCell<HashSet<String>>>,
     /// Clients are let in.
     serving: Cell<bool>,
     draining: Cell<bool>,
@@ -90,180 +76,23 @@
     close: watch::Sender<()>,
 }
 
-/// A request in work: tells the driver when its client leaves before its answer.
-struct Waiting {
-    inbound: Rc<Inbound>,
-    id: RequestId,
-    named: String,
-    answered: bool,
-}
-
-impl Drop for Waiting {
-    fn drop(&mut self) {
-        self.inbound.ids.borrow_mut().remove(&self.named);
-        if !self.answered {
-            let _ = self.inbound.inbox.send(Input::ClientGone(self.id));
-        }
-    }
-}
-
-/// Where a client's connection stands.
-struct Turn {
-    accepted: Instant,
-    /// A request is being answered.
-    busy: Cell<bool>,
-    /// When the last answer was given; none on a new connection.
-    answered: Cell<Option<Instant>>,
-    /// The next answer is the connection's last, and says so.
-    last: Cell<bool>,
-    /// When a piece of a large answer was last asked for; none while there is no such answer.
-    moved: Cell<Option<Instant>>,
-    /// A large answer has come to its end, or begun.
-    turned: Notify,
-}
-
-impl Turn {
-    /// A connection just accepted.
-    fn new() -> Self {
-        let (busy, answered, last, moved) = Default::default();
-        Turn { accepted: Instant::now(), busy, answered, last, moved, turned: Notify::new() }
-    }
-
-    /// When the head of the first request must have come.
-    fn first_until(&self) -> Instant {
-        self.accepted + FIRST_MOST
-    }
-
-    /// Nothing that could be answered has come yet.
-    fn unasked(&self) -> bool {
-        !self.busy.get() && self.answered.get().is_none()
-    }
-
-    /// Until when the body of the request whose head has just come may lag behind its pace.
-    fn body_until(&self) -> Instant {
-        match self.answered.get() {
-            None => (self.accepted + FIRST_BODY).max(Instant::now() + BODY_LAG),
-            Some(_) => Instant::now() + BODY_TIME,
-        }
-    }
-
-    /// When a client that reads nothing of a large answer has had its time.
-    fn stuck_at(&self) -> Option<Instant> {
-        self.moved.get().map(|at| at + READ_MOST)
-    }
-
-    /// An answer has been given.
-    fn over(&self) {
-        self.busy.set(false);
-        self.answered.set(Some(Instant::now()));
-    }
-
-    /// How long it has been between requests; none before the first.
-    fn idle(&self) -> Option<Duration> {
-        self.answered.get().map(|at| at.elapsed())
-    }
-}
-
-type Reply = Response<ReplyBody>;
-
-/// The body of an answer.
-enum ReplyBody {
-    Held(Full<Bytes>),
-    Passing(Box<PassingAnswer>),
-}
-
-/// A large answer on its way to the client. Dropped before its end it has lost its client.
-struct PassingAnswer {
-    /// Gone once it is over.
-    answer: Option<Passing>,
-    taken: Option<Taken>,
-    turn: Rc<Turn>,
-    _memory: Permit,
-    _waiting: Waiting,
-}
-
-impl PassingAnswer {
-    fn over(&mut self, end: End) {
-        if let Some(taken) = self.taken.take() {
-            taken.end(end);
-        }
-        if let Some(answer) = self.answer.take()
-            && end == End::Completed
-        {
-            answer.whole();
-        }
-        self.turn.over();
-        self.turn.moved.set(None);
-        self.turn.turned.notify_one();
-    }
-}
-
-impl Body for ReplyBody {
-    type Data = Bytes;
-    type Error = PassError;
-
-    fn poll_frame(
-        self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, PassError>>> {
-        let passing = match self.get_mut() {
-            ReplyBody::Held(body) => {
-                return Pin::new(body).poll_frame(context).map_err(|never| match never {});
-            }
-            ReplyBody::Passing(passing) => passing,
-        };
-        let Some(answer) = &mut passing.answer else { return Poll::Ready(None) };
-        passing.turn.moved.set(Some(Instant::now()));
-        let piece = ready!(answer.pieces.poll(context));
-        let over = answer.pieces.over();
-        match &piece {
-            // The client can tell: what is announced, or the last chunk, never comes.
-            Some(Err(_)) => passing.over(End::Failed),
-            None => passing.over(End::Completed),
-            Some(Ok(_)) if over => passing.over(End::Completed),
-            Some(Ok(_)) => {}
-        }
-        Poll::Ready(piece)
-    }
-
-    fn is_end_stream(&self) -> bool {
-        match self {
-            ReplyBody::Held(body) => body.is_end_stream(),
-            ReplyBody::Passing(passing) => passing.answer.is_none(),
-        }
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        match self {
-            ReplyBody::Held(body) => body.size_hint(),
-            ReplyBody::Passing(passing) => {
-                passing.answer.as_ref().map_or_else(|| SizeHint::with_exact(0), |a| a.pieces.size())
-            }
-        }
-    }
-}
-
 impl Inbound {
     /// No clients yet.
     pub fn new(
-        settings: Settings,
-        classes: Vec<String>,
-        tenants: Vec<String>,
+        wording: Wording,
         budget: Rc<Budget>,
         counters: Rc<Counters>,
         outbound: Rc<Outbound>,
         inbox: Inbox,
     ) -> Rc<Self> {
         Rc::new(Inbound {
-            classes,
-            tenants,
-            settings,
+            wording,
             budget,
             counters,
             outbound,
             inbox,
             next: Cell::new(0),
-            ids: RefCell::default(),
+            ids: Rc::default(),
             serving: Cell::new(false),
             draining: Cell::new(false),
             asked_to_drain: Notify::new(),
@@ -301,7 +130,7 @@
         let asked = Instant::now();
         eprintln!("draining: {} clients connected", self.budget.clients());
         self.draining.set(true);
-        let longest = self.settings.classes.iter().map(|c| c.deadline).max().unwrap_or_default();
+        let longest = self.wording.settings.classes.iter().map(|c| c.deadline).max().unwrap_or_default();
         let until = asked + longest.min(DEADLINE_MOST) + DRAIN_SLACK;
         if self.succeeded.get() {
             self.hand_over(listener);
@@ -448,7 +277,7 @@
                 if self.takes_clients() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
             plain(status, "")
         } else {
-            let class = self.class(request.uri());
+            let class = self.wording.class(request.uri());
             let served = if shed {
                 Err((StatusCode::SERVICE_UNAVAILABLE, "too many connections"))
             } else {
@@ -478,8 +307,8 @@
     /// A refusal of our own: there is room once the first silent connections have been closed.
     fn no_room(&self, text: &'static str) -> Reply {
         let mut reply = plain(StatusCode::SERVICE_UNAVAILABLE, text);
-        if self.settings.limits.retry_after {
-            say_when(&mut reply, FIRST_MOST.min(self.settings.limits.max_retry_after));
+        if self.wording.settings.limits.retry_after {
+            say_when(&mut reply, FIRST_MOST.min(self.wording.settings.limits.max_retry_after));
         }
         reply
     }
@@ -493,7 +322,7 @@
         let memory = self.budget.take(Holder::Request).ok_or(busy)?;
         let (mut head, body) = request.into_parts();
         // What is no proper request is told so before its body, of which there may be much.
-        let (mut request, time) = self.read(&head.method, &head.uri, &head.headers)?;
+        let (mut request, time) = self.wording.read(&head.method, &head.uri, &head.headers)?;
         if body.size_hint().lower() > LARGE_MOST {
             return Err((StatusCode::PAYLOAD_TOO_LARGE, "body too long"));
         }
@@ -514,7 +343,8 @@
         let id = RequestId(self.next.get());
         self.next.set(id.0 + 1);
         request.id = id;
-        let mut waiting = Waiting { inbound: self.clone(), id, named: named.to_owned(), answered: false };
+        let (ids, inbox) = (self.ids.clone(), self.inbox.clone());
+        let mut waiting = Waiting { ids, inbox, id, named: named.to_owned(), answered: false };
         drop_hop_headers(&mut head.headers);
         let (answer, answered) = oneshot::channel();
         let ours = time - ANSWER_MARGIN.min(time / 10);
@@ -545,8 +375,8 @@
             let (answer, turn) = (Some(*passing), turn.clone());
             turn.moved.set(Some(Instant::now()));
             turn.turned.notify_one();
-            let (taken, _memory, _waiting) = (Some(taken), memory, waiting);
-            let passing = PassingAnswer { answer, taken, turn, _memory, _waiting };
+            let passing =
+                PassingAnswer { answer, taken: Some(taken), turn, _memory: memory, _waiting: waiting };
             return Ok(Response::new(ReplyBody::Passing(Box::new(passing))));
         }
         taken.end(match &answer {
@@ -568,84 +398,6 @@
             Err(_) => plain(StatusCode::GATEWAY_TIMEOUT, "out of time"),
         })
     }
-
-    /// The class that a path names.
-    fn class(&self, uri: &hyper::Uri) -> Option<usize> {
-        let name = uri.path().split('/').nth(1).unwrap_or_default();
-        self.classes.iter().position(|class| class == name)
-    }
-
-    /// What the module is to know of a request, and the client's time.
-    fn read(
-        &self,
-        method: &Method,
-        uri: &hyper::Uri,
-        headers: &HeaderMap,
-    ) -> Result<(gullpulley::Request, Duration), (StatusCode, &'static str)> {
-        let bad = |problem| (StatusCode::BAD_REQUEST, problem);
-        let text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
-        let class = self.class(uri).ok_or((StatusCode::NOT_FOUND, "unknown class"))?;
-        if text("x-request-id").is_none_or(str::is_empty) {
-            return Err(bad("X-Request-ID is missing"));
-        }
-        let keyed = headers.contains_key("idempotency-key");
-        let (wanted, key_wanted) = match self.settings.classes[class].semantics {
-            Semantics::Safe => (Method::GET, keyed),
-            Semantics::Keyed { .. } => (Method::POST, true),
-            Semantics::Unsafe => (Method::POST, false),
-        };
-        if *method != wanted {
-            return Err((StatusCode::METHOD_NOT_ALLOWED, "not the class's method"));
-        }
-        if keyed != key_wanted {
-            return Err(bad("Idempotency-Key does not go with the class"));
-        }
-        let time = text("x-timeout").and_then(parse_timeout).ok_or(bad("X-Timeout is missing or bad"))?;
-        // However long a client says that it waits: what is kept for a request must not pile up.
-        let time = time.min(self.settings.classes[class].deadline);
-        let tenant = match text("x-tenant-id") {
-            _ if self.tenants.is_empty() => 0,
-            Some(name) => {
-                self.tenants.iter().position(|tenant| tenant == name).ok_or(bad("unknown tenant"))?
-            }
-            None => return Err(bad("X-Tenant-Id is missing")),
-        };
-        let query = uri.query().unwrap_or_default().split('&');
-        let user = query.filter_map(|pair| pair.strip_prefix("user=")).next();
-        let work_hint =
-            text("x-cost").map(|cost| micros(cost, 1.0).ok_or(bad("X-Cost is bad"))).transpose()?;
-        let request = gullpulley::Request {
-            id: RequestId(0),
-            class: ClassId(class),
-            tenant: TenantId(tenant),
-            time_left: Duration::ZERO,
-            work_hint,
-            key: user.and_then(|user| u64::from_str_radix(user, 16).ok()),
-            passing: false,
-            client_retry: text("x-retried") == Some("1"),
-            write: text("x-attrs")
-                .is_some_and(|attrs| attrs.split(',').any(|attr| attr.trim() == "write=1")),
-        };
-        Ok((request, time))
-    }
-}
-
-/// Reads a body as far as it is held; with the rest of a longer one.
-async fn hold(
-    mut body: Incoming,
-    lag_until: Instant,
-) -> Result<(Bytes, Option<Incoming>), (StatusCode, &'static str)> {
-    let mut text = Vec::new();
-    while text.len() <= BODY_MOST {
-        let until = lag_until + Duration::from_secs_f64(text.len() as f64 / BODY_PACE);
-        match timeout_at(until, body.frame()).await {
-            Ok(Some(Ok(frame))) => text.extend_from_slice(frame.data_ref().map_or(&[][..], |data| data)),
-            Ok(Some(Err(_))) => return Err((StatusCode::BAD_REQUEST, "body broken")),
-            Ok(None) => return Ok((text.into(), None)),
-            Err(_) => return Err((StatusCode::REQUEST_TIMEOUT, "body never came")),
-        }
-    }
-    Ok((text.into(), Some(body)))
 }
 
 /// Waits for a time; for ever if there is none.
@@ -655,57 +407,3 @@
         None => std::future::pending().await,
     }
 }
-
-fn plain(status: StatusCode, text: &'static str) -> Reply {
-    let mut reply = Response::new(ReplyBody::Held(Full::new(Bytes::from_static(text.as_bytes()))));
-    *reply.status_mut() = status;
-    reply
-}
-
-/// Says after how long to come back.
-fn say_when(reply: &mut Reply, wait: Duration) {
-    if let Ok(value) = HeaderValue::from_str(&format!("{:.3}", wait.as_secs_f64())) {
-        reply.headers_mut().insert(header::RETRY_AFTER, value);
-    }
-}
-
-/// A number and its unit: `m` for milliseconds or `u` for microseconds.
-fn parse_timeout(text: &str) -> Option<Duration> {
-    let time = match text.strip_suffix('m') {
-        Some(number) => micros(number, 1000.0),
-        None => micros(text.strip_suffix('u')?, 1.0),
-    };
-    time.filter(|time| !time.is_zero())
-}
-
-/// A number of units of so many microseconds.
-fn micros(number: &str, unit: f64) -> Option<Duration> {
-    let micros = number.parse::<f64>().ok()? * unit;
-    (micros >= 0.0 && micros.is_finite()).then(|| Duration::from_micros(micros as u64))
-}
-
-/// Removes what concerns the client's connection alone, and what is set anew for each attempt.
-fn drop_hop_headers(headers: &mut HeaderMap) {
-    let named: Vec<HeaderName> = (headers.get_all(header::CONNECTION).iter())
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .filter_map(|name| name.trim().parse().ok())
-        .filter(|name| *name != "x-request-id" && *name != "idempotency-key")
-        .collect();
-    for name in named {
-        headers.remove(name);
-    }
-    for name in [
-        header::CONNECTION,
-        header::CONTENT_LENGTH,
-        header::EXPECT,
-        header::HOST,
-        header::TE,
-        header::TRAILER,
-        header::TRANSFER_ENCODING,
-        header::UPGRADE,
-    ] {
-        headers.remove(name);
-    }
-    headers.remove("keep-alive");
-}
--- /dev/null
+++ b/src/net/message.rs
@@ -0,0 +1,133 @@
+//! What the parts on the sockets tell the driver, and a request and its answer as they pass between them.
+
+use super::bans::Standing;
+use super::discovery::News;
+use super::outbound::{Ended, Passing};
+use super::passing::{Payload, Upload};
+use super::progress::Progress;
+use gullpulley::{AttemptNo, Census, EndpointId, RequestId};
+use http_body_util::Full;
+use hyper::body::Bytes;
+use hyper::header::{self, HeaderName, HeaderValue};
+use hyper::{HeaderMap, Method, Request, Uri};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::mpsc::UnboundedSender;
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+
+/// Where the rest of the sidecar reports to the driver.
+pub type Inbox = UnboundedSender<Input>;
+
+/// Something that happened on a socket.
+pub enum Input {
+    /// A request has come whole.
+    Arrived(Box<Arrival>),
+    /// The body of a request that was passing has gone on whole; its answer must be on its way by then.
+    Whole(RequestId, Instant),
+    /// Its client has gone.
+    ClientGone(RequestId),
+    /// An attempt ended.
+    AttemptEnded(RequestId, AttemptNo, Ended),
+    /// A probe ended; it took so long.
+    ProbeEnded(EndpointId, Ended, Duration),
+    /// News from discovery.
+    List(News),
+    /// The operators ask whether anybody has this uid.
+    Known(String, oneshot::Sender<bool>),
+    /// What the operators have said of endpoints, as it stands now; confirmed once it is in force.
+    Standing(Standing, oneshot::Sender<()>),
+    /// So many processes are this sidecar together.
+    Shared(usize),
+    /// The operators ask how many endpoints there are.
+    Census(oneshot::Sender<Census>),
+    /// The process must end: fail what is still open.
+    GiveUp,
+}
+
+/// A request as it came in.
+pub struct Arrival {
+    /// For the module; its time left is set here.
+    pub request: gullpulley::Request,
+    /// When the answer must be on its way.
+    pub deadline: Instant,
+    /// What goes on to an endpoint.
+    pub forward: Forward,
+    /// Where the final answer goes.
+    pub answer: oneshot::Sender<Answer>,
+}
+
+/// A request as it goes on to an endpoint.
+pub struct Forward {
+    /// Its method.
+    pub method: Method,
+    /// Path and query.
+    pub uri: Uri,
+    /// End-to-end headers.
+    pub headers: HeaderMap,
+    /// Its body.
+    pub body: Content,
+}
+
+/// The body of a request.
+pub enum Content {
+    /// Held whole.
+    Held(Bytes),
+    /// Passed on as it comes.
+    Passed(Rc<Upload>),
+}
+
+impl Content {
+    /// It has begun to go out, and can't be sent again.
+    pub fn spent(&self) -> bool {
+        matches!(self, Content::Passed(upload) if upload.spent())
+    }
+
+    /// It came to no proper end.
+    pub fn faulty(&self) -> bool {
+        matches!(self, Content::Passed(upload) if upload.faulty())
+    }
+}
+
+/// A final answer.
+pub enum Answer {
+    /// Served, with the body of an endpoint's answer.
+    Served(Bytes),
+    /// Served, with a large answer that has begun.
+    Passing(Box<Passing>),
+    /// Refused: trying again is harmless, after this long if it is stated.
+    Refused(Option<Duration>),
+    /// Failed.
+    Failed,
+    /// Failed by a fault of the request's own.
+    Rejected,
+}
+
+impl Forward {
+    /// As an attempt: to this address, with so much time left.
+    pub fn request(
+        &self,
+        address: SocketAddr,
+        left: Duration,
+        progress: &Rc<Progress>,
+    ) -> Request<Payload> {
+        let (body, left) = match &self.body {
+            Content::Held(body) => (Payload::Held(Full::new(body.clone())), left),
+            Content::Passed(upload) => {
+                let (pieces, progress) = (None, progress.clone());
+                (Payload::Passed { upload: upload.clone(), pieces, progress }, upload.time)
+            }
+        };
+        let mut request = Request::new(body);
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = self.uri.clone();
+        *request.headers_mut() = self.headers.clone();
+        let headers = request.headers_mut();
+        let text = |text: String| HeaderValue::from_str(&text).unwrap_or(HeaderValue::from_static(""));
+        headers.insert(header::HOST, text(address.to_string()));
+        let timeout = text(format!("{}u", left.as_micros()));
+        headers.insert(HeaderName::from_static("x-timeout"), timeout);
+        request
+    }
+}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,38 +1,48 @@
 //! The sidecar on its sockets. Start-up, signals and the parts' acquaintance are here; the rest, from
 //! plain types up, each knowing only what stands before it:
 //!
-//! `guard`, `budget`, `counters`, `bans`, `overlap`: tasks, sockets held, counts, orders, other processes;
+//! `guard`, `clock`, `budget`, `counters`, `bans`, `overlap`: tasks, time, sockets held, counts, orders, other
+//! processes;
 //! `progress`, `passing`: how far an attempt is, bodies that pass through;
 //! `outbound`, `discovery`: connections to endpoints and to discovery;
-//! `driver`: turns what happens there into the policy's events, and carries out its actions;
-//! `inbound`, `control`: clients' connections, and the operators' door.
+//! `message`, `driver`: turns what happens there into the policy's events, and carries out its actions;
+//! `request`, `turn`, `reply`, `inbound`: clients' words, connections and answers;
+//! `control`: the operators' door.
 
 mod bans;
 mod budget;
+mod clock;
 mod control;
 mod counters;
 mod discovery;
 mod driver;
 mod guard;
 mod inbound;
+mod message;
 mod outbound;
 mod overlap;
 mod passing;
 mod progress;
+mod reply;
+mod request;
+mod turn;
 
 use bans::{Bans, Standing};
 use budget::Budget;
+use clock::Clock;
 use control::Door;
 use counters::Counters;
 use discovery::{Call, Discovery};
-use driver::{Clock, Driver, Inbox, Input};
+use driver::Driver;
 use gullpulley::Balancer;
 use gullpulley::config::{
     Config, ConfigError, DOOR_RESERVE, Difference, Fault, Named, Vars, differences, keys,
 };
 use inbound::Inbound;
+use message::{Inbox, Input};
 use outbound::Outbound;
 use overlap::Overlap;
+use request::Wording;
 use std::io;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -74,9 +84,7 @@
     let counters = Counters::new(&classes);
     let outbound = Outbound::new(&settings, budget.clone(), counters.clone());
     let inbound = Inbound::new(
-        settings.clone(),
-        classes,
-        tenants,
+        Wording { settings: settings.clone(), classes, tenants },
         budget.clone(),
         counters.clone(),
         outbound.clone(),
