A log of fields that never blocks, and OpenMetrics beside the door's lines

Lines went to standard error with eprintln!, which blocks the thread that serves on a full pipe and panics on a closed one; what a fault repeats filled the log; figures were counts alone. A thread of its own writes: 1,024 lines wait, more are dropped and counted. A reason for which discovery fails is said once until a list comes, the 10 s summary counts the rest. /v1/metrics?format=openmetrics has the same counters, latencies by class and outcome, decision times, held requests and windows.

--- a/src/api.rs
+++ b/src/api.rs
@@ -484,13 +484,26 @@
     }
 }
 
-/// How many endpoints there are, for the operators.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+/// What operators may ask of a balancer.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Census {
     /// Endpoints in the list.
     pub members: usize,
     /// Those among them that get nothing new now: draining, suspended, or avoided for their failures.
     pub unavailable: usize,
+    /// Requests held until there is room.
+    pub held: usize,
+    /// Of the own zone, and of all others together.
+    pub windows: [WindowCensus; 2],
+}
+
+/// How many own attempts are out, and how many may be.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct WindowCensus {
+    /// Attempts that may be out.
+    pub size: f64,
+    /// Attempts that are.
+    pub out: u32,
 }
 
 /// Something to do.
--- a/src/main.rs
+++ b/src/main.rs
@@ -2,12 +2,14 @@
 #![forbid(unsafe_code)]
 
 mod door;
+mod logging;
 mod net;
 
-use clap::{Args, CommandFactory, Parser, Subcommand};
+use clap::{Args, CommandFactory, Parser, Subcommand, ValueEnum};
 use clap_complete::Shell;
 use door::DoorError;
 use gullpulley::config::{Config, Vars, keys};
+use logging::Logging;
 use std::fmt::Display;
 use std::io::{self, Write};
 use std::net::SocketAddr;
@@ -99,6 +101,21 @@
     /// The configuration; without it the file that $ROUTER_CONFIG names
     #[arg(long, value_name = "FILE", env = "GULLPULLEY_CONFIG")]
     config: Option<PathBuf>,
+    /// How the log is written, whatever log.format says
+    #[arg(long, value_enum, value_name = "FORMAT")]
+    log_format: Option<Format>,
+    /// What is logged, whatever log.level says: error, warn, info, debug, trace, or such by target
+    #[arg(long, value_name = "LEVEL")]
+    log_level: Option<String>,
+}
+
+/// How the log is written.
+#[derive(Clone, Copy, PartialEq, ValueEnum)]
+enum Format {
+    /// For people
+    Text,
+    /// A JSON object a line
+    Json,
 }
 
 #[derive(Subcommand)]
@@ -175,10 +192,15 @@
 
 impl Run {
     fn file(&self) -> Option<PathBuf> {
-        self.config.clone().or_else(|| std::env::var_os("ROUTER_CONFIG").map(PathBuf::from))
+        self.config.clone().or_else(told)
     }
 }
 
+/// The file that the platform names.
+fn told() -> Option<PathBuf> {
+    std::env::var_os("ROUTER_CONFIG").map(PathBuf::from)
+}
+
 impl From<DoorError> for Ended {
     fn from(error: DoorError) -> Self {
         let code = match error {
@@ -217,10 +239,14 @@
     let unnamed =
         || Ended(AT_FAULT, "name a configuration with --config FILE or $ROUTER_CONFIG".to_owned());
     let file = args.file().ok_or_else(unnamed)?;
-    let config = load(&file)?;
+    let mut config = load(&file)?;
+    config.log.level = args.log_level.clone().unwrap_or(config.log.level);
+    config.log.json = args.log_format.map_or(config.log.json, |format| format == Format::Json);
+    let log = Logging::start(&config.log).map_err(|e| Ended(AT_FAULT, e.to_string()))?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| Ended(FAILED, e.to_string()))?;
-    let served = LocalSet::new().block_on(&runtime, net::run(config, file));
+    let served = LocalSet::new().block_on(&runtime, net::run(config, file, log.handle()));
+    log.end();
     served.map_err(|problem| Ended(FAILED, problem))
 }
 
@@ -238,7 +264,7 @@
 }
 
 fn show(file: Option<PathBuf>) -> Result<(), Ended> {
-    let file = Run { config: file }.file();
+    let file = file.or_else(told);
     let file = file.ok_or_else(|| Ended(AT_FAULT, "name a file".to_owned()))?;
     let (config, vars) = (load(&file)?, Vars::of_process());
     let origins = config.origins(&file, &vars);
--- a/src/net/clock.rs
+++ b/src/net/clock.rs
@@ -19,6 +19,11 @@
 
     /// The time now.
     pub fn now(&self) -> Duration {
-        self.unix + self.start.elapsed()
+        self.at(Instant::now())
+    }
+
+    /// The time at an instant.
+    pub fn at(&self, instant: Instant) -> Duration {
+        self.unix + instant.duration_since(self.start)
     }
 }
--- a/src/net/control.rs
+++ b/src/net/control.rs
@@ -5,13 +5,14 @@
 use super::guard::Guard;
 use super::inbound::Inbound;
 use super::message::{Inbox, Input};
+use gullpulley::Census;
 use gullpulley::config::DOOR_MOST;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Bytes, Incoming};
 use hyper::header::{self, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Method, Request, Response, StatusCode};
+use hyper::{Method, Request, Response, StatusCode, Uri};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
@@ -22,6 +23,7 @@
 use tokio::sync::{Mutex, oneshot};
 use tokio::task::{spawn_blocking, spawn_local};
 use tokio::time::{sleep, timeout};
+use tracing::{error, info};
 
 /// A call must have come whole within this of its connection.
 const CALL_MOST: Duration = Duration::from_secs(2);
@@ -36,6 +38,9 @@
 /// Wait after a failed accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
+/// The type of OpenMetrics text.
+const OPEN_METRICS: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+
 /// What the door needs of the rest of the sidecar.
 pub struct Door {
     bans: Bans,
@@ -116,7 +121,7 @@
             let _turn = self.ordering.lock().await;
             match self.bans.read() {
                 Ok(standing) => self.enforce(standing).await,
-                Err(problem) => eprintln!("suspended endpoints: {problem}; what is in force stays"),
+                Err(problem) => error!("suspended endpoints: {problem}; what is in force stays"),
             }
             seen = version;
         }
@@ -159,7 +164,7 @@
         let reply = match timeout(CALL_MOST, Limited::new(body, BODY_MOST).collect()).await {
             Ok(Ok(_)) => {
                 asked.set(true);
-                self.call(&head.method, head.uri.path()).await
+                self.call(&head.method, &head.uri).await
             }
             Ok(Err(_)) => text(StatusCode::BAD_REQUEST, "the body is broken or too long\n"),
             Err(_) => text(StatusCode::REQUEST_TIMEOUT, "the body never came\n"),
@@ -167,8 +172,10 @@
         Ok(reply)
     }
 
-    async fn call(&self, method: &Method, path: &str) -> Reply {
-        let Some(place) = Place::of(path) else { return text(StatusCode::NOT_FOUND, "no such path\n") };
+    async fn call(&self, method: &Method, uri: &Uri) -> Reply {
+        let Some(place) = Place::of(uri.path()) else {
+            return text(StatusCode::NOT_FOUND, "no such path\n");
+        };
         if *method != place.method() {
             let mut reply = text(StatusCode::METHOD_NOT_ALLOWED, "not this path's method\n");
             let allowed = if place.method() == Method::GET { "GET" } else { "POST" };
@@ -179,11 +186,11 @@
             Place::Ready if self.inbound.takes_clients() => text(StatusCode::OK, "ready\n"),
             Place::Ready => text(StatusCode::SERVICE_UNAVAILABLE, "takes no clients\n"),
             Place::Metrics => match self.ask(Input::Census).await {
-                Some(census) => text(StatusCode::OK, self.counters.report(census)),
+                Some(census) => self.figures(census, uri.query()),
                 None => text(StatusCode::SERVICE_UNAVAILABLE, "ending\n"),
             },
             Place::Drain => {
-                eprintln!("operators: drain");
+                info!("operators: drain");
                 self.inbound.drain();
                 text(StatusCode::OK, "draining\n")
             }
@@ -191,6 +198,19 @@
         }
     }
 
+    /// The figures, in the form that is asked for.
+    fn figures(&self, census: Census, query: Option<&str>) -> Reply {
+        match query.and_then(|query| query.split('&').find_map(|pair| pair.strip_prefix("format="))) {
+            None => text(StatusCode::OK, self.counters.report(census)),
+            Some("openmetrics") => {
+                let mut reply = text(StatusCode::OK, self.counters.open_metrics(census));
+                reply.headers_mut().insert(header::CONTENT_TYPE, HeaderValue::from_static(OPEN_METRICS));
+                reply
+            }
+            Some(_) => text(StatusCode::BAD_REQUEST, "format is openmetrics, or left out\n"),
+        }
+    }
+
     async fn order(&self, uid: &str, order: Order) -> Reply {
         let _turn = self.ordering.lock().await;
         if self.ask(|to| Input::Known(uid.to_owned(), to)).await != Some(true) {
@@ -204,7 +224,7 @@
                 text(StatusCode::OK, if order == Order::Suspend { "suspended\n" } else { "in use\n" })
             }
             Ok(Err(problem)) => {
-                eprintln!("operators: {uid}: {problem}");
+                error!(endpoint = uid, "operators: {uid}: {problem}");
                 text(StatusCode::INTERNAL_SERVER_ERROR, "this could not be recorded, and is not in force\n")
             }
             Err(_) => text(StatusCode::INTERNAL_SERVER_ERROR, "this was not carried out\n"),
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -22,6 +22,7 @@
 use tokio::sync::watch;
 use tokio::task::spawn_local;
 use tokio::time::timeout;
+use tracing::{info, warn};
 
 /// A connection to discovery that is not up after this long has failed.
 const CONNECT: Duration = Duration::from_secs(1);
@@ -66,6 +67,8 @@
     draws: RefCell<Pcg32>,
     /// A list has come since the start.
     heard: watch::Sender<bool>,
+    /// Why it fails, since the last list.
+    failing: RefCell<Option<String>>,
     /// Where news goes.
     report: Box<dyn Fn(News)>,
 }
@@ -83,7 +86,17 @@
         let (ids, rev) = Default::default();
         let address = Cell::new(address);
         let heard = watch::Sender::new(false);
-        Rc::new(Discovery { address, mode, names, ids, rev, draws, heard, report: Box::new(report) })
+        Rc::new(Discovery {
+            address,
+            mode,
+            names,
+            ids,
+            rev,
+            draws,
+            heard,
+            failing: RefCell::default(),
+            report: Box::new(report),
+        })
     }
 
     /// The list as last held, to start from.
@@ -126,7 +139,7 @@
                 }
                 Call::Move(address) => {
                     if self.address.replace(address) != address {
-                        eprintln!("discovery: now at {address}");
+                        info!(%address, "discovery: now at {address}");
                         // The old one says nothing more. No failure: what is being followed goes on there.
                         watch = watch.take().map(|_| this.watch());
                     }
@@ -242,16 +255,20 @@
     fn take(&self, list: List) {
         self.rev.set(list.rev);
         self.heard.send_replace(true);
+        self.failing.take();
         if !list.targets.is_empty() {
             let sort = if list.all { "whole list" } else { "changes" };
-            eprintln!("list: {sort}, rev {}, {} entries", list.rev, list.targets.len());
+            info!(rev = list.rev, entries = list.targets.len(), "list: {sort}");
         }
         let news = self.news(list);
         self.tell(news);
     }
 
     fn failed(&self, reason: &str) {
-        eprintln!("discovery: {reason}");
+        // Said once for each reason until a list comes; the driver counts the others.
+        if self.failing.replace(Some(reason.to_owned())).is_none_or(|before| before != reason) {
+            warn!(address = %self.address.get(), "discovery: {reason}");
+        }
         self.tell(News { membership: Membership::Failed, addresses: Vec::new() });
     }
 
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -4,6 +4,7 @@
 
 use super::bans::Standing;
 use super::clock::Clock;
+use super::counters::Counters;
 use super::discovery::{Call, Discovery, News};
 use super::message::{Answer, Arrival, Content, Forward, Inbox, Input};
 use super::outbound::{Ended, Outbound};
@@ -20,6 +21,7 @@
 use tokio::sync::oneshot;
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep_until};
+use tracing::{debug, info, warn};
 
 /// Unusual outcomes are summed up in the log this often.
 const SUMMARY: Duration = Duration::from_secs(10);
@@ -41,6 +43,20 @@
     out: usize,
 }
 
+/// What the driver works with.
+pub struct Around {
+    /// Connections to endpoints.
+    pub outbound: Rc<Outbound>,
+    /// For the names of endpoints.
+    pub discovery: Rc<Discovery>,
+    /// What discovery is asked.
+    pub calls: UnboundedSender<Call>,
+    /// Where attempts report.
+    pub inbox: Inbox,
+    /// The counts of the process.
+    pub counters: Rc<Counters>,
+}
+
 /// Owns the module, its timers, and the requests and attempts in flight.
 pub struct Driver {
     balancer: Balancer,
@@ -52,26 +68,17 @@
     /// Events that the driver's own doings brought about.
     due: VecDeque<Event>,
     unusual: HashMap<&'static str, u64>,
+    /// Lines of the log that had been dropped by the last summary.
+    dropped: u64,
     summary_at: Instant,
     /// What the operators have said of endpoints.
     standing: Standing,
-    outbound: Rc<Outbound>,
-    discovery: Rc<Discovery>,
-    calls: UnboundedSender<Call>,
-    inbox: Inbox,
+    around: Around,
 }
 
 impl Driver {
     /// A driver of this module.
-    pub fn new(
-        balancer: Balancer,
-        clock: Clock,
-        max_attempts: u32,
-        outbound: Rc<Outbound>,
-        discovery: Rc<Discovery>,
-        calls: UnboundedSender<Call>,
-        inbox: Inbox,
-    ) -> Self {
+    pub fn new(balancer: Balancer, clock: Clock, max_attempts: u32, around: Around) -> Self {
         Driver {
             balancer,
             clock,
@@ -81,12 +88,10 @@
             timers: BinaryHeap::new(),
             due: VecDeque::new(),
             unusual: HashMap::new(),
+            dropped: 0,
             summary_at: Instant::now() + SUMMARY,
             standing: Standing::default(),
-            outbound,
-            discovery,
-            calls,
-            inbox,
+            around,
         }
     }
 
@@ -116,14 +121,41 @@
         }
         if now >= self.summary_at {
             self.summary_at = now + SUMMARY;
-            let mut counts: Vec<_> = self.unusual.drain().collect();
-            counts.sort();
-            if !counts.is_empty() {
-                eprintln!("outcomes in {} s: {counts:?}; open {}", SUMMARY.as_secs(), self.requests.len());
-            }
+            self.sum_up();
         }
     }
 
+    /// What a fault repeats is counted, and told here; what did not occur is left out.
+    fn sum_up(&mut self) {
+        let dropped = self.around.counters.dropped_lines();
+        let lost = dropped - std::mem::replace(&mut self.dropped, dropped);
+        if lost > 0 {
+            warn!(lines = lost, "the log was not read, and lines were dropped");
+        }
+        if self.unusual.is_empty() {
+            return;
+        }
+        let counts = std::mem::take(&mut self.unusual);
+        let n = |what| counts.get(what).copied();
+        info!(
+            seconds = SUMMARY.as_secs(),
+            open = self.requests.len(),
+            error = n("error"),
+            turned_away = n("turned away"),
+            timed_out = n("timed out"),
+            not_connected = n("not connected"),
+            reset = n("reset"),
+            cancelled = n("cancelled"),
+            moot = n("moot"),
+            client_gone = n("client gone"),
+            refused = n("refused"),
+            failed = n("failed"),
+            rejected = n("rejected"),
+            discovery_failed = n("discovery failed"),
+            "outcomes"
+        );
+    }
+
     fn take(&mut self, input: Input) {
         match input {
             Input::Arrived(arrival) => self.arrived(*arrival),
@@ -141,14 +173,14 @@
                 let _ = done.send(());
             }
             Input::Shared(processes) => {
-                eprintln!("processes of this sidecar: {processes}");
+                info!("processes of this sidecar: {processes}");
                 self.handle(Event::Shared { processes: processes as u32 });
             }
             Input::Census(to) => drop(to.send(self.balancer.census(self.clock.now()))),
             Input::GiveUp => {
                 let open = self.requests.iter().filter(|(_, open)| open.answer.is_some());
                 let open: Vec<RequestId> = open.map(|(id, _)| *id).collect();
-                eprintln!("giving up {} requests", open.len());
+                warn!("giving up {} requests", open.len());
                 for id in open {
                     self.finish(id, Answer::Failed);
                     self.handle(Event::RequestGone(id));
@@ -162,6 +194,12 @@
         let Arrival { mut request, deadline, forward, answer } = arrival;
         request.time_left = deadline.saturating_duration_since(Instant::now());
         let open = Open { forward, deadline, answer: Some(answer), tries: Vec::new(), out: 0 };
+        debug!(
+            request = open.forward.id(),
+            path = open.forward.uri.path(),
+            left_ms = request.time_left.as_millis() as u64,
+            "taken"
+        );
         self.requests.insert(request.id, open);
         self.handle(Event::Request(request));
     }
@@ -180,6 +218,7 @@
     fn gone(&mut self, id: RequestId) {
         let Some(open) = self.requests.get_mut(&id) else { return };
         if open.answer.take().is_some() {
+            debug!(request = open.forward.id(), "its client has gone");
             self.count("client gone");
             self.handle(Event::RequestGone(id));
         }
@@ -195,9 +234,16 @@
         open.out -= 1;
         let (endpoint, sent, elapsed) = (tried.endpoint, tried.sent, tried.sent.elapsed());
         let Ended { mut outcome, body, passing, rejected, report } = ended;
+        debug!(
+            request = open.forward.id(),
+            attempt = attempt.0,
+            outcome = outcome_name(outcome),
+            ms = elapsed.as_millis() as u64,
+            "attempt ended"
+        );
         let (spent, rejected) = (open.forward.body.spent(), rejected || open.forward.body.faulty());
         if outcome == Outcome::TimedOut {
-            self.outbound.close_unheard(endpoint, sent);
+            self.around.outbound.close_unheard(endpoint, sent);
         }
         if rejected {
             // A fault of the request's own says nothing of the endpoint, and to send it again would spend what honest requests need.
@@ -226,21 +272,21 @@
 
     /// Somebody has this uid: it is listed, or was taken out and can be called back.
     fn knows(&self, uid: &str) -> bool {
-        self.standing.suspended.contains(uid) || self.addresses.contains_key(&self.discovery.id(uid))
+        self.standing.suspended.contains(uid) || self.addresses.contains_key(&self.around.discovery.id(uid))
     }
 
     /// Tells the module what the operators have changed since the standing before.
     fn follow(&mut self, standing: Standing) {
         let before = std::mem::replace(&mut self.standing, standing.clone());
         for uid in standing.suspended.difference(&before.suspended) {
-            eprintln!("operators: {uid} is suspended");
-            let id = self.discovery.id(uid);
-            self.outbound.bar(id);
+            info!(endpoint = uid, "operators: {uid} is suspended");
+            let id = self.around.discovery.id(uid);
+            self.around.outbound.bar(id);
             self.handle(Event::Suspend(id));
         }
         for (uid, at) in standing.resumed.iter().filter(|(uid, at)| before.resumed.get(*uid) != Some(at)) {
-            eprintln!("operators: {uid} is resumed");
-            let (endpoint, at) = (self.discovery.id(uid), Duration::from_millis(*at));
+            info!(endpoint = uid, "operators: {uid} is resumed");
+            let (endpoint, at) = (self.around.discovery.id(uid), Duration::from_millis(*at));
             self.handle(Event::Resume { endpoint, at });
         }
     }
@@ -249,25 +295,29 @@
         for (id, address) in &news.addresses {
             let before = self.addresses.insert(*id, *address);
             if before.is_some_and(|before| before != *address) {
-                self.outbound.close_idle(*id);
+                self.around.outbound.close_idle(*id);
             }
         }
         let (whole, entries) = match &news.membership {
             Membership::Full(entries) | Membership::Cached(entries) => (true, entries),
             Membership::Delta(entries) => (false, entries),
-            Membership::Failed => return self.handle(Event::Membership(news.membership)),
+            Membership::Failed => {
+                self.count("discovery failed");
+                return self.handle(Event::Membership(news.membership));
+            }
         };
         for entry in entries.iter().filter(|entry| entry.state != EndpointState::Ready) {
             // Nothing new goes there.
-            self.outbound.bar(entry.id);
+            self.around.outbound.bar(entry.id);
             let state = if entry.state == EndpointState::Gone { "gone" } else { "draining" };
-            eprintln!("list: {} is {state}", self.discovery.uid(entry.id));
+            let uid = self.around.discovery.uid(entry.id);
+            info!(endpoint = uid, "list: {uid} is {state}");
             if entry.state == EndpointState::Gone {
                 self.addresses.remove(&entry.id);
             }
         }
         if whole {
-            let outbound = &self.outbound;
+            let outbound = &self.around.outbound;
             self.addresses.retain(|id, _| {
                 let listed = entries.iter().any(|entry| entry.id == *id);
                 if !listed {
@@ -288,7 +338,9 @@
                 Event::AttemptEnded(ended) => Some(ended.request),
                 _ => None,
             };
-            self.balancer.handle(self.clock.now(), event, &mut actions);
+            let began = Instant::now();
+            self.balancer.handle(self.clock.at(began), event, &mut actions);
+            self.around.counters.decided(began.elapsed());
             for action in actions.drain(..) {
                 self.carry_out(action);
             }
@@ -323,11 +375,11 @@
                 self.timers.push(Reverse((Instant::now() + after, token.0)));
             }
             // These fail only while the process ends.
-            Action::Watch(on) => drop(self.calls.send(Call::Watch(on))),
-            Action::FetchList => drop(self.calls.send(Call::Fetch)),
+            Action::Watch(on) => drop(self.around.calls.send(Call::Watch(on))),
+            Action::FetchList => drop(self.around.calls.send(Call::Fetch)),
             Action::Probe { endpoint } => self.probe(endpoint),
-            Action::CloseIdle { endpoint } => self.outbound.close_idle(endpoint),
-            Action::Log(text) => eprintln!("module: {}", text.replace(['\n', '\r'], " ")),
+            Action::CloseIdle { endpoint } => self.around.outbound.close_idle(endpoint),
+            Action::Log(text) => info!("module: {}", text.replace(['\n', '\r'], " ")),
         }
     }
 
@@ -351,16 +403,22 @@
             }));
             return self.count(outcome_name(Outcome::Moot));
         };
+        debug!(
+            request = open.forward.id(),
+            attempt = attempt.0,
+            endpoint = self.around.discovery.uid(endpoint),
+            "sent"
+        );
         let (cancel, mut cancelled) = oneshot::channel();
         open.tries.push(Try { endpoint, sent: now, cancel: Some(cancel) });
         open.out += 1;
-        let progress = Rc::new(self.outbound.progress());
+        let progress = Rc::new(self.around.outbound.progress());
         let request = open.forward.request(address, until - now, &progress);
         let upload = match &open.forward.body {
             Content::Held(_) => None,
             Content::Passed(upload) => Some(upload.clone()),
         };
-        let (outbound, inbox) = (self.outbound.clone(), self.inbox.clone());
+        let (outbound, inbox) = (self.around.outbound.clone(), self.around.inbox.clone());
         spawn_local(async move {
             let out_of_time = async {
                 match upload {
@@ -383,7 +441,8 @@
             let (outcome, elapsed, report) = (Outcome::ConnectFailed, Duration::ZERO, None);
             return self.due.push_back(Event::ProbeEnded { endpoint, outcome, elapsed, report });
         };
-        let (outbound, inbox, sent) = (self.outbound.clone(), self.inbox.clone(), Instant::now());
+        let (outbound, inbox, sent) =
+            (self.around.outbound.clone(), self.around.inbox.clone(), Instant::now());
         spawn_local(async move {
             let ended = outbound.probe(endpoint, address).await;
             let _ = inbox.send(Input::ProbeEnded(endpoint, ended, sent.elapsed()));
@@ -394,11 +453,15 @@
     fn finish(&mut self, id: RequestId, answer: Answer) {
         let Some(open) = self.requests.get_mut(&id) else { return };
         let Some(to) = open.answer.take() else { return };
-        match &answer {
-            Answer::Served(_) | Answer::Passing(_) => {}
-            Answer::Refused(_) => self.count("refused"),
-            Answer::Failed => self.count("failed"),
-            Answer::Rejected => self.count("rejected"),
+        let (name, unusual) = match &answer {
+            Answer::Served(_) | Answer::Passing(_) => ("served", false),
+            Answer::Refused(_) => ("refused", true),
+            Answer::Failed => ("failed", true),
+            Answer::Rejected => ("rejected", true),
+        };
+        debug!(request = open.forward.id(), attempts = open.tries.len(), answer = name, "answered");
+        if unusual {
+            self.count(name);
         }
         let _ = to.send(answer); // fails where the client has just gone
     }
--- a/src/net/inbound.rs
+++ b/src/net/inbound.rs
@@ -26,6 +26,7 @@
 use tokio::sync::{Notify, oneshot, watch};
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
+use tracing::{Level, debug, enabled, error, info};
 
 /// Kept back from a client's time, for the answer to reach it.
 const ANSWER_MARGIN: Duration = Duration::from_millis(10);
@@ -128,7 +129,7 @@
             }
         }
         let asked = Instant::now();
-        eprintln!("draining: {} clients connected", self.budget.clients());
+        info!(clients = self.budget.clients(), "draining");
         self.draining.set(true);
         let longest = self.wording.settings.classes.iter().map(|c| c.deadline).max().unwrap_or_default();
         let until = asked + longest.min(DEADLINE_MOST) + DRAIN_SLACK;
@@ -145,7 +146,7 @@
             let _ = self.inbox.send(Input::GiveUp);
             let _ = timeout(LAST_ANSWERS, self.all_gone()).await;
         }
-        eprintln!("drained in {} ms", asked.elapsed().as_millis());
+        info!(ms = asked.elapsed().as_millis() as u64, "drained");
     }
 
     /// Takes what waits in the backlog and closes the listener in one go: all that comes later goes to the
@@ -176,7 +177,7 @@
             }
             Err(e) => {
                 if !self.failing.replace(true) {
-                    eprintln!("accept: {e}");
+                    error!("accept: {e}; said once until it works again");
                 }
                 self.outbound.close_oldest_idle();
                 sleep(ACCEPT_PAUSE).await;
@@ -278,11 +279,16 @@
             plain(status, "")
         } else {
             let class = self.wording.class(request.uri());
+            let named = enabled!(Level::DEBUG).then(|| request.headers().get("x-request-id").cloned());
             let served = if shed {
                 Err((StatusCode::SERVICE_UNAVAILABLE, "too many connections"))
             } else {
                 self.serve_request(request, turn).await
             };
+            if let (Some(named), Err((status, problem))) = (named, &served) {
+                let request = named.as_ref().and_then(|id| id.to_str().ok());
+                debug!(request, status = status.as_u16(), problem, "not taken");
+            }
             match served {
                 Ok(reply) => reply,
                 Err((StatusCode::SERVICE_UNAVAILABLE, problem)) => {
--- a/src/net/message.rs
+++ b/src/net/message.rs
@@ -105,6 +105,11 @@
 }
 
 impl Forward {
+    /// Its X-Request-ID.
+    pub fn id(&self) -> &str {
+        self.headers.get("x-request-id").and_then(|id| id.to_str().ok()).unwrap_or_default()
+    }
+
     /// As an attempt: to this address, with so much time left.
     pub fn request(
         &self,
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -27,13 +27,14 @@
 mod request;
 mod turn;
 
+use crate::logging::LogHandle;
 use bans::{Bans, Standing};
 use budget::Budget;
 use clock::Clock;
 use control::Door;
 use counters::Counters;
 use discovery::{Call, Discovery};
-use driver::Driver;
+use driver::{Around, Driver};
 use gullpulley::Balancer;
 use gullpulley::config::{
     Config, ConfigError, DOOR_RESERVE, Difference, Fault, Named, Vars, differences, keys,
@@ -53,6 +54,7 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::{spawn_blocking, spawn_local};
 use tokio::time::timeout;
+use tracing::{error, info, warn};
 
 /// How often other processes of this sidecar are looked for.
 const LOOK: Duration = Duration::from_millis(100);
@@ -65,8 +67,8 @@
 const BACKLOG: u32 = 1024;
 
 /// Serves until SIGTERM and drains, on a `LocalSet`. At SIGHUP the configuration's file is read again.
-pub async fn run(config: Config, file: PathBuf) -> Result<(), String> {
-    let reload = Reload { file, held: config.entries() };
+pub async fn run(config: Config, file: PathBuf, log: LogHandle) -> Result<(), String> {
+    let reload = Reload { file, held: config.entries(), log: log.clone() };
     let Config {
         name, listen, control, discovery, seed, sockets, memory_mb, known, settings, names, ..
     } = config;
@@ -81,7 +83,7 @@
     let (calls, asked) = mpsc::unbounded_channel();
     let listed = |named: &[Named]| named.iter().map(|n| n.name.clone()).collect::<Vec<_>>();
     let (classes, tenants) = (listed(&names.classes), listed(&names.tenants));
-    let counters = Counters::new(&classes);
+    let counters = Counters::new(&classes, log);
     let outbound = Outbound::new(&settings, budget.clone(), counters.clone());
     let inbound = Inbound::new(
         Wording { settings: settings.clone(), classes, tenants },
@@ -103,8 +105,14 @@
     let _ = inbox.send(Input::List(discovery.cached(known)));
     let attempts = settings.limits.max_attempts;
     spawn_local(reload.follow(hup, calls.clone()));
-    let driver =
-        Driver::new(balancer, clock, attempts, outbound.clone(), discovery.clone(), calls, inbox.clone());
+    let around = Around {
+        outbound: outbound.clone(),
+        discovery: discovery.clone(),
+        calls,
+        inbox: inbox.clone(),
+        counters: counters.clone(),
+    };
+    let driver = Driver::new(balancer, clock, attempts, around);
     let mut driver = spawn_local(driver.run(inputs));
     spawn_local(discovery.clone().run(asked));
     spawn_local(outbound.clone().sweep());
@@ -120,12 +128,12 @@
     let listener = listen_at(listen, control.is_some()).map_err(|e| format!("listen: {listen}: {e}"))?;
     if let Some(control) = control {
         let door = TcpListener::bind(control).await.map_err(|e| format!("control: {control}: {e}"))?;
-        eprintln!("{name}: operators' door at {control}");
+        info!(sidecar = name, %control, "the operators' door is open");
         let behind = Door::new(bans, counters, inbound.clone(), inbox);
         spawn_local(behind.clone().follow());
         spawn_local(behind.serve(door));
     }
-    eprintln!("{name}: serving on {listen}");
+    info!(sidecar = name, %listen, version = env!("CARGO_PKG_VERSION"), "serving");
     tokio::select! {
         () = inbound.serve(listener, term) => Ok(()),
         ended = &mut driver => Err(format!("the driver ended: {ended:?}")),
@@ -146,7 +154,7 @@
 /// Makes this process known to others of the same sidecar. Where that fails it serves as if alone.
 fn join(name: &str) -> Option<Overlap> {
     let joined = Overlap::join(&std::env::temp_dir(), name);
-    joined.inspect_err(|e| eprintln!("$TMPDIR: {e}; other processes of this sidecar go unseen")).ok()
+    joined.inspect_err(|e| warn!("$TMPDIR: {e}; other processes of this sidecar go unseen")).ok()
 }
 
 /// Parts with other processes of this sidecar what it may hold.
@@ -180,7 +188,7 @@
 /// What the operators had said of endpoints before this process began.
 fn standing(bans: &Bans) -> Standing {
     bans.read().unwrap_or_else(|problem| {
-        eprintln!("suspended endpoints: {problem}; none is taken out");
+        error!("suspended endpoints: {problem}; none is taken out");
         Standing::default()
     })
 }
@@ -190,6 +198,7 @@
     file: PathBuf,
     /// What is in force, as a configuration's entries.
     held: Vec<(String, String)>,
+    log: LogHandle,
 }
 
 impl Reload {
@@ -201,7 +210,7 @@
                 Ok(config) => self.apply(config, &calls),
                 Err(faults) => {
                     for fault in faults.0 {
-                        eprintln!("SIGHUP: {fault}; the configuration stays as it was");
+                        error!("SIGHUP: {fault}; the configuration stays as it was");
                     }
                 }
             }
@@ -228,13 +237,18 @@
         for Difference { key, before, after } in differences(&self.held, &config.entries()) {
             let [before, after] = [&before, &after].map(|value| value.as_deref().unwrap_or("unsaid"));
             if keys::LIVE.contains(&key.as_str()) {
-                eprintln!("SIGHUP: {key} is {after}, it was {before}");
+                if key == "log.level"
+                    && let Err(problem) = self.log.set_level(&config.log.level)
+                {
+                    error!("SIGHUP: {problem}");
+                }
+                info!("SIGHUP: {key} is {after}, it was {before}");
                 self.held
                     .iter_mut()
                     .filter(|(held, _)| *held == key)
                     .for_each(|(_, value)| *value = after.to_owned());
             } else {
-                eprintln!("SIGHUP: {key} stays {before}; {after} holds from the next start");
+                warn!("SIGHUP: {key} stays {before}; {after} holds from the next start");
             }
         }
         let _ = calls.send(Call::Move(config.discovery)); // fails only while the process ends
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -158,7 +158,12 @@
         // What holds all the calls that it may is in use; one that failures bar from its first is avoided.
         let barred =
             |e: &&Endpoint| !e.is_ready() || e.heat(now) - self.common_heat + 1.0 > e.limit.max(1.0);
-        Census { members: listed().count(), unavailable: listed().filter(barred).count() }
+        Census {
+            members: listed().count(),
+            unavailable: listed().filter(barred).count(),
+            held: self.held.len(),
+            windows: self.windows.map(|window| WindowCensus { size: window.size, out: window.out }),
+        }
     }
 
     fn set_timer(&mut self, after: Duration, timer: Timer, out: &mut Vec<Action>) {
--- a/tests/operations.rs
+++ b/tests/operations.rs
@@ -119,6 +119,29 @@
     refused.send(&request("quote", "refused", "300m"));
     assert_eq!(refused.receive().unwrap().status(), 503);
     assert_eq!(figure(door, "downstream_requests.quote.rejected"), 1);
+    assert_eq!(call(door, "GET", "/v1/metrics?format=xml").status(), 400);
+    let open = call(door, "GET", "/v1/metrics?format=openmetrics");
+    assert!(open.header("content-type").starts_with("application/openmetrics-text"));
+    let open = String::from_utf8(open.body).unwrap();
+    for line in [
+        "# TYPE gullpulley_requests counter",
+        "gullpulley_requests_total{class=\"quote\",outcome=\"completed\"} 1",
+        "gullpulley_requests_total{class=\"pay\",outcome=\"failed\"} 0",
+        "gullpulley_request_seconds_count{class=\"quote\",outcome=\"completed\"} 1",
+        "gullpulley_request_seconds_bucket{le=\"+Inf\",class=\"quote\",outcome=\"rejected\"} 1",
+        "gullpulley_attempts_total 3",
+        "gullpulley_requests_pending 0",
+        "gullpulley_requests_held 0",
+        "gullpulley_endpoints 1",
+        "gullpulley_endpoints_unavailable 1",
+        "gullpulley_window_attempts_out{zone=\"own\"} 0",
+        "gullpulley_log_lines_dropped_total 0",
+    ] {
+        assert!(open.lines().any(|told| told == line), "{line} is not in {open}");
+    }
+    let decided = open.lines().find_map(|line| line.strip_prefix("gullpulley_decision_seconds_count "));
+    assert!(decided.is_some_and(|n| n.parse::<u64>().unwrap() > 6), "{open}");
+    assert!(open.ends_with("# EOF\n"), "{open}");
 }
 
 #[test]
