Give tests addresses without a socket that a child could inherit

a_crowd_that_asks_for_readiness... failed once with 'never came: readiness' beside a build. Suspected: the port was given away between nowhere() and the sidecar's bind. Refuted: every call has an IP address of its own. Cause: the listener that nowhere() opened to find a port was inherited by a child that another test's thread had just forked and that had not reached exec; as long as that one is not scheduled, the address is taken, the sidecar ends with 'listen: address in use', and nobody saw it.

--- a/tests/support/node.rs
+++ b/tests/support/node.rs
@@ -226,12 +226,14 @@
     json!({"rev": rev, "all": all, "targets": targets})
 }
 
-/// An address where nothing listens. Each has an IP address of its own on loopback: on a shared one the
-/// system could give the port to somebody else before it is used.
+/// An address where nothing listens, which no other call gets. No socket is opened to find it: one that another
+/// thread's child inherits between fork and exec would still listen there when the sidecar wants to.
 pub fn nowhere() -> SocketAddr {
     let (process, number) = (std::process::id(), STARTED.fetch_add(1, Ordering::SeqCst));
     let own = [127, 1 + (process >> 8) as u8 % 250, process as u8, 1 + (number % 250) as u8];
-    TcpListener::bind((std::net::Ipv4Addr::from(own), 0)).unwrap().local_addr().unwrap()
+    // Below the ports that the system gives out by itself.
+    let port = 7070 + (process >> 16) as u16 * 16 + (number / 250) as u16;
+    SocketAddr::from((own, port))
 }
 
 /// A configuration for these endpoints, with discovery out of reach.
