Begin the lab: a deployment around real copies, load, faults, checks and a report

What comes must be proven with several copies of the program and faults between them, and a newcomer could not see the sidecar do its job. lab/ (gullpulley-lab) reads an experiment, sets up emulated endpoints behind relays, discovery for each zone and copies with an operator's configuration, sends a schedule drawn beforehand, strikes 14 sorts of faults, checks the four rules and bounds, writes JSON lines and a page of plots; 'demo' is README's first command. Copies die with the lab through a keeper shell. Crates, of the lab alone: hdrhistogram, plotters (SVG), rand, rand_distr, rand_pcg, nix (signals), tempfile, humantime-serde, beside those that the program has.

--- /dev/null
+++ b/lab/src/copies.rs
@@ -0,0 +1,234 @@
+//! Copies of the program: started with a configuration each, told and killed by signals, watched until they end.
+//! Whatever becomes of the lab, they end with it: a keeper, a shell that reads their process numbers from a pipe,
+//! kills what is left once that pipe closes.
+
+use crate::http::{self, Pool};
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
+use std::fs::OpenOptions;
+use std::io::{self, Write};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::Stdio;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+use thiserror::Error;
+use tokio::sync::watch;
+use tokio::time::{Instant, sleep};
+
+/// The keeper: `+ PID` and `- PID` lines say who lives; at the pipe's end it kills the living.
+const KEEPER: &str = "trap '' INT TERM HUP; l=; while read -r w p; do case $w in +) l=\"$l $p\";; \
+    -) n=; for q in $l; do [ \"$q\" = \"$p\" ] || n=\"$n $q\"; done; l=$n;; esac; done; [ -z \"$l\" ] || kill -9 $l";
+/// How often a copy is asked whether it is ready.
+const READY_LOOK: Duration = Duration::from_millis(50);
+/// A copy that is not ready by then never will be.
+const READY_WITHIN: Duration = Duration::from_secs(15);
+
+/// What went wrong with a copy.
+#[derive(Debug, Error)]
+pub enum CopyError {
+    /// It could not be started.
+    #[error("{0}: it can't be started: {1}")]
+    Start(String, io::Error),
+    /// It never got ready.
+    #[error("{0}: not ready within {1} s; its log ends: {2}")]
+    NeverReady(String, u64, String),
+}
+
+/// Kills copies that outlive the lab.
+pub struct Keeper(Mutex<std::process::Child>);
+
+impl Keeper {
+    /// One with nobody to keep yet.
+    pub fn start() -> io::Result<Arc<Self>> {
+        let mut shell = std::process::Command::new("/bin/sh");
+        let shell =
+            shell.arg("-c").arg(KEEPER).stdin(Stdio::piped()).stdout(Stdio::null()).stderr(Stdio::null());
+        Ok(Arc::new(Keeper(Mutex::new(shell.spawn()?))))
+    }
+
+    fn note(&self, sign: char, pid: u32) {
+        let mut shell = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(pipe) = &mut shell.stdin {
+            let _ = writeln!(pipe, "{sign} {pid}"); // without its keeper a copy still ends with its handle
+        }
+    }
+}
+
+impl Drop for Keeper {
+    fn drop(&mut self) {
+        let mut shell = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        drop(shell.stdin.take());
+        let _ = shell.wait();
+    }
+}
+
+/// A copy of the program.
+pub struct Copy {
+    /// Its name.
+    pub name: String,
+    /// Its zone's number.
+    pub zone: usize,
+    /// Where clients connect.
+    pub clients: SocketAddr,
+    /// Its operators' door.
+    pub door: SocketAddr,
+    /// Clients' connections to it.
+    pub pool: Pool,
+    /// Whether the front sends clients to it.
+    pub fronted: AtomicBool,
+    /// Times that it ended though nobody had it end.
+    pub crashes: AtomicU64,
+    binary: PathBuf,
+    folder: PathBuf,
+    keeper: Arc<Keeper>,
+    process: Mutex<Process>,
+    ended: watch::Sender<u64>,
+}
+
+#[derive(Default)]
+struct Process {
+    pid: Option<u32>,
+    /// Its end is wanted.
+    ending: bool,
+    /// Since when it is as it should be; none while it is killed, paused or starting.
+    well_since: Option<Instant>,
+}
+
+impl Copy {
+    /// One that has not been started; its configuration is in its folder as `copy.toml`.
+    pub fn new(
+        name: String,
+        zone: usize,
+        [clients, door]: [SocketAddr; 2],
+        binary: &Path,
+        folder: PathBuf,
+        keeper: Arc<Keeper>,
+    ) -> Arc<Self> {
+        Arc::new(Copy {
+            name,
+            zone,
+            clients,
+            door,
+            pool: Pool::new(clients),
+            fronted: AtomicBool::new(false),
+            crashes: AtomicU64::new(0),
+            binary: binary.to_owned(),
+            folder,
+            keeper,
+            process: Mutex::default(),
+            ended: watch::Sender::new(0),
+        })
+    }
+
+    fn process(&self) -> std::sync::MutexGuard<'_, Process> {
+        self.process.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Starts it, unless it runs, and waits until it is ready.
+    pub async fn start(self: &Arc<Self>) -> Result<(), CopyError> {
+        if self.process().pid.is_some() {
+            return Ok(());
+        }
+        let failed = |e| CopyError::Start(self.name.clone(), e);
+        let log =
+            OpenOptions::new().create(true).append(true).open(self.folder.join("log")).map_err(failed)?;
+        let mut command = tokio::process::Command::new(&self.binary);
+        command.arg("run").arg("--config").arg(self.folder.join("copy.toml"));
+        command.env_clear().env("TMPDIR", &self.folder).stdin(Stdio::null()).stdout(Stdio::null());
+        let mut child = command.stderr(log).kill_on_drop(true).spawn().map_err(failed)?;
+        let pid = child.id().unwrap_or_default();
+        self.keeper.note('+', pid);
+        *self.process() = Process { pid: Some(pid), ending: false, well_since: None };
+        let this = self.clone();
+        tokio::spawn(async move {
+            let _ = child.wait().await;
+            this.keeper.note('-', pid);
+            let mut process = this.process();
+            if !process.ending {
+                this.crashes.fetch_add(1, Ordering::SeqCst);
+            }
+            *process = Process::default();
+            this.pool.clear();
+            this.ended.send_modify(|ends| *ends += 1);
+        });
+        let until = Instant::now() + READY_WITHIN;
+        while Instant::now() < until {
+            if self.is_ready().await {
+                self.process().well_since = Some(Instant::now());
+                return Ok(());
+            }
+            sleep(READY_LOOK).await;
+        }
+        Err(CopyError::NeverReady(self.name.clone(), READY_WITHIN.as_secs(), self.last_lines()))
+    }
+
+    /// The end of its log.
+    pub fn last_lines(&self) -> String {
+        let log = std::fs::read_to_string(self.folder.join("log")).unwrap_or_default();
+        let lines: Vec<&str> = log.lines().rev().take(3).collect();
+        lines.into_iter().rev().collect::<Vec<_>>().join(" | ")
+    }
+
+    /// Whether it says that it is ready.
+    pub async fn is_ready(&self) -> bool {
+        let answer = http::get(self.clients, "/-/ready", READY_WITHIN / 30).await;
+        answer.is_some_and(|answer| answer.status == 200)
+    }
+
+    /// A figure at its door; none where it does not answer.
+    pub async fn figure(&self, name: &str) -> Option<f64> {
+        let report = http::get(self.door, "/v1/metrics", Duration::from_secs(1)).await?.body;
+        let line = report
+            .lines()
+            .find_map(|line| line.strip_prefix("svc.")?.strip_prefix(name)?.strip_prefix('='));
+        line?.parse().ok()
+    }
+
+    /// Ends it, and waits until it has ended.
+    pub async fn end(&self, how: Signal) {
+        let mut ended = self.ended.subscribe();
+        let before = *ended.borrow();
+        {
+            let mut process = self.process();
+            (process.ending, process.well_since) = (true, None);
+            if process.pid.is_none() {
+                return;
+            }
+        }
+        self.signal(how);
+        let _ = ended.wait_for(|ends| *ends > before).await;
+    }
+
+    /// Stands still, or goes on.
+    pub fn pause(&self, on: bool) {
+        self.process().well_since = (!on).then(Instant::now);
+        self.signal(if on { Signal::SIGSTOP } else { Signal::SIGCONT });
+    }
+
+    fn signal(&self, signal: Signal) {
+        if let Some(pid) = self.process().pid {
+            let _ = kill(Pid::from_raw(pid as i32), signal); // it may just have ended
+        }
+    }
+
+    /// Whether it has been as it should be since then.
+    pub fn well_since(&self, then: Instant) -> bool {
+        self.process().well_since.is_some_and(|since| since <= then)
+    }
+}
+
+/// Keeps the front's view of a copy: one that is ready gets clients at once, one that is not keeps them for `lag`.
+pub async fn front(copy: Arc<Copy>, lag: Duration) {
+    let mut failing: Option<Instant> = None;
+    loop {
+        if copy.is_ready().await {
+            failing = None;
+            copy.fronted.store(true, Ordering::SeqCst);
+        } else if failing.get_or_insert_with(Instant::now).elapsed() >= lag {
+            copy.fronted.store(false, Ordering::SeqCst);
+        }
+        sleep(READY_LOOK).await;
+    }
+}
--- /dev/null
+++ b/lab/src/ledger.rs
@@ -0,0 +1,67 @@
+//! What the endpoints saw: effects by request, and breaches of the rules that show only there.
+
+use std::collections::HashMap;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+/// A breach, with what it concerns.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Breach {
+    /// A request had more effects than its class allows.
+    Repeated {
+        /// Its X-Request-ID.
+        request: String,
+    },
+    /// A request came to an endpoint that drains, after the grace.
+    Draining {
+        /// The endpoint.
+        endpoint: String,
+    },
+    /// A cold endpoint was pushed over.
+    PushedOver {
+        /// The endpoint.
+        endpoint: String,
+    },
+}
+
+/// What the endpoints saw.
+#[derive(Default)]
+pub struct Ledger(Mutex<Seen>);
+
+#[derive(Default)]
+struct Seen {
+    effects: HashMap<String, u32>,
+    breaches: Vec<Breach>,
+    attempts: u64,
+}
+
+impl Ledger {
+    fn seen(&self) -> MutexGuard<'_, Seen> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// A request reached an endpoint.
+    pub fn attempt(&self) {
+        self.seen().attempts += 1;
+    }
+
+    /// A request had an effect; `once` where its class allows no second one.
+    pub fn effect(&self, request: &str, once: bool) {
+        let mut seen = self.seen();
+        let count = seen.effects.entry(request.to_owned()).or_default();
+        *count += 1;
+        if once && *count == 2 {
+            seen.breaches.push(Breach::Repeated { request: request.to_owned() });
+        }
+    }
+
+    /// A rule was broken.
+    pub fn breach(&self, breach: Breach) {
+        self.seen().breaches.push(breach);
+    }
+
+    /// Requests that reached endpoints, and all breaches so far.
+    pub fn so_far(&self) -> (u64, Vec<Breach>) {
+        let seen = self.seen();
+        (seen.attempts, seen.breaches.clone())
+    }
+}
--- /dev/null
+++ b/lab/src/network.rs
@@ -0,0 +1,165 @@
+//! What lies between zones, and the relays through which all traffic between parts goes, so that a fault needs no
+//! privileges. A relay delays bytes, holds them back, and resets or refuses connections.
+//!
+//! What it can't do: lose the first packet of a connection. The system completes every handshake on loopback, so a
+//! connection through a path that is cut off comes up, and stays silent.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::sync::{mpsc, watch};
+use tokio::time::{Instant, sleep, sleep_until};
+
+/// An address may still be held for a moment by a process that is just being started.
+const BIND_TRIES: u32 = 100;
+const BIND_WAIT: Duration = Duration::from_millis(10);
+/// Pieces on their way through one direction of a relay.
+const PIECES: usize = 256;
+/// Bytes read at once.
+const PIECE: usize = 16 * 1024;
+
+/// The way from one zone to another.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Way {
+    /// Bytes arrive so much later.
+    pub delay: Duration,
+    /// Bytes come through; otherwise they are held back until they do.
+    pub open: bool,
+    /// Connections are reset, and refused.
+    pub reset: bool,
+}
+
+/// All ways between zones.
+pub struct Network {
+    zones: usize,
+    ways: Vec<watch::Sender<Way>>,
+}
+
+impl Network {
+    /// Ways with these delays, by the numbers of the zones that they lead from and to.
+    pub fn new(zones: usize, delay: impl Fn(usize, usize) -> Duration) -> Arc<Self> {
+        let way = |i: usize| Way { delay: delay(i / zones, i % zones), open: true, reset: false };
+        let ways = (0..zones * zones).map(|i| watch::Sender::new(way(i))).collect();
+        Arc::new(Network { zones, ways })
+    }
+
+    /// The way from one zone to another.
+    pub fn way(&self, from: usize, to: usize) -> watch::Receiver<Way> {
+        self.ways[from * self.zones + to].subscribe()
+    }
+
+    /// Changes the way from one zone to another.
+    pub fn change(&self, from: usize, to: usize, change: impl FnOnce(&mut Way)) {
+        self.ways[from * self.zones + to].send_modify(change);
+    }
+}
+
+/// Binds an address that may still be in use for a moment.
+pub async fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let bind = || {
+        let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+        socket.set_reuseaddr(true)?;
+        socket.bind(address)?;
+        socket.listen(1024)
+    };
+    for _ in 0..BIND_TRIES {
+        match bind() {
+            Err(e) if e.kind() == io::ErrorKind::AddrInUse => sleep(BIND_WAIT).await,
+            done => return done,
+        }
+    }
+    bind()
+}
+
+/// Where a relay stands, and between which zones.
+#[derive(Clone, Copy, Debug)]
+pub struct Place {
+    /// Where it listens.
+    pub at: SocketAddr,
+    /// What it leads to.
+    pub target: SocketAddr,
+}
+
+/// Relays connections for as long as the target is `up`: while it is not, they are refused, as a machine without the
+/// process does, and those that stand are reset.
+pub async fn relay(
+    place: Place,
+    there: watch::Receiver<Way>,
+    back: watch::Receiver<Way>,
+    mut up: watch::Receiver<bool>,
+) -> io::Result<()> {
+    let mut reset = there.clone();
+    loop {
+        let gone = up.wait_for(|up| *up).await.is_err();
+        if gone || reset.wait_for(|way| !way.reset).await.is_err() {
+            return Ok(()); // the world is being taken down
+        }
+        let listener = listen(place.at).await?;
+        let ended = watch::Sender::new(());
+        loop {
+            tokio::select! {
+                accepted = listener.accept() => if let Ok((client, _)) = accepted {
+                    let (there, back, mut end) = (there.clone(), back.clone(), ended.subscribe());
+                    tokio::spawn(async move {
+                        tokio::select! {
+                            _ = pass(client, place.target, there, back) => {}
+                            _ = end.changed() => {}
+                        }
+                    });
+                },
+                down = up.wait_for(|up| !*up) => { if down.is_err() { return Ok(()) } break }
+                cut = reset.wait_for(|way| way.reset) => { if cut.is_err() { return Ok(()) } break }
+            }
+        }
+        drop(listener);
+        ended.send_replace(());
+    }
+}
+
+/// Passes one connection through; dropped midway it resets both sides.
+async fn pass(
+    client: TcpStream,
+    target: SocketAddr,
+    there: watch::Receiver<Way>,
+    back: watch::Receiver<Way>,
+) -> io::Result<()> {
+    let server = TcpStream::connect(target).await?;
+    for stream in [&client, &server] {
+        stream.set_nodelay(true)?;
+        stream.set_zero_linger()?;
+    }
+    let ((client_in, client_out), (server_in, server_out)) = (client.into_split(), server.into_split());
+    tokio::join!(pump(client_in, server_out, there), pump(server_in, client_out, back));
+    Ok(())
+}
+
+/// Passes bytes one way, each piece as much later as the way says when it comes.
+async fn pump(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, mut way: watch::Receiver<Way>) {
+    let delays = way.clone();
+    let (pieces, mut waiting) = mpsc::channel::<(Instant, Vec<u8>)>(PIECES);
+    let read = async move {
+        let mut piece = vec![0; PIECE];
+        while let Ok(size @ 1..) = from.read(&mut piece).await {
+            let due = Instant::now() + delays.borrow().delay;
+            if pieces.send((due, piece[..size].to_vec())).await.is_err() {
+                break;
+            }
+        }
+    };
+    let write = async move {
+        while let Some((due, piece)) = waiting.recv().await {
+            if due > Instant::now() {
+                sleep_until(due).await;
+            }
+            if way.wait_for(|way| way.open).await.is_err() || to.write_all(&piece).await.is_err() {
+                return;
+            }
+        }
+        let _ = to.shutdown().await; // an orderly end goes on as one
+    };
+    tokio::join!(read, write);
+}
--- /dev/null
+++ b/lab/src/seeds.rs
@@ -0,0 +1,27 @@
+//! Random numbers by seed and part: what one part draws never shifts what another does.
+
+use rand::SeedableRng;
+use rand_pcg::Pcg64;
+
+/// The parts that draw.
+#[derive(Clone, Copy, Debug)]
+pub enum Part {
+    /// When requests come, of which class and zone.
+    Schedule,
+    /// A request's work, by its number.
+    Work,
+    /// Whether an endpoint fails a request, by its number.
+    Failing,
+    /// A client's wait before it asks again, by the request's number.
+    Retry,
+}
+
+/// The draws of one part, for one thing among many.
+pub fn draws(seed: u64, part: Part, of: u64) -> Pcg64 {
+    // Odd multipliers keep distinct inputs distinct; the generator's own seeding mixes them.
+    let mixed = seed
+        .wrapping_mul(0x9e37_79b9_7f4a_7c15)
+        .wrapping_add((part as u64).wrapping_mul(0xbf58_476d_1ce4_e5b9))
+        .wrapping_add(of.wrapping_mul(0x94d0_49bb_1331_11eb));
+    Pcg64::seed_from_u64(mixed)
+}
--- /dev/null
+++ b/lab/tests/experiments.rs
@@ -0,0 +1,47 @@
+//! Experiments: what is read, what is said of what can't be, and that a seed fixes all that is drawn.
+
+use gullpulley_lab::experiment::Experiment;
+use gullpulley_lab::schedule::schedule;
+use std::path::Path;
+
+const DEMO: &str = include_str!("../experiments/demo.toml");
+
+#[test]
+fn the_experiments_of_the_project_can_all_be_read() {
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("experiments");
+    let files = std::fs::read_dir(folder).unwrap().map(|entry| entry.unwrap().path());
+    let read: Vec<Experiment> = files.map(|file| Experiment::load(&file).unwrap()).collect();
+    assert!(!read.is_empty());
+}
+
+#[test]
+fn what_does_not_fit_together_is_named_before_anything_starts() {
+    for (old, new, told) in [
+        ("of = \"b-0\"", "of = \"b-7\"", "fault[0]: there is no copy `b-7`; there are a-0, b-0, c-0"),
+        ("of = \"c\"", "of = \"d\"", "fault[1]: there is no zone `d`; there are a, b, c"),
+        ("between = [\"a\", \"b\"]", "between = [\"a\", \"x\"]", "link: there is no zone `x`"),
+        ("name = \"b\"\ncopies", "name = \"a\"\ncopies", "zone `a` stands twice"),
+        ("old = 1 }", "odd = 1 }", "zone `a`: there is no kind `odd`"),
+        ("at_least = 0.97", "", "check[0]: say at_least or at_most"),
+        ("rate = 150.0", "rat = 150.0", "unknown field `rat`"),
+        ("what = \"kill\"", "what = \"kil\"", "unknown variant `kil`"),
+    ] {
+        assert!(DEMO.contains(old), "{old}");
+        let told_then = Experiment::parse("demo", &DEMO.replacen(old, new, 1)).expect_err(told).to_string();
+        assert!(told_then.contains(told), "{told_then}");
+    }
+}
+
+#[test]
+fn the_same_seed_gives_the_same_requests_to_the_microsecond_and_another_gives_others() {
+    let mut experiment = Experiment::parse("demo", DEMO).unwrap();
+    let first = schedule(&experiment);
+    assert_eq!(first, schedule(&experiment));
+    let seconds = experiment.lasts.as_secs_f64();
+    let rate = first.len() as f64 / seconds;
+    assert!((130.0..170.0).contains(&rate), "{rate} a second, not about 150");
+    let previews = first.iter().filter(|planned| planned.class == 0).count() as f64 / first.len() as f64;
+    assert!((0.45..0.55).contains(&previews), "{previews}, not about a half");
+    experiment.seed = 2;
+    assert_ne!(first, schedule(&experiment));
+}
