--- a/lab/src/check.rs
+++ b/lab/src/check.rs
@@ -65,6 +65,8 @@
             That::P99Ms => "p99-ms",
             That::Crossed => "crossed",
             That::Crashes => "crashes",
+            That::LeftZoneWithin => "left-zone-within",
+            That::ReturnedWithin => "returned-within",
         })
     }
 }
@@ -83,6 +85,8 @@
         That::Crossed => {
             part(records().filter(|record| record.endpoint.is_some()), |r| crossed(&run.experiment, r))
         }
+        That::LeftZoneWithin => left(run, check),
+        That::ReturnedWithin => returned(run, check),
         That::P99Ms => {
             let taking = latencies(records());
             (!taking.is_empty()).then(|| taking.value_at_quantile(0.99) as f64 / 1e3)
@@ -90,6 +94,56 @@
     }
 }
 
+/// Steps in which leaving and returning are measured, in seconds.
+const STEP: f64 = 0.25;
+/// Clients are served as before at this part of what they were served then, ...
+const AS_BEFORE: f64 = 0.95;
+/// ... for so many steps on end.
+const STEADY: usize = 4;
+/// A zone has returned at this part of the answers that it gave before.
+const NEARLY: f64 = 0.8;
+
+/// The requests meant for the step that begins at a time.
+fn step(run: &Run, from: f64) -> impl Iterator<Item = &Record> + Clone {
+    let to = from + STEP;
+    run.records.iter().filter(move |record| record.at_ms >= from * 1e3 && record.at_ms < to * 1e3)
+}
+
+/// The steps from one time to another.
+fn steps(from: f64, to: f64) -> impl Iterator<Item = f64> {
+    (0..).map(move |i| from + f64::from(i) * STEP).take_while(move |at| at + STEP <= to)
+}
+
+/// Seconds from a zone's fault until clients of the other zones are served as before; none if they never are.
+fn left(run: &Run, check: &Check) -> Option<f64> {
+    let fault = run.experiment.zone_fault(check)?;
+    let zone = run.experiment.zone.iter().position(|zone| zone.name == fault.of)?;
+    let (began, end) = (fault.at.as_secs_f64(), run.experiment.lasts.as_secs_f64());
+    let elsewhere = |at: f64| served(&run.experiment, step(run, at).filter(|record| record.zone != zone));
+    let before: Vec<f64> = steps(0.0, began).filter_map(elsewhere).collect();
+    let usual = before.iter().sum::<f64>() / before.len().max(1) as f64;
+    let good: Vec<bool> = steps(began, end)
+        .map(|at| elsewhere(at).is_none_or(|served| served >= AS_BEFORE * usual))
+        .collect();
+    let first = good.windows(STEADY).position(|steps| steps.iter().all(|good| *good))?;
+    Some(first as f64 * STEP)
+}
+
+/// Seconds from the end of a zone's fault until the zone gives nearly the part of all answers that it gave before;
+/// none if it never does.
+fn returned(run: &Run, check: &Check) -> Option<f64> {
+    let fault = run.experiment.zone_fault(check)?;
+    let (began, end) = (fault.at.as_secs_f64(), run.experiment.lasts.as_secs_f64());
+    let over = began + fault.lasts?.as_secs_f64();
+    let of_zone =
+        |record: &Record| record.endpoint.as_ref().is_some_and(|e| e.split('/').next() == Some(&fault.of));
+    let share = |at: f64| part(step(run, at).filter(|record| record.endpoint.is_some()), of_zone);
+    let before: Vec<f64> = steps(0.0, began).filter_map(share).collect();
+    let usual = before.iter().sum::<f64>() / before.len().max(1) as f64;
+    let back = steps(over, end).find(|at| share(*at).is_some_and(|share| share >= NEARLY * usual))?;
+    Some(back + STEP - over)
+}
+
 /// The requests that a check is about.
 fn select<'a>(run: &'a Run, check: &'a Check) -> impl Iterator<Item = &'a Record> {
     let zone =
@@ -133,3 +187,84 @@
     }
     taking
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::sync::Arc;
+    use std::time::Duration;
+
+    /// Ten requests a quarter of a second, from zones a and b in turn; b is lost from 2 s to 4 s. `served` tells
+    /// which zone serves a request meant for a time, or that nobody does.
+    fn run(served: impl Fn(f64, usize) -> Option<&'static str>) -> Run {
+        let text = include_str!("../experiments/demo.toml");
+        let text = text
+            .replace("of = \"c\"", "of = \"b\"")
+            .replace("at = \"5s\"\nlasts = \"3s\"", "at = \"2s\"\nlasts = \"2s\"");
+        let experiment = Arc::new(Experiment::parse("test", &text).unwrap());
+        let record = |number: u64| {
+            let (at, zone) = (number as f64 * 0.025, (number % 2) as usize);
+            let endpoint = served(at, zone).map(|zone| format!("{zone}/x-0"));
+            let end = if endpoint.is_some() { End::Served } else { End::Failed };
+            let (at_ms, took_ms) = (at * 1e3, 100.0 + (number % 100) as f64);
+            Record {
+                number,
+                class: 0,
+                zone,
+                at_ms,
+                lab_late_ms: 0.0,
+                took_ms,
+                end,
+                endpoint,
+                tries: 1,
+                lost: 0,
+            }
+        };
+        let records = (0..480).map(record).collect();
+        let (breaches, faults, relay_adds) =
+            (vec![Breach::PushedOver { endpoint: "b/x-0".into() }], vec![], Duration::ZERO);
+        Run { experiment, records, breaches, attempts: 480, crashes: 0, faults, relay_adds }
+    }
+
+    fn check(that: That) -> Check {
+        let (at_least, at_most, from, until, zone) = (None, Some(1.0), None, None, Some("b".to_owned()));
+        Check { that, at_least, at_most, from, until, zone }
+    }
+
+    #[test]
+    fn leaving_and_returning_are_measured_from_the_faults_own_times() {
+        // Half of zone a's requests fail for a second; b serves again, its own from 6 s on.
+        let run = run(|at, zone| match (at, zone) {
+            (2.0..3.0, 0) if ((at * 40.0) as u64).is_multiple_of(4) => None,
+            (2.0..6.0, 1) => Some("a"),
+            (_, 0) => Some("a"),
+            _ => Some("b"),
+        });
+        assert_eq!(measure(&run, &check(That::LeftZoneWithin)), Some(1.0));
+        assert_eq!(measure(&run, &check(That::ReturnedWithin)), Some(2.25), "the step that ends so late");
+        assert_eq!(measure(&run, &check(That::PushedOver)), Some(1.0));
+    }
+
+    #[test]
+    fn what_never_comes_right_holds_no_check() {
+        let run = run(|at, _| if at < 2.0 { Some("b") } else { None });
+        for that in [That::LeftZoneWithin, That::ReturnedWithin] {
+            assert_eq!(measure(&run, &check(that)), None);
+            assert!(!verdict(&run, &check(that)).holds);
+        }
+    }
+
+    #[test]
+    fn figures_are_of_the_requests_that_a_check_is_about() {
+        let run = run(|at, zone| if at >= 6.0 && zone == 0 { None } else { Some("a") });
+        let of = |that, from: u64, zone: &str| {
+            let (from, zone) = (Some(Duration::from_secs(from)), Some(zone.to_owned()));
+            measure(&run, &Check { from, zone, ..check(that) })
+        };
+        assert_eq!((of(That::Served, 0, "a"), of(That::Served, 6, "a")), (Some(0.5), Some(0.0)));
+        assert_eq!((of(That::Crossed, 0, "a"), of(That::Crossed, 0, "b")), (Some(0.0), Some(1.0)));
+        assert_eq!(of(That::Served, 60, "a"), None, "no request fits");
+        let p99 = of(That::P99Ms, 0, "b").unwrap();
+        assert!((197.0..200.0).contains(&p99), "{p99}");
+    }
+}
--- /dev/null
+++ b/lab/src/compare.rs
@@ -0,0 +1,100 @@
+//! Two variants of an experiment, played in turn on the same seeds, and whether they differ.
+
+use crate::check::{latencies, served};
+use crate::load::End;
+use crate::run::Run;
+
+/// The figures that are compared.
+pub const FIGURES: [&str; 5] = ["worth served", "refused", "p50 ms", "p99 ms", "attempts a request"];
+/// Chance at most, over all figures together, to see a difference where there is none.
+const CHANCE: f64 = 0.05;
+
+/// The figures of a run, in the order of their names.
+pub fn figures(run: &Run) -> [f64; FIGURES.len()] {
+    let count = run.records.len().max(1) as f64;
+    let refused = run.records.iter().filter(|record| record.end == End::Refused).count() as f64;
+    let taking = latencies(run.records.iter());
+    let ms = |quantile| taking.value_at_quantile(quantile) as f64 / 1e3;
+    let served = served(&run.experiment, run.records.iter()).unwrap_or(0.0);
+    [served, refused / count, ms(0.5), ms(0.99), run.attempts as f64 / count]
+}
+
+/// How one figure of two variants compares.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Comparison {
+    /// Medians of the first and the second.
+    pub medians: [f64; 2],
+    /// The median of what the second has more than the first, play by play.
+    pub difference: f64,
+    /// Where the true median of that lies, but for the chance; none where there are too few plays to say.
+    pub interval: Option<[f64; 2]>,
+}
+
+impl Comparison {
+    /// Whether a difference was seen; none where there are too few plays to say.
+    pub fn differs(&self) -> Option<bool> {
+        self.interval.map(|[low, high]| low > 0.0 || high < 0.0)
+    }
+}
+
+/// Compares one figure over pairs of plays on the same seeds. The interval is that of the sign test: it assumes
+/// nothing of how the differences spread.
+pub fn compare(pairs: &[[f64; 2]]) -> Comparison {
+    let column = |side: usize| sorted(pairs.iter().map(|pair| pair[side]).collect());
+    let differences = sorted(pairs.iter().map(|[first, second]| second - first).collect());
+    let rank = rank(differences.len(), CHANCE / FIGURES.len() as f64);
+    Comparison {
+        medians: [median(&column(0)), median(&column(1))],
+        difference: median(&differences),
+        interval: rank.map(|rank| [differences[rank], differences[differences.len() - 1 - rank]]),
+    }
+}
+
+fn sorted(mut values: Vec<f64>) -> Vec<f64> {
+    values.sort_by(f64::total_cmp);
+    values
+}
+
+fn median(sorted: &[f64]) -> f64 {
+    match sorted.len() {
+        0 => 0.0,
+        n if n % 2 == 1 => sorted[n / 2],
+        n => (sorted[n / 2 - 1] + sorted[n / 2]) / 2.0,
+    }
+}
+
+/// How many of the sorted differences may be left out on either side, from 0, so that the median lies among the rest
+/// but for this chance.
+fn rank(plays: usize, chance: f64) -> Option<usize> {
+    let (mut term, mut below) = (0.5f64.powi(plays as i32), 0.0);
+    let mut fits = None;
+    for k in 0..plays.div_ceil(2) {
+        below += term; // that at most k differences are below the median
+        if 2.0 * below > chance {
+            break;
+        }
+        fits = Some(k);
+        term *= (plays - k) as f64 / (k + 1) as f64;
+    }
+    fits
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn an_interval_needs_plays_and_holds_the_median() {
+        // Of 20 fair coins at most 3 show heads with a chance of 0.0013, at most 4 with 0.0059.
+        assert_eq!(rank(20, 0.01), Some(3));
+        assert_eq!(rank(7, 0.01), None, "twice 1/128 is more");
+        assert_eq!(rank(8, 0.01), Some(0));
+        let pairs: Vec<[f64; 2]> =
+            (0..20).map(|i| [f64::from(i), f64::from(i) + 1.0 + f64::from(i % 3)]).collect();
+        let seen = compare(&pairs);
+        assert_eq!((seen.difference, seen.differs()), (2.0, Some(true)));
+        let same: Vec<[f64; 2]> = (0..20).map(|i| [0.0, f64::from(i) - 9.5]).collect();
+        assert_eq!(compare(&same).differs(), Some(false));
+        assert_eq!(compare(&same[..5]).differs(), None);
+    }
+}
--- a/lab/src/copies.rs
+++ b/lab/src/copies.rs
@@ -31,6 +31,9 @@
     /// It could not be started.
     #[error("{0}: it can't be started: {1}")]
     Start(String, io::Error),
+    /// It ended before it was ready.
+    #[error("{0}: it ended before it was ready; its log ends: {1}")]
+    Ended(String, String),
     /// It never got ready.
     #[error("{0}: not ready within {1} s; its log ends: {2}")]
     NeverReady(String, u64, String),
@@ -159,6 +162,9 @@
                 self.process().well_since = Some(Instant::now());
                 return Ok(());
             }
+            if self.process().pid.is_none() {
+                return Err(CopyError::Ended(self.name.clone(), self.last_lines()));
+            }
             sleep(READY_LOOK).await;
         }
         Err(CopyError::NeverReady(self.name.clone(), READY_WITHIN.as_secs(), self.last_lines()))
--- a/lab/src/deployment.rs
+++ b/lab/src/deployment.rs
@@ -14,6 +14,7 @@
 use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use thiserror::Error;
+use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep};
@@ -56,6 +57,8 @@
     pub endpoints: Vec<Arc<Endpoint>>,
     /// What the endpoints saw.
     pub ledger: Arc<Ledger>,
+    /// What a relay adds to a round trip at the median, measured before the load.
+    pub relay_adds: Duration,
     experiment: Arc<Experiment>,
     network: Arc<Network>,
     table: Arc<watch::Sender<Table>>,
@@ -86,6 +89,9 @@
 const CLIENTS: usize = 201;
 const DOOR: usize = 202;
 const DISCOVERY: usize = 203;
+const ECHO: usize = 204;
+/// Round trips by which the relays are measured.
+const TRIPS: usize = 300;
 
 impl Deployment {
     /// Sets a deployment up, with copies of this program and their files in this folder; returns once every copy is
@@ -116,12 +122,13 @@
         for (number, (name, zone, kind)) in experiment.endpoints().into_iter().enumerate() {
             let address = addresses.at(ENDPOINT, number);
             let endpoint = Endpoint::new(name.clone(), zone, address, kind, world.clone());
-            tasks.spawn(ended("an endpoint", endpoint.clone().serve()));
+            tasks.spawn(endpoint.clone().serve(bind("an endpoint", address).await?));
             let mut relays = Vec::new();
             for from in 0..zones {
                 let place = Place { at: addresses.at(from, number), target: address };
                 let (there, back) = (network.way(from, zone), network.way(zone, from));
-                tasks.spawn(ended("a relay", network::relay(place, there, back, endpoint.up.subscribe())));
+                let (first, up) = (bind("a relay", place.at).await?, endpoint.up.subscribe());
+                tasks.spawn(ended("a relay", network::relay(first, place, there, back, up)));
                 relays.push(place.at);
             }
             let zone = experiment.zone[zone].name.clone();
@@ -131,7 +138,7 @@
         let table = Arc::new(watch::Sender::new(Table { rev: 1, entries, down: false }));
         for zone in 0..zones {
             let at = addresses.at(DISCOVERY, zone);
-            tasks.spawn(ended("discovery", discovery::serve(at, zone, table.subscribe())));
+            tasks.spawn(discovery::serve(bind("discovery", at).await?, zone, table.subscribe()));
         }
         let keeper = Keeper::start().map_err(|e| DeploymentError::Io("the keeper".to_owned(), e))?;
         let (names, mut copies) = (experiment.copies(), Vec::new());
@@ -147,9 +154,11 @@
                 copies.push(Copy::new(names[number].clone(), zone, listens, program, here, keeper.clone()));
             }
         }
+        let measured = network::overhead(addresses.at(ECHO, 0), addresses.at(ECHO, 1), TRIPS).await;
+        let relay_adds = measured.map_err(|e| DeploymentError::Io("a relay".to_owned(), e))?;
         let experiment = experiment.clone();
         let deployment =
-            Deployment { copies, endpoints, ledger, experiment, network, table, _tasks: tasks };
+            Deployment { copies, endpoints, ledger, relay_adds, experiment, network, table, _tasks: tasks };
         deployment.start_copies().await?;
         Ok(deployment)
     }
@@ -315,6 +324,11 @@
     }
 }
 
+/// Binds a part's address, or says which part can't have it.
+async fn bind(part: &str, at: SocketAddr) -> Result<TcpListener, DeploymentError> {
+    network::listen(at).await.map_err(|e| DeploymentError::Io(format!("{part} at {at}"), e))
+}
+
 /// Says why a part of the world ended before it: nothing would ever answer in its place.
 async fn ended(part: &'static str, serving: impl Future<Output = io::Result<()>>) {
     if let Err(e) = serving.await {
--- a/lab/src/discovery.rs
+++ b/lab/src/discovery.rs
@@ -1,7 +1,6 @@
 //! Discovery: the whole list, or a watch on its changes, told late, or down. One per zone, all with the same list but
 //! with the addresses of that zone's relays.
 
-use crate::network::listen;
 use http_body_util::channel::Channel;
 use http_body_util::combinators::BoxBody;
 use http_body_util::{BodyExt, Full};
@@ -12,10 +11,10 @@
 use hyper_util::rt::TokioIo;
 use serde_json::{Value, json};
 use std::convert::Infallible;
-use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::time::timeout;
 
@@ -70,8 +69,7 @@
 type Body = BoxBody<Bytes, Infallible>;
 
 /// Serves the list to one zone until the world is taken down.
-pub async fn serve(at: SocketAddr, zone: usize, table: watch::Receiver<Table>) -> io::Result<()> {
-    let listener = listen(at).await?;
+pub async fn serve(listener: TcpListener, zone: usize, table: watch::Receiver<Table>) {
     let table = Arc::new(table);
     loop {
         let Ok((stream, _)) = listener.accept().await else { continue };
--- a/lab/src/endpoint.rs
+++ b/lab/src/endpoint.rs
@@ -4,7 +4,6 @@
 
 use crate::experiment::{Class, Group, Kind, Repeats};
 use crate::ledger::{Breach, Ledger};
-use crate::network::listen;
 use crate::seeds::{Part, draws};
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Bytes, Incoming};
@@ -16,10 +15,10 @@
 use rand_distr::{Distribution, LogNormal};
 use std::collections::{HashMap, VecDeque};
 use std::convert::Infallible;
-use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
+use tokio::net::TcpListener;
 use tokio::sync::{Semaphore, watch};
 use tokio::time::{Instant, sleep};
 
@@ -147,8 +146,7 @@
     }
 
     /// Serves connections until the world is taken down.
-    pub async fn serve(self: Arc<Self>) -> io::Result<()> {
-        let listener = listen(self.address).await?;
+    pub async fn serve(self: Arc<Self>, listener: TcpListener) {
         loop {
             let Ok((stream, _)) = listener.accept().await else { continue };
             let this = self.clone();
--- a/lab/src/experiment.rs
+++ b/lab/src/experiment.rs
@@ -318,6 +318,10 @@
     Crossed,
     /// Copies that ended by themselves.
     Crashes,
+    /// Seconds from a fault of the zone until clients elsewhere are served as before it.
+    LeftZoneWithin,
+    /// Seconds from the end of a fault of the zone until the zone serves nearly its part of before.
+    ReturnedWithin,
 }
 
 fn one() -> u64 {
@@ -362,8 +366,39 @@
 
     /// Reads a text; `shown` names it in errors.
     pub fn parse(shown: &str, text: &str) -> Result<Self, ExperimentError> {
-        let read: Experiment =
-            toml::from_str(text).map_err(|e| ExperimentError::Text(shown.to_owned(), e))?;
+        Experiment::checked(shown, toml::from_str(text))
+    }
+
+    /// Reads a text with other values at some paths, each given as `path.to.key=value`; numbers in a path count the
+    /// entries of a list, from 0. A value that is no TOML is taken as text.
+    pub fn varied(shown: &str, text: &str, settings: &[&str]) -> Result<Self, ExperimentError> {
+        let wrong = |problem: String| ExperimentError::Parts(shown.to_owned(), problem);
+        let table =
+            toml::from_str::<toml::Table>(text).map_err(|e| ExperimentError::Text(shown.to_owned(), e))?;
+        let mut whole = toml::Value::Table(table);
+        for setting in settings {
+            let (path, value) =
+                setting.split_once('=').ok_or_else(|| wrong(format!("`{setting}` is no key=value")))?;
+            let given = toml::from_str::<toml::Table>(&format!("value = {value}")).ok();
+            let given = given.and_then(|mut table| table.remove("value"));
+            let mut place = &mut whole;
+            for part in path.split('.') {
+                place = match place {
+                    toml::Value::Array(list) => part.parse::<usize>().ok().and_then(|i| list.get_mut(i)),
+                    toml::Value::Table(table) => {
+                        Some(table.entry(part).or_insert_with(|| toml::Table::new().into()))
+                    }
+                    _ => None,
+                }
+                .ok_or_else(|| wrong(format!("`{path}`: there is no `{part}`")))?;
+            }
+            *place = given.unwrap_or_else(|| value.into());
+        }
+        Experiment::checked(shown, whole.try_into())
+    }
+
+    fn checked(shown: &str, read: Result<Self, toml::de::Error>) -> Result<Self, ExperimentError> {
+        let read = read.map_err(|e| ExperimentError::Text(shown.to_owned(), e))?;
         read.fits().map_err(|problem| ExperimentError::Parts(shown.to_owned(), problem))?;
         Ok(read)
     }
@@ -399,6 +434,13 @@
             if check.at_least.is_none() && check.at_most.is_none() {
                 return wrong(format!("check[{number}]: say at_least or at_most"));
             }
+            if matches!(check.that, That::LeftZoneWithin | That::ReturnedWithin)
+                && self.zone_fault(check).is_none()
+            {
+                return wrong(format!(
+                    "check[{number}]: name a zone that a fault strikes, and ends where it must return"
+                ));
+            }
             if let Some(name) = check.zone.as_ref().filter(|name| !zone(name)) {
                 return wrong(format!("check[{number}]: there is no zone `{name}`"));
             }
@@ -430,6 +472,14 @@
         }
     }
 
+    /// The fault of a zone whose leaving or return a check measures; for a return one that ends.
+    pub fn zone_fault(&self, check: &Check) -> Option<&Fault> {
+        let of_zone = [What::ZoneLost, What::CutOff, What::CutOffOneWay, What::Delay, What::Reset];
+        let ends = |fault: &&Fault| check.that == That::LeftZoneWithin || fault.lasts.is_some();
+        let mut struck = self.fault.iter().filter(|fault| of_zone.contains(&fault.what));
+        struck.find(|fault| Some(&fault.of) == check.zone.as_ref() && ends(fault))
+    }
+
     /// The names of all copies, by zone: `ZONE-NUMBER`.
     pub fn copies(&self) -> Vec<String> {
         let of = |zone: &Zone| (0..zone.copies).map(|n| format!("{}-{n}", zone.name)).collect::<Vec<_>>();
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -3,12 +3,13 @@
 //! It knows the program by its binary, its configuration, its sockets and its exit, and nothing else. An
 //! [`experiment`] says what there is and what goes wrong; [`schedule`] draws from its seed what clients send;
 //! [`deployment`] sets up [`endpoint`]s behind the relays of the [`network`], [`discovery`] and [`copies`]; [`run`]
-//! lets [`load`] and faults loose on it; [`check`] says what held, [`report`] shows it. The [`ledger`] holds what the
+//! lets [`load`] and faults loose on it; [`check`] says what held, [`report`] shows it, [`compare`] tells two variants apart. The [`ledger`] holds what the
 //! endpoints saw.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
 pub mod check;
+pub mod compare;
 pub mod copies;
 pub mod deployment;
 pub mod discovery;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -3,6 +3,7 @@
 
 use clap::{Args, Parser, Subcommand};
 use gullpulley_lab::check::verdicts;
+use gullpulley_lab::compare::{self, FIGURES, figures};
 use gullpulley_lab::experiment::Experiment;
 use gullpulley_lab::report;
 use gullpulley_lab::run::{Run, Second, run};
@@ -48,6 +49,32 @@
         #[command(flatten)]
         with: With,
     },
+    /// Play two variants in turn on the same seeds, and say whether they differ
+    Compare {
+        /// The experiment
+        file: PathBuf,
+        /// A binary, or settings of the experiment as `path.to.key=value,...`; `-` for neither
+        first: String,
+        /// The same of the second
+        second: String,
+        /// Plays of each
+        #[arg(long, default_value_t = 20)]
+        plays: u64,
+        #[command(flatten)]
+        with: With,
+    },
+    /// Play an experiment with each of several values of one setting
+    Sweep {
+        /// The experiment
+        file: PathBuf,
+        /// `path.to.key=value,value,...`, such as load.rate=50,100,200
+        setting: String,
+        /// Plays of each
+        #[arg(long, default_value_t = 3)]
+        plays: u64,
+        #[command(flatten)]
+        with: With,
+    },
     /// List the experiments that come with the project
     List,
 }
@@ -73,6 +100,10 @@
         Command::Run { file, with } => Experiment::load(&file)
             .map_err(|e| e.to_string())
             .and_then(|experiment| play(experiment, &with)),
+        Command::Compare { file, first, second, plays, with } => {
+            compare(&file, [&first, &second], plays, &with)
+        }
+        Command::Sweep { file, setting, plays, with } => sweep(&file, &setting, plays, &with),
         Command::List => list().map(|()| 0),
     };
     match done {
@@ -84,26 +115,143 @@
     }
 }
 
+impl With {
+    fn program(&self) -> Result<PathBuf, String> {
+        self.program.clone().map_or_else(build, Ok)
+    }
+
+    fn folder(&self, name: &str) -> PathBuf {
+        self.into.clone().unwrap_or_else(|| results(name))
+    }
+}
+
+/// One variant of an experiment.
+struct Variant {
+    shown: String,
+    program: PathBuf,
+    settings: Vec<String>,
+}
+
+impl Variant {
+    /// From a binary's path, settings, or `-`.
+    fn of(text: &str, with: &With) -> Result<Self, String> {
+        let binary = Path::new(text).is_file();
+        let program = if binary { PathBuf::from(text) } else { with.program()? };
+        let settings = if binary || text == "-" { "" } else { text };
+        let settings =
+            settings.split(',').filter(|setting| !setting.is_empty()).map(str::to_owned).collect();
+        Ok(Variant { shown: text.to_owned(), program, settings })
+    }
+
+    /// Plays the experiment in this variant; a play that is void is told and counts all the same.
+    fn play(
+        &self,
+        file: &Path,
+        text: &str,
+        seed: Option<u64>,
+        add: u64,
+        folder: &Path,
+    ) -> Result<Run, String> {
+        let settings: Vec<&str> = self.settings.iter().map(String::as_str).collect();
+        let shown = file.display().to_string();
+        let mut experiment = Experiment::varied(&shown, text, &settings).map_err(|e| e.to_string())?;
+        experiment.seed = seed.unwrap_or(experiment.seed) + add;
+        let run = in_time(Arc::new(experiment), &self.program, folder, |_| {})?;
+        run.void().iter().for_each(|void| println!("VOID: {void}"));
+        Ok(run)
+    }
+}
+
+fn compare(file: &Path, variants: [&str; 2], plays: u64, with: &With) -> Result<u8, String> {
+    let text = std::fs::read_to_string(file).map_err(|e| format!("{}: {e}", file.display()))?;
+    let [first, second] = variants.map(|variant| Variant::of(variant, with));
+    let variants = [first?, second?];
+    let folder = with.folder("compare");
+    let mut pairs: Vec<[[f64; FIGURES.len()]; 2]> = Vec::new();
+    let mut void = false;
+    for play in 0..plays {
+        let mut pair = [[0.0; FIGURES.len()]; 2];
+        // Each goes first half of the time: what comes second may find the machine warmer.
+        for side in if play % 2 == 0 { [0, 1] } else { [1, 0] } {
+            let here = folder.join(format!("{play}-{side}"));
+            let run = variants[side].play(file, &text, with.seed, play, &here)?;
+            void |= run.void().is_some();
+            pair[side] = figures(&run);
+        }
+        println!(
+            "play {:>3}: worth served {:.4} and {:.4}, p50 {:.1} and {:.1} ms",
+            play + 1,
+            pair[0][0],
+            pair[1][0],
+            pair[0][2],
+            pair[1][2]
+        );
+        pairs.push(pair);
+    }
+    println!("\nA: {}\nB: {}\n", variants[0].shown, variants[1].shown);
+    println!("{:<20} {:>10} {:>10} {:>10}  interval of the difference", "median of", "A", "B", "B - A");
+    for (i, name) in FIGURES.iter().enumerate() {
+        let pairs: Vec<[f64; 2]> = pairs.iter().map(|[a, b]| [a[i], b[i]]).collect();
+        let seen = compare::compare(&pairs);
+        let interval =
+            seen.interval.map_or_else(String::new, |[low, high]| format!("{low:+.4} to {high:+.4}: "));
+        let said = match seen.differs() {
+            Some(true) => "they differ",
+            Some(false) => "no difference seen",
+            None => "too few plays to say; 8 at least",
+        };
+        let [a, b] = seen.medians;
+        println!("{name:<20} {a:>10.4} {b:>10.4} {:>+10.4}  {interval}{said}", seen.difference);
+    }
+    Ok(if void { VOID } else { 0 })
+}
+
+fn sweep(file: &Path, setting: &str, plays: u64, with: &With) -> Result<u8, String> {
+    let text = std::fs::read_to_string(file).map_err(|e| format!("{}: {e}", file.display()))?;
+    let (key, values) = setting.split_once('=').ok_or(format!("`{setting}` is no key=value,value"))?;
+    let (folder, program) = (with.folder("sweep"), with.program()?);
+    println!("{key:<24} {:>6} {}", "play", FIGURES.map(|name| format!("{name:>19}")).concat());
+    let mut void = false;
+    for value in values.split(',') {
+        let settings = vec![format!("{key}={value}")];
+        let variant = Variant { shown: value.to_owned(), program: program.clone(), settings };
+        for play in 0..plays {
+            let run =
+                variant.play(file, &text, with.seed, play, &folder.join(format!("{value}-{play}")))?;
+            void |= run.void().is_some();
+            println!(
+                "{value:<24} {:>6} {}",
+                play + 1,
+                figures(&run).map(|figure| format!("{figure:>19.4}")).concat()
+            );
+        }
+    }
+    Ok(if void { VOID } else { 0 })
+}
+
+/// Runs an experiment until it ends or is given up; copies of the program end with it either way.
+fn in_time(
+    experiment: Arc<Experiment>,
+    program: &Path,
+    folder: &Path,
+    progress: impl FnMut(&Second),
+) -> Result<Run, String> {
+    let runtime = tokio::runtime::Runtime::new().map_err(|e| e.to_string())?;
+    runtime.block_on(async {
+        tokio::select! {
+            done = run(experiment, program, folder, progress) => done.map_err(|e| e.to_string()),
+            _ = tokio::signal::ctrl_c() => Err("given up".to_owned()),
+        }
+    })
+}
+
 /// Runs an experiment, shows it, and writes its report.
 fn play(mut experiment: Experiment, with: &With) -> Result<u8, String> {
     experiment.seed = with.seed.unwrap_or(experiment.seed);
-    let program = match &with.program {
-        Some(program) => program.clone(),
-        None => build()?,
-    };
-    let folder = match &with.into {
-        Some(folder) => folder.clone(),
-        None => results(&experiment.name),
-    };
+    let (program, folder) = (with.program()?, with.folder(&experiment.name));
     println!("{}: {}\n", experiment.name, experiment.about);
     println!("second   ended  served  refused  failed  copies  faults in force");
-    let runtime = tokio::runtime::Runtime::new().map_err(|e| e.to_string())?;
-    let done = runtime.block_on(async {
-        tokio::select! {
-            done = run(Arc::new(experiment), &program, &folder, show) => done.map_err(|e| e.to_string()),
-            _ = tokio::signal::ctrl_c() => Err("given up".to_owned()),
-        }
-    })?;
+    let done = in_time(Arc::new(experiment), &program, &folder, show)?;
     let page = report::write(&done, &folder).map_err(|e| e.to_string())?;
     let code = conclude(&done);
     println!("\nreport: {}", page.display());
--- a/lab/src/network.rs
+++ b/lab/src/network.rs
@@ -85,20 +85,24 @@
 }
 
 /// Relays connections for as long as the target is `up`: while it is not, they are refused, as a machine without the
-/// process does, and those that stand are reset.
+/// process does, and those that stand are reset. It begins with a listener at its place.
 pub async fn relay(
+    first: TcpListener,
     place: Place,
     there: watch::Receiver<Way>,
     back: watch::Receiver<Way>,
     mut up: watch::Receiver<bool>,
 ) -> io::Result<()> {
-    let mut reset = there.clone();
+    let (mut reset, mut first) = (there.clone(), Some(first));
     loop {
         let gone = up.wait_for(|up| *up).await.is_err();
         if gone || reset.wait_for(|way| !way.reset).await.is_err() {
             return Ok(()); // the world is being taken down
         }
-        let listener = listen(place.at).await?;
+        let listener = match first.take() {
+            Some(listener) => listener,
+            None => listen(place.at).await?,
+        };
         let ended = watch::Sender::new(());
         loop {
             tokio::select! {
@@ -120,6 +124,46 @@
     }
 }
 
+/// What a relay without a delay adds to a round trip, at the median over so many of them to an echo and back, half
+/// directly and half through a relay, in turn.
+pub async fn overhead(direct: SocketAddr, relayed: SocketAddr, trips: usize) -> io::Result<Duration> {
+    let echo = listen(direct).await?;
+    let echoing = tokio::spawn(async move {
+        while let Ok((mut stream, _)) = echo.accept().await {
+            let _ = stream.set_nodelay(true);
+            tokio::spawn(async move {
+                let (mut from, mut to) = stream.split();
+                let _ = tokio::io::copy(&mut from, &mut to).await; // until the caller leaves
+            });
+        }
+    });
+    let way = watch::Sender::new(Way { delay: Duration::ZERO, open: true, reset: false });
+    let up = watch::Sender::new(true);
+    let place = Place { at: relayed, target: direct };
+    let first = listen(relayed).await?;
+    let relaying = tokio::spawn(relay(first, place, way.subscribe(), way.subscribe(), up.subscribe()));
+    let mut streams = [TcpStream::connect(direct).await?, TcpStream::connect(relayed).await?];
+    for stream in &streams {
+        stream.set_nodelay(true)?;
+    }
+    let mut times: [Vec<Duration>; 2] = Default::default();
+    for _ in 0..trips {
+        for (stream, times) in streams.iter_mut().zip(&mut times) {
+            let began = Instant::now();
+            stream.write_all(&[0; 200]).await?;
+            stream.read_exact(&mut [0; 200]).await?;
+            times.push(began.elapsed());
+        }
+    }
+    echoing.abort();
+    relaying.abort();
+    let [direct, through] = times.map(|mut times| {
+        times.sort();
+        times.get(times.len() / 2).copied().unwrap_or_default()
+    });
+    Ok(through.saturating_sub(direct))
+}
+
 /// Passes one connection through; dropped midway it resets both sides.
 async fn pass(
     client: TcpStream,
--- a/lab/src/report.rs
+++ b/lab/src/report.rs
@@ -43,7 +43,7 @@
         lines,
         "{}",
         json!({"run": experiment.name, "seed": experiment.seed, "lab_late_ms": run.lab_late_ms(),
-               "void": run.void(), "attempts": run.attempts, "crashes": run.crashes})
+               "void": run.void(), "relay_adds_us": run.relay_adds.as_micros() as u64, "attempts": run.attempts, "crashes": run.crashes})
     )?;
     for fault in &run.faults {
         writeln!(lines, "{}", json!({"fault": fault}))?;
@@ -116,13 +116,14 @@
     let _ = write!(
         page,
         "<title>{0}</title><h1>{0}</h1><p>{1}</p><p>Seed {2}; {3} requests, {4} attempts at endpoints. The lab itself was \
-         late by {5:.1} ms or less with 99 in 100 requests.</p>",
+         late by {5:.1} ms or less with 99 in 100 requests; a relay adds {6} us to a round trip at the median.</p>",
         escape(&experiment.name),
         escape(&experiment.about),
         experiment.seed,
         run.records.len(),
         run.attempts,
-        run.lab_late_ms()
+        run.lab_late_ms(),
+        run.relay_adds.as_micros()
     ); // writing to a string does not fail
     if let Some(void) = run.void() {
         let _ = write!(page, "<p class=no>Void: {}</p>", escape(&void));
--- a/lab/src/run.rs
+++ b/lab/src/run.rs
@@ -65,6 +65,8 @@
     pub crashes: u64,
     /// What went wrong, as it was carried out.
     pub faults: Vec<Struck>,
+    /// What a relay adds to a round trip at the median.
+    pub relay_adds: Duration,
 }
 
 impl Run {
@@ -135,7 +137,8 @@
     struck.sort_by(|a, b| a.from.total_cmp(&b.from));
     let (attempts, breaches) = deployment.ledger.so_far();
     let crashes = deployment.copies.iter().map(|copy| copy.crashes.load(Ordering::SeqCst)).sum();
-    Ok(Run { experiment, records, breaches, attempts, crashes, faults: struck })
+    let relay_adds = deployment.relay_adds;
+    Ok(Run { experiment, records, breaches, attempts, crashes, faults: struck, relay_adds })
 }
 
 /// Each fault strikes and is lifted by itself, at its own times.
--- a/lab/tests/experiments.rs
+++ b/lab/tests/experiments.rs
@@ -45,3 +45,23 @@
     experiment.seed = 2;
     assert_ne!(first, schedule(&experiment));
 }
+
+#[test]
+fn settings_vary_an_experiment_and_what_they_miss_is_named() {
+    let vary = |settings: &[&str]| Experiment::varied("demo", DEMO, settings);
+    let varied =
+        vary(&["load.rate=20", "zone.1.copies=4", "copy.limits.max_attempts=2", "class.0.repeats=never"]);
+    let varied = varied.unwrap();
+    assert_eq!((varied.load.rate, varied.zone[1].copies), (20.0, 4));
+    assert_eq!(varied.copy["limits"]["max_attempts"].as_integer(), Some(2));
+    assert_eq!(varied.class[0].repeats, gullpulley_lab::experiment::Repeats::Never);
+    for (setting, told) in [
+        ("load.rate", "is no key=value"),
+        ("zone.7.copies=1", "there is no `7`"),
+        ("load.rat=1", "unknown field `rat`"),
+        ("zone.0.copies=many", "invalid type: string \"many\""),
+    ] {
+        let error = vary(&[setting]).expect_err(told).to_string();
+        assert!(error.contains(told), "{error}");
+    }
+}
--- /dev/null
+++ b/lab/tests/rules.rs
@@ -0,0 +1,57 @@
+//! The program keeps the four rules, and the lab sees a stand-in break each of them.
+
+use gullpulley_lab::check::verdicts;
+use gullpulley_lab::experiment::Experiment;
+use gullpulley_lab::run::{Run, run};
+use std::path::{Path, PathBuf};
+use std::process::Command;
+use std::sync::{Arc, OnceLock};
+
+const RULES: &str = include_str!("../experiments/rules.toml");
+const STAND_IN: &str = env!("CARGO_BIN_EXE_gullpulley-lab-standin");
+
+/// The program, built once for all tests, next to the lab's own.
+fn program() -> &'static Path {
+    static BUILT: OnceLock<PathBuf> = OnceLock::new();
+    BUILT.get_or_init(|| {
+        let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("..");
+        let mut build = Command::new(env!("CARGO"));
+        build.args(["build", "--locked", "--bin", "gullpulley"]).current_dir(root);
+        assert!(build.status().unwrap().success());
+        Path::new(STAND_IN).with_file_name("gullpulley")
+    })
+}
+
+fn play(text: &str, program: &Path) -> Run {
+    let folder = tempfile::tempdir().unwrap();
+    let experiment = Arc::new(Experiment::parse("test", text).unwrap());
+    let runtime = tokio::runtime::Runtime::new().unwrap();
+    runtime.block_on(run(experiment, program, folder.path(), |_| {})).unwrap()
+}
+
+/// The rules that did not hold.
+fn broken(run: &Run) -> Vec<String> {
+    verdicts(run).into_iter().filter(|verdict| !verdict.holds).map(|verdict| verdict.check).collect()
+}
+
+#[test]
+fn the_program_keeps_the_rules_under_a_drain_a_cold_start_and_a_killed_copy() {
+    let run = play(RULES, program());
+    assert_eq!(broken(&run), Vec::<String>::new());
+    assert!(run.records.len() > 300 && run.faults.len() == 3, "{} {:?}", run.records.len(), run.faults);
+}
+
+#[test]
+fn a_stand_in_that_breaks_a_rule_is_seen_to() {
+    for (breaks, rule) in [
+        ("lost", "lost"),
+        ("repeat", "repeated-effects"),
+        ("drain", "sent-to-draining"),
+        ("cold", "pushed-over"),
+    ] {
+        let text = format!("{RULES}\n[copy.stand_in]\nbreaks = \"{breaks}\"\n");
+        let broken = broken(&play(&text, Path::new(STAND_IN)));
+        // A plain proxy may break others besides: it spares no cold endpoint.
+        assert!(broken.iter().any(|broken| broken == rule), "{breaks}: only {broken:?}");
+    }
+}
