--- a/lab/src/check.rs
+++ b/lab/src/check.rs
@@ -211,6 +211,7 @@
                 number,
                 class: 0,
                 zone,
+                tenant: 0,
                 at_ms,
                 lab_late_ms: 0.0,
                 took_ms,
--- a/lab/src/deployment.rs
+++ b/lab/src/deployment.rs
@@ -6,6 +6,7 @@
 use crate::experiment::{Experiment, Fault, Group, Repeats, What};
 use crate::ledger::Ledger;
 use crate::network::{self, Network, Place};
+use crate::schedule::TraceError;
 use nix::sys::signal::Signal;
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
@@ -38,6 +39,9 @@
     /// The system refused.
     #[error("{0}: {1}")]
     Io(String, io::Error),
+    /// There is no load for it.
+    #[error(transparent)]
+    Trace(#[from] TraceError),
     /// A copy did not start.
     #[error(transparent)]
     Copy(#[from] CopyError),
@@ -119,9 +123,10 @@
         });
         let mut tasks = JoinSet::new();
         let (mut endpoints, mut entries) = (Vec::new(), Vec::new());
-        for (number, (name, zone, kind)) in experiment.endpoints().into_iter().enumerate() {
-            let address = addresses.at(ENDPOINT, number);
-            let endpoint = Endpoint::new(name.clone(), zone, address, kind, world.clone());
+        for (number, described) in experiment.endpoints().into_iter().enumerate() {
+            let (address, zone, cell) = (addresses.at(ENDPOINT, number), described.zone, described.cell);
+            let name = described.name.clone();
+            let endpoint = Endpoint::new(described, number as u64, address, world.clone());
             tasks.spawn(endpoint.clone().serve(bind("an endpoint", address).await?));
             let mut relays = Vec::new();
             for from in 0..zones {
@@ -132,10 +137,18 @@
                 relays.push(place.at);
             }
             let zone = experiment.zone[zone].name.clone();
-            entries.push(Entry { uid: name, zone, addresses: relays, state: "up", boot_ms: 0, rev: 1 });
+            entries.push(Entry {
+                uid: name,
+                zone,
+                cell,
+                addresses: relays,
+                state: "up",
+                boot_ms: 0,
+                rev: 1,
+            });
             endpoints.push(endpoint);
         }
-        let table = Arc::new(watch::Sender::new(Table { rev: 1, entries, down: false }));
+        let table = Arc::new(watch::Sender::new(Table { rev: 1, entries, ..Table::default() }));
         for zone in 0..zones {
             let at = addresses.at(DISCOVERY, zone);
             tasks.spawn(discovery::serve(bind("discovery", at).await?, zone, table.subscribe()));
@@ -276,6 +289,14 @@
                 struck.iter().for_each(|e| e.change(|c| c.draining = Some(Instant::now())));
             }
             What::DiscoveryDown => self.table.send_modify(|table| table.down = true),
+            What::DiscoveryStale => {
+                if let Some(zone) = self.experiment.zone.iter().position(|zone| zone.name == fault.of) {
+                    self.table.send_modify(|table| {
+                        let now = (table.rev, table.entries.clone());
+                        table.stale.insert(zone, now);
+                    });
+                }
+            }
         }
         Ok(())
     }
@@ -319,6 +340,11 @@
                 self.tell(&struck, "up", false).await;
             }
             What::DiscoveryDown => self.table.send_modify(|table| table.down = false),
+            What::DiscoveryStale => {
+                if let Some(zone) = self.experiment.zone.iter().position(|zone| zone.name == fault.of) {
+                    self.table.send_modify(|table| drop(table.stale.remove(&zone)));
+                }
+            }
         }
         Ok(())
     }
@@ -353,6 +379,7 @@
             (Repeats::Safe, _) => ("safe", "all"),
             (Repeats::Keyed, Group::All) => ("keyed", "all"),
             (Repeats::Keyed, Group::Zone) => ("keyed", "zone"),
+            (Repeats::Keyed, Group::Cell) => ("keyed", "cell"),
             (Repeats::Never, _) => ("never", "all"),
         };
         table.insert("name".into(), class.name.clone().into());
@@ -401,6 +428,15 @@
     put(&mut table, "rules", "fall_after", format!("{after}s").into());
     table.insert("name".to_owned(), experiment.copies()[number].clone().into());
     table.insert("class".to_owned(), classes.into());
+    let tenants = experiment.tenant.iter().map(|tenant| {
+        let mut table = toml::Table::new();
+        table.insert("name".into(), tenant.name.clone().into());
+        table.insert("allowance_per_s".into(), tenant.allowance_per_s.into());
+        toml::Value::Table(table)
+    });
+    if !experiment.tenant.is_empty() {
+        table.insert("tenant".to_owned(), tenants.collect::<Vec<_>>().into());
+    }
     for (section, given) in &experiment.copy {
         match (given, table.get_mut(section)) {
             (toml::Value::Table(given), Some(toml::Value::Table(section))) => section.extend(given.clone()),
--- a/lab/src/discovery.rs
+++ b/lab/src/discovery.rs
@@ -10,6 +10,7 @@
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use serde_json::{Value, json};
+use std::collections::BTreeMap;
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -28,6 +29,8 @@
     pub uid: String,
     /// Its zone's name.
     pub zone: String,
+    /// The number of the cell that it shares repeat keys with.
+    pub cell: usize,
     /// Where it is reached, by the number of the zone that asks.
     pub addresses: Vec<SocketAddr>,
     /// `up`, `draining` or `removed`.
@@ -47,22 +50,28 @@
     pub entries: Vec<Entry>,
     /// Nobody answers.
     pub down: bool,
+    /// Zones, by their numbers, that are told the list as it stood once, and its version then.
+    pub stale: BTreeMap<usize, (u64, Vec<Entry>)>,
 }
 
 impl Table {
+    /// The list's version and entries as a zone is told them.
+    fn seen(&self, zone: usize) -> (u64, &[Entry]) {
+        self.stale.get(&zone).map_or((self.rev, &self.entries), |(rev, entries)| (*rev, entries))
+    }
+
     /// The entries that changed after a version, as discovery words them to a zone.
     fn after(&self, rev: u64, zone: usize) -> Value {
-        let all = rev == 0;
-        let told =
-            self.entries.iter().filter(|entry| entry.rev > rev && !(all && entry.state == "removed"));
+        let (all, (now, entries)) = (rev == 0, self.seen(zone));
+        let told = entries.iter().filter(|entry| entry.rev > rev && !(all && entry.state == "removed"));
         let targets: Vec<Value> = told
             .map(|entry| {
                 json!({"uid": entry.uid, "endpoint": entry.addresses[zone].to_string(), "az": entry.zone,
-                       "model": "m", "pod_group": 0, "state": entry.state, "capacity_hint": 1.0,
+                       "model": "m", "pod_group": entry.cell, "state": entry.state, "capacity_hint": 1.0,
                        "boot_ms": entry.boot_ms})
             })
             .collect();
-        json!({"rev": self.rev, "all": all, "targets": targets})
+        json!({"rev": now, "all": all, "targets": targets})
     }
 }
 
@@ -116,8 +125,9 @@
                 return; // its end tells
             }
             // A rev from another life of the list is answered with all of it.
-            let told = if told > now.rev { 0 } else { told };
-            (now.rev != told || told == 0).then(|| (now.rev, now.after(told, zone).to_string() + "\n"))
+            let rev = now.seen(zone).0;
+            let told = if told > rev { 0 } else { told };
+            (rev != told || told == 0).then(|| (rev, now.after(told, zone).to_string() + "\n"))
         };
         let text = match line {
             Some((rev, text)) => {
--- a/lab/src/endpoint.rs
+++ b/lab/src/endpoint.rs
@@ -2,7 +2,7 @@
 //! Work is waited for and not computed, so that thousands fit into one process; the system's timer makes each
 //! wait up to a millisecond longer.
 
-use crate::experiment::{Class, Group, Kind, Repeats};
+use crate::experiment::{Class, Described, Group, Kind, Repeats};
 use crate::ledger::{Breach, Ledger};
 use crate::seeds::{Part, draws};
 use http_body_util::{BodyExt, Full};
@@ -24,11 +24,19 @@
 
 /// What is known of keys, by the group that shares them: when each was first seen.
 #[derive(Default)]
-pub struct Keys(Mutex<HashMap<(Option<usize>, String), Instant>>);
+pub struct Keys(Mutex<HashMap<(Sharing, String), Instant>>);
+
+/// Who shares a key.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+enum Sharing {
+    All,
+    Zone(usize),
+    Cell(usize),
+}
 
 impl Keys {
     /// Whether a key is new within its window; it is known from then on.
-    fn fresh(&self, group: Option<usize>, key: &str, window: Duration) -> bool {
+    fn fresh(&self, group: Sharing, key: &str, window: Duration) -> bool {
         let mut keys = self.0.lock().unwrap_or_else(PoisonError::into_inner);
         let now = Instant::now();
         let seen = keys.insert((group, key.to_owned()), now);
@@ -69,8 +77,13 @@
     pub up: watch::Sender<bool>,
     /// What a fault has made of it.
     pub condition: Mutex<Condition>,
+    number: u64,
+    cell: usize,
     kind: Kind,
     world: Arc<World>,
+    /// Since when it stands still now and then.
+    stood: Instant,
+    connections: Arc<Semaphore>,
     cores: Arc<Semaphore>,
     /// Those it holds; gone with its process.
     held: Mutex<Held>,
@@ -82,6 +95,10 @@
     /// When the last requests came, while it was cold.
     came: VecDeque<Instant>,
     fallen: bool,
+    /// Since when more wait than it bears, or since when it has been idle while it is slow.
+    since: Option<Instant>,
+    /// It has been crowded for too long.
+    slowed: bool,
 }
 
 /// What all endpoints share.
@@ -102,13 +119,9 @@
 
 impl Endpoint {
     /// One that has been there for long.
-    pub fn new(
-        name: String,
-        zone: usize,
-        address: SocketAddr,
-        kind: &Kind,
-        world: Arc<World>,
-    ) -> Arc<Self> {
+    pub fn new(described: Described<'_>, number: u64, address: SocketAddr, world: Arc<World>) -> Arc<Self> {
+        let Described { name, zone, cell, kind } = described;
+        let connections = if kind.connections == 0 { Semaphore::MAX_PERMITS } else { kind.connections };
         let condition = Condition { slow: 1.0, failing: 0.0, silent: false, draining: None, started: None };
         Arc::new(Endpoint {
             name,
@@ -116,6 +129,10 @@
             address,
             up: watch::Sender::new(true),
             condition: Mutex::new(condition),
+            number,
+            cell,
+            stood: Instant::now(),
+            connections: Arc::new(Semaphore::new(connections)),
             cores: Arc::new(Semaphore::new(kind.cores)),
             kind: kind.clone(),
             world,
@@ -149,8 +166,12 @@
     pub async fn serve(self: Arc<Self>, listener: TcpListener) {
         loop {
             let Ok((stream, _)) = listener.accept().await else { continue };
+            // Over its cap a connection is closed at once.
+            let Ok(place) = self.connections.clone().try_acquire_owned() else { continue };
             let this = self.clone();
             tokio::spawn(async move {
+                let _place = place;
+                this.work(this.kind.handshake).await;
                 let service = service_fn(|request| this.answer(request));
                 // An error here is a caller's leaving.
                 let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
@@ -190,8 +211,9 @@
             return Ok(full);
         };
         let group = match class.group {
-            Group::All => None,
-            Group::Zone => Some(self.zone),
+            Group::All => Sharing::All,
+            Group::Zone => Sharing::Zone(self.zone),
+            Group::Cell => Sharing::Cell(self.cell),
         };
         let known = class.repeats == Repeats::Keyed && !self.world.keys.fresh(group, key, class.window);
         if !known {
@@ -204,20 +226,44 @@
             return Ok(reply(StatusCode::INTERNAL_SERVER_ERROR, ""));
         }
         if !known {
-            let speed = (self.kind.speed * warmth / condition.slow).max(1e-3);
-            let work = work(self.world.seed, number, class).div_f64(speed);
-            let cores = self.cores.clone();
-            // Work that has begun goes on, also when its caller leaves.
-            let worked = tokio::spawn(async move {
-                if let Ok(_core) = cores.acquire().await {
-                    sleep(work).await;
-                }
-            });
-            let _ = worked.await;
+            let speed = (self.kind.speed * warmth / condition.slow / self.crowding()).max(1e-3);
+            self.work(work(self.world.seed, number, class).div_f64(speed)).await;
         }
         Ok(reply(StatusCode::OK, &self.name))
     }
 
+    /// Keeps a core busy for so long. Work that has begun goes on, also when its caller leaves.
+    async fn work(self: &Arc<Self>, work: Duration) {
+        if work.is_zero() {
+            return;
+        }
+        let this = self.clone();
+        let worked = tokio::spawn(async move {
+            if let Ok(_core) = this.cores.acquire().await {
+                let phase = draws(this.world.seed, Part::Stall, this.number).random::<f64>();
+                let (every, stall) = (this.kind.stall_every, this.kind.stall_for);
+                sleep(with_stalls(this.stood.elapsed(), work, every, stall, phase)).await;
+            }
+        });
+        let _ = worked.await;
+    }
+
+    /// How many times as long its work takes because of a crowd.
+    fn crowding(&self) -> f64 {
+        if self.kind.crowd <= 0.0 {
+            return 1.0;
+        }
+        let mut held = self.held.lock().unwrap_or_else(PoisonError::into_inner);
+        let crowded = held.inside as f64 > self.kind.crowd * self.kind.cores as f64;
+        let turning = if held.slowed { held.inside <= 1 } else { crowded };
+        let now = Instant::now();
+        held.since = turning.then(|| held.since.unwrap_or(now));
+        if held.since.is_some_and(|since| now.duration_since(since) >= self.kind.crowd_for) {
+            (held.slowed, held.since) = (!held.slowed, None);
+        }
+        if held.slowed { self.kind.crowd_slow.max(1.0) } else { 1.0 }
+    }
+
     /// The part of its speed that it has by now.
     fn warmth(&self, condition: &Condition) -> f64 {
         let Some(started) = condition.started else { return 1.0 };
@@ -263,7 +309,24 @@
     fn drop(&mut self) {
         let mut held = self.0.held.lock().unwrap_or_else(PoisonError::into_inner);
         held.inside = held.inside.saturating_sub(1); // its process may have been started anew since
+        if held.slowed && held.inside <= 1 {
+            held.since.get_or_insert_with(Instant::now); // idle as of now
+        }
+    }
+}
+
+/// How long work takes that begins at a time, where all stands still for `stall` after each `every`, at a phase of
+/// its own.
+fn with_stalls(begun: Duration, work: Duration, every: Duration, stall: Duration, phase: f64) -> Duration {
+    if every.is_zero() || stall.is_zero() {
+        return work;
     }
+    let [begun, work, every, stall] = [begun, work, every, stall].map(|time| time.as_secs_f64());
+    let cycle = every + stall;
+    let at = (begun / cycle + phase).fract() * cycle;
+    let (waits, free) = if at > every { (cycle - at, every) } else { (0.0, every - at) };
+    let stalls = ((work - free) / every).ceil().max(0.0);
+    Duration::from_secs_f64(waits + work + stalls * stall)
 }
 
 /// A request's work on a core of speed 1: the same in every run of the seed, whoever does it.
@@ -290,3 +353,23 @@
     *reply.status_mut() = status;
     reply
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn work_stands_still_with_its_endpoint() {
+        let ms = Duration::from_millis;
+        let takes = |begun, work| with_stalls(ms(begun), ms(work), ms(1000), ms(200), 0.0).as_millis();
+        assert_eq!(takes(0, 900), 900, "done before the stall");
+        assert_eq!(takes(900, 300), 500, "one stall amid it");
+        assert_eq!(takes(1100, 300), 400, "begun in a stall");
+        assert_eq!(takes(500, 2000), 2400, "two stalls amid it");
+        assert_eq!(
+            with_stalls(ms(900), ms(300), Duration::ZERO, ms(200), 0.0),
+            ms(300),
+            "none are asked for"
+        );
+    }
+}
--- a/lab/src/experiment.rs
+++ b/lab/src/experiment.rs
@@ -3,7 +3,7 @@
 
 use serde::Deserialize;
 use std::collections::BTreeMap;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::time::Duration;
 use thiserror::Error;
 
@@ -45,6 +45,9 @@
     pub kind: BTreeMap<String, Kind>,
     /// Classes of requests.
     pub class: Vec<Class>,
+    /// Tenants; none where nothing is said.
+    #[serde(default)]
+    pub tenant: Vec<Tenant>,
     /// What clients send.
     pub load: Load,
     /// How the endpoint list reaches the copies.
@@ -107,6 +110,43 @@
     /// ... for so long falls over.
     #[serde(default = "three", with = "humantime_serde")]
     pub fall_after: Duration,
+    /// It stands still this often, each at times of its own; 0 for never ...
+    #[serde(default, with = "humantime_serde")]
+    pub stall_every: Duration,
+    /// ... and for so long.
+    #[serde(default, with = "humantime_serde")]
+    pub stall_for: Duration,
+    /// With more than this many requests for each core, for `crowd_for`, its work takes `crowd_slow` times as long
+    /// until it was idle for `crowd_for`; 0 for never.
+    #[serde(default)]
+    pub crowd: f64,
+    /// By how much a crowded one slows down.
+    #[serde(default = "whole")]
+    pub crowd_slow: f64,
+    /// For how long a crowd lasts before it slows down, and idleness before it recovers.
+    #[serde(default = "second", with = "humantime_serde")]
+    pub crowd_for: Duration,
+    /// Connections that it holds; one more is closed at once. 0 for no cap.
+    #[serde(default)]
+    pub connections: usize,
+    /// Work of a core that a new connection costs.
+    #[serde(default, with = "humantime_serde")]
+    pub handshake: Duration,
+    /// Endpoints of a zone and kind that share a cell, for keyed repeats; 0 for all.
+    #[serde(default)]
+    pub cell: usize,
+}
+
+/// A tenant.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Tenant {
+    /// Its name.
+    pub name: String,
+    /// Its part of all requests.
+    pub share: f64,
+    /// Its allowance in requests a second, for the copies' configuration.
+    pub allowance_per_s: f64,
 }
 
 /// A class of requests.
@@ -163,6 +203,21 @@
     All,
     /// Those of a zone.
     Zone,
+    /// Those of a cell.
+    Cell,
+}
+
+/// An endpoint as an experiment has it.
+#[derive(Clone, Debug)]
+pub struct Described<'a> {
+    /// Its name: `ZONE/KIND-NUMBER`.
+    pub name: String,
+    /// Its zone's number.
+    pub zone: usize,
+    /// Its cell's number.
+    pub cell: usize,
+    /// Its kind.
+    pub kind: &'a Kind,
 }
 
 /// What clients send.
@@ -174,6 +229,12 @@
     /// From a time on, another rate.
     #[serde(default)]
     pub step: Vec<Step>,
+    /// For a time, a multiple of the rate.
+    #[serde(default)]
+    pub burst: Vec<Burst>,
+    /// The requests of an earlier run in place of all these: its `results.jsonl`.
+    #[serde(default)]
+    pub trace: Option<PathBuf>,
     /// Arrivals: independent of each other, or evenly spaced.
     #[serde(default)]
     pub arrivals: Arrivals,
@@ -196,6 +257,20 @@
     pub rate: f64,
 }
 
+/// A multiple of the rate for a time.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Burst {
+    /// From when.
+    #[serde(with = "humantime_serde")]
+    pub at: Duration,
+    /// For how long.
+    #[serde(with = "humantime_serde")]
+    pub lasts: Duration,
+    /// How many times the rate.
+    pub times: f64,
+}
+
 /// How requests come.
 #[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq)]
 #[serde(rename_all = "lowercase")]
@@ -271,6 +346,8 @@
     Drain,
     /// Discovery answers 503, and its watches end.
     DiscoveryDown,
+    /// Discovery goes on telling a zone the list as it stands now, and the others what becomes of it.
+    DiscoveryStale,
 }
 
 /// What must hold.
@@ -458,12 +535,18 @@
                 let known = self.copies();
                 if known.contains(&fault.of) { Ok(()) } else { missing("copy", known) }
             }
-            What::ZoneLost | What::CutOff | What::CutOffOneWay | What::Delay | What::Reset => {
+            What::ZoneLost
+            | What::CutOff
+            | What::CutOffOneWay
+            | What::Delay
+            | What::Reset
+            | What::DiscoveryStale => {
                 let known: Vec<String> = self.zone.iter().map(|zone| zone.name.clone()).collect();
                 if known.contains(&fault.of) { Ok(()) } else { missing("zone", known) }
             }
             What::Slow | What::Failing | What::Silent | What::Gone | What::Drain => {
-                let known: Vec<String> = self.endpoints().into_iter().map(|(name, _, _)| name).collect();
+                let known: Vec<String> =
+                    self.endpoints().into_iter().map(|endpoint| endpoint.name).collect();
                 // A zone's name strikes all of its endpoints.
                 let zone = self.zone.iter().any(|zone| zone.name == fault.of);
                 if zone || known.contains(&fault.of) { Ok(()) } else { missing("endpoint", known) }
@@ -486,13 +569,20 @@
         self.zone.iter().flat_map(of).collect()
     }
 
-    /// All endpoints: name (`ZONE/KIND-NUMBER`), zone's number, kind.
-    pub fn endpoints(&self) -> Vec<(String, usize, &Kind)> {
-        let mut all = Vec::new();
+    /// All endpoints, by zone and kind.
+    pub fn endpoints(&self) -> Vec<Described<'_>> {
+        let (mut all, mut cells) = (Vec::new(), 0);
         for (number, zone) in self.zone.iter().enumerate() {
             for (name, count) in &zone.endpoints {
                 let Some(kind) = self.kind.get(name) else { continue };
-                all.extend((0..*count).map(|n| (format!("{}/{name}-{n}", zone.name), number, kind)));
+                let size = if kind.cell == 0 { usize::MAX } else { kind.cell };
+                all.extend((0..*count).map(|n| Described {
+                    name: format!("{}/{name}-{n}", zone.name),
+                    zone: number,
+                    cell: cells + n / size,
+                    kind,
+                }));
+                cells += count.div_ceil(size).max(1);
             }
         }
         all
--- a/lab/src/load.rs
+++ b/lab/src/load.rs
@@ -46,6 +46,8 @@
     pub class: usize,
     /// The number of its client's zone.
     pub zone: usize,
+    /// Its tenant's number; 0 also where there are none.
+    pub tenant: usize,
     /// When it was meant to be sent, from the start of the load, in milliseconds.
     pub at_ms: f64,
     /// How much later the lab sent it: its own fault, and nobody else's.
@@ -97,6 +99,7 @@
             number: planned.number,
             class: planned.class,
             zone: planned.zone,
+            tenant: planned.tenant,
             at_ms: planned.at.as_secs_f64() * 1e3,
             lab_late_ms: due.elapsed().as_secs_f64() * 1e3,
             took_ms: 0.0,
@@ -149,6 +152,9 @@
         if number > 1 {
             request = request.header("x-retried", "1");
         }
+        if let Some(tenant) = self.experiment.tenant.get(planned.tenant) {
+            request = request.header("x-tenant-id", &tenant.name);
+        }
         let Ok(request) = request.body(Full::new(Bytes::new())) else { return Try::None };
         let sent = Instant::now();
         match timeout_at(until + ANSWER_SLACK, copy.pool.ask(request)).await {
--- a/lab/src/run.rs
+++ b/lab/src/run.rs
@@ -93,6 +93,7 @@
     folder: &Path,
     mut progress: impl FnMut(&Second),
 ) -> Result<Run, DeploymentError> {
+    let planned = schedule(&experiment)?;
     let deployment = Arc::new(Deployment::stand(&experiment, program, folder).await?);
     let _fronts = deployment.fronts();
     let start = Instant::now() + HEAD_START;
@@ -102,7 +103,6 @@
         turn: AtomicUsize::new(0),
     });
     let (told, mut ended) = mpsc::unbounded_channel();
-    let planned = schedule(&experiment);
     let count = planned.len();
     let sending = tokio::spawn(async move {
         for planned in planned {
@@ -176,7 +176,7 @@
     let ends = |ends: &[End]| of.iter().filter(|record| ends.contains(&record.end)).count() as u64;
     let now = Duration::from_secs(number);
     let in_force = experiment.fault.iter().filter(|fault| {
-        fault.at <= now + Duration::from_secs(1) && fault.lasts.is_none_or(|lasts| fault.at + lasts > now)
+        fault.at < now + Duration::from_secs(1) && fault.lasts.is_none_or(|lasts| fault.at + lasts > now)
     });
     Second {
         second: number,
--- a/lab/src/seeds.rs
+++ b/lab/src/seeds.rs
@@ -12,6 +12,8 @@
     Work,
     /// Whether an endpoint fails a request, by its number.
     Failing,
+    /// When an endpoint stands still, by its number.
+    Stall,
     /// A client's wait before it asks again, by the request's number.
     Retry,
 }
--- a/lab/tests/experiments.rs
+++ b/lab/tests/experiments.rs
@@ -1,7 +1,7 @@
 //! Experiments: what is read, what is said of what can't be, and that a seed fixes all that is drawn.
 
 use gullpulley_lab::experiment::Experiment;
-use gullpulley_lab::schedule::schedule;
+use gullpulley_lab::schedule::{Planned, schedule};
 use std::path::Path;
 
 const DEMO: &str = include_str!("../experiments/demo.toml");
@@ -35,15 +35,15 @@
 #[test]
 fn the_same_seed_gives_the_same_requests_to_the_microsecond_and_another_gives_others() {
     let mut experiment = Experiment::parse("demo", DEMO).unwrap();
-    let first = schedule(&experiment);
-    assert_eq!(first, schedule(&experiment));
+    let first = schedule(&experiment).unwrap();
+    assert_eq!(first, schedule(&experiment).unwrap());
     let seconds = experiment.lasts.as_secs_f64();
     let rate = first.len() as f64 / seconds;
     assert!((130.0..170.0).contains(&rate), "{rate} a second, not about 150");
     let previews = first.iter().filter(|planned| planned.class == 0).count() as f64 / first.len() as f64;
     assert!((0.45..0.55).contains(&previews), "{previews}, not about a half");
     experiment.seed = 2;
-    assert_ne!(first, schedule(&experiment));
+    assert_ne!(first, schedule(&experiment).unwrap());
 }
 
 #[test]
@@ -65,3 +65,38 @@
         assert!(error.contains(told), "{error}");
     }
 }
+
+#[test]
+fn tenants_and_bursts_are_drawn_and_an_earlier_run_can_be_replayed() {
+    let tenants = "[[tenant]]\nname = \"x\"\nshare = 3.0\nallowance_per_s = 90.0\n[[tenant]]\nname = \"y\"\nshare = 1.0\n\
+                   allowance_per_s = 30.0\n[[load.burst]]\nat = \"4s\"\nlasts = \"2s\"\ntimes = 3.0\n";
+    let text = format!("{DEMO}\n{tenants}");
+    let experiment = Experiment::parse("demo", &text).unwrap();
+    let drawn = schedule(&experiment).unwrap();
+    let part = drawn.iter().filter(|planned| planned.tenant == 0).count() as f64 / drawn.len() as f64;
+    assert!((0.70..0.80).contains(&part), "{part}, not about three quarters");
+    let within =
+        |from: u64, to: u64| drawn.iter().filter(|p| (from..to).contains(&p.at.as_secs())).count() as f64;
+    let times = within(4, 6) / within(0, 2);
+    assert!((2.5..3.5).contains(&times), "{times} times, not about three");
+    let folder = tempfile::tempdir().unwrap();
+    let file = folder.path().join("results.jsonl");
+    let lines = drawn.iter().map(|planned| {
+        let (at, class, zone, tenant) =
+            (planned.at.as_secs_f64() * 1e3, planned.class, planned.zone, planned.tenant);
+        format!(
+            "{{\"request\":{{\"at_ms\":{at},\"class\":{class},\"zone\":{zone},\"tenant\":{tenant}}}}}\n"
+        )
+    });
+    std::fs::write(&file, format!("{{\"run\":\"demo\"}}\n{}", lines.collect::<String>())).unwrap();
+    let trace = format!("load.trace={:?}", file.display().to_string());
+    let replayed = schedule(&Experiment::varied("demo", &text, &[&trace, "seed=9"]).unwrap()).unwrap();
+    let same = |(a, b): (&Planned, &Planned)| {
+        let apart = a.at.abs_diff(b.at).as_micros();
+        apart <= 1 && (a.number, a.class, a.zone, a.tenant) == (b.number, b.class, b.zone, b.tenant)
+    };
+    assert!(replayed.len() == drawn.len() && replayed.iter().zip(&drawn).all(same));
+    std::fs::write(&file, "{\"request\":{\"at_ms\":1,\"class\":9,\"zone\":0}}\n").unwrap();
+    let error = schedule(&Experiment::varied("demo", &text, &[&trace]).unwrap()).unwrap_err().to_string();
+    assert!(error.ends_with("results.jsonl:1: there is no such class"), "{error}");
+}
