--- a/lab/src/check.rs
+++ b/lab/src/check.rs
@@ -1,6 +1,6 @@
 //! What must hold, measured on a finished run.
 
-use crate::experiment::{Check, Experiment, That};
+use crate::experiment::{Check, Experiment, That, spelled};
 use crate::ledger::Breach;
 use crate::load::{End, Record};
 use crate::run::Run;
@@ -38,9 +38,7 @@
         check.at_least.is_none_or(|least| figure >= least)
             && check.at_most.is_none_or(|most| figure <= most)
     });
-    let mut name =
-        serde_json::to_value(Named(check.that)).map_or_else(|_| String::new(), |v| v.to_string());
-    name.retain(|c| c != '"');
+    let mut name = spelled(&check.that);
     for (word, time) in [("from", check.from), ("until", check.until)] {
         name += &time.map_or_else(String::new, |time| format!(" {word} {:.1} s", time.as_secs_f64()));
     }
@@ -50,27 +48,6 @@
     Verdict { check: name, figure, wanted: wanted.collect::<Vec<_>>().join(", "), holds }
 }
 
-/// A check's name as experiments spell it.
-struct Named(That);
-
-impl Serialize for Named {
-    fn serialize<S: serde::Serializer>(&self, to: S) -> Result<S::Ok, S::Error> {
-        to.serialize_str(match self.0 {
-            That::Lost => "lost",
-            That::RepeatedEffects => "repeated-effects",
-            That::SentToDraining => "sent-to-draining",
-            That::PushedOver => "pushed-over",
-            That::Served => "served",
-            That::Refused => "refused",
-            That::P99Ms => "p99-ms",
-            That::Crossed => "crossed",
-            That::Crashes => "crashes",
-            That::LeftZoneWithin => "left-zone-within",
-            That::ReturnedWithin => "returned-within",
-        })
-    }
-}
-
 fn measure(run: &Run, check: &Check) -> Option<f64> {
     let breaches = |fits: fn(&Breach) -> bool| Some(run.breaches.iter().filter(|b| fits(b)).count() as f64);
     let records = || select(run, check);
--- a/lab/src/deployment.rs
+++ b/lab/src/deployment.rs
@@ -271,6 +271,7 @@
             What::CutOff => self.change_ways(fault, true, |way| way.open = false),
             What::CutOffOneWay => self.change_ways(fault, false, |way| way.open = false),
             What::Reset => self.change_ways(fault, true, |way| way.reset = true),
+            What::Loss => self.change_ways(fault, true, |way| way.loss = fault.by),
             What::Delay => {
                 let more = Duration::from_secs_f64(fault.by.max(0.0) / 1e3);
                 self.change_ways(fault, true, |way| way.delay += more);
@@ -322,6 +323,7 @@
             What::CutOff => self.change_ways(fault, true, |way| way.open = true),
             What::CutOffOneWay => self.change_ways(fault, false, |way| way.open = true),
             What::Reset => self.change_ways(fault, true, |way| way.reset = false),
+            What::Loss => self.change_ways(fault, true, |way| way.loss = 0.0),
             What::Delay => {
                 let more = Duration::from_secs_f64(fault.by.max(0.0) / 1e3);
                 self.change_ways(fault, true, |way| way.delay = way.delay.saturating_sub(more));
--- a/lab/src/experiment.rs
+++ b/lab/src/experiment.rs
@@ -1,7 +1,7 @@
 //! An experiment: a world, the load on it, the faults in it, and what must hold. Read from TOML; every name that
 //! one part uses of another is checked before anything starts.
 
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
@@ -309,13 +309,13 @@
     /// For a link: the other zone; without it all others.
     #[serde(default)]
     pub to: Option<String>,
-    /// For `slow`: by how much; for `delay`: in milliseconds; for `failing`: which part of the answers.
+    /// For `slow`: by how much; for `delay`: in milliseconds; for `loss` and `failing`: which part.
     #[serde(default)]
     pub by: f64,
 }
 
 /// What can go wrong.
-#[derive(Clone, Copy, Debug, Deserialize, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum What {
     /// A copy is killed; started again at the end.
@@ -332,6 +332,8 @@
     CutOffOneWay,
     /// Bytes between a zone and others take longer.
     Delay,
+    /// Pieces between a zone and others are lost now and then, and come with the retransmission.
+    Loss,
     /// Connections between a zone and others are reset, and refused from then on.
     Reset,
     /// An endpoint's work takes longer.
@@ -374,7 +376,7 @@
 }
 
 /// What a check measures.
-#[derive(Clone, Copy, Debug, Deserialize, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum That {
     /// Rule 1: requests taken by a living copy that got no answer in time.
@@ -401,6 +403,14 @@
     ReturnedWithin,
 }
 
+/// A word as experiments spell it.
+pub fn spelled(word: &impl Serialize) -> String {
+    match serde_json::to_value(word) {
+        Ok(serde_json::Value::String(word)) => word,
+        other => format!("{other:?}"), // no word: nothing that an experiment could spell
+    }
+}
+
 fn one() -> u64 {
     1
 }
@@ -539,6 +549,7 @@
             | What::CutOff
             | What::CutOffOneWay
             | What::Delay
+            | What::Loss
             | What::Reset
             | What::DiscoveryStale => {
                 let known: Vec<String> = self.zone.iter().map(|zone| zone.name.clone()).collect();
@@ -557,7 +568,8 @@
 
     /// The fault of a zone whose leaving or return a check measures; for a return one that ends.
     pub fn zone_fault(&self, check: &Check) -> Option<&Fault> {
-        let of_zone = [What::ZoneLost, What::CutOff, What::CutOffOneWay, What::Delay, What::Reset];
+        let of_zone =
+            [What::ZoneLost, What::CutOff, What::CutOffOneWay, What::Delay, What::Loss, What::Reset];
         let ends = |fault: &&Fault| check.that == That::LeftZoneWithin || fault.lasts.is_some();
         let mut struck = self.fault.iter().filter(|fault| of_zone.contains(&fault.what));
         struck.find(|fault| Some(&fault.of) == check.zone.as_ref() && ends(fault))
--- a/lab/src/network.rs
+++ b/lab/src/network.rs
@@ -19,6 +19,8 @@
 const BIND_WAIT: Duration = Duration::from_millis(10);
 /// Pieces on their way through one direction of a relay.
 const PIECES: usize = 256;
+/// The least time after which the system sends a lost piece again.
+const RETRANSMITTED: Duration = Duration::from_millis(200);
 /// Bytes read at once.
 const PIECE: usize = 16 * 1024;
 
@@ -27,6 +29,8 @@
 pub struct Way {
     /// Bytes arrive so much later.
     pub delay: Duration,
+    /// This part of the pieces is lost, and comes when it has been sent again.
+    pub loss: f64,
     /// Bytes come through; otherwise they are held back until they do.
     pub open: bool,
     /// Connections are reset, and refused.
@@ -42,7 +46,8 @@
 impl Network {
     /// Ways with these delays, by the numbers of the zones that they lead from and to.
     pub fn new(zones: usize, delay: impl Fn(usize, usize) -> Duration) -> Arc<Self> {
-        let way = |i: usize| Way { delay: delay(i / zones, i % zones), open: true, reset: false };
+        let way =
+            |i: usize| Way { delay: delay(i / zones, i % zones), loss: 0.0, open: true, reset: false };
         let ways = (0..zones * zones).map(|i| watch::Sender::new(way(i))).collect();
         Arc::new(Network { zones, ways })
     }
@@ -137,7 +142,7 @@
             });
         }
     });
-    let way = watch::Sender::new(Way { delay: Duration::ZERO, open: true, reset: false });
+    let way = watch::Sender::new(Way { delay: Duration::ZERO, loss: 0.0, open: true, reset: false });
     let up = watch::Sender::new(true);
     let place = Place { at: relayed, target: direct };
     let first = listen(relayed).await?;
@@ -188,7 +193,10 @@
     let read = async move {
         let mut piece = vec![0; PIECE];
         while let Ok(size @ 1..) = from.read(&mut piece).await {
-            let due = Instant::now() + delays.borrow().delay;
+            let Way { delay, loss, .. } = *delays.borrow();
+            let lost = loss > 0.0 && rand::random::<f64>() < loss;
+            let due =
+                Instant::now() + delay + if lost { RETRANSMITTED + 2 * delay } else { Duration::ZERO };
             if pieces.send((due, piece[..size].to_vec())).await.is_err() {
                 break;
             }
--- a/lab/src/run.rs
+++ b/lab/src/run.rs
@@ -2,7 +2,7 @@
 //! of every request is recorded.
 
 use crate::deployment::{Deployment, DeploymentError};
-use crate::experiment::Experiment;
+use crate::experiment::{Experiment, Fault, spelled};
 use crate::ledger::Breach;
 use crate::load::{Clients, End, Record};
 use crate::schedule::schedule;
@@ -153,8 +153,7 @@
         let (deployment, experiment) = (deployment.clone(), experiment.clone());
         faults.spawn(async move {
             let fault = &experiment.fault[number];
-            let what = format!("{:?}", fault.what).to_lowercase();
-            let what = format!("{what} {}", fault.of).trim_end().to_owned();
+            let what = named(fault);
             sleep_until(start + fault.at).await;
             deployment.strike(fault).await?;
             let to = fault.lasts.map(|lasts| start + fault.at + lasts);
@@ -170,6 +169,11 @@
     faults
 }
 
+/// What a fault does, and to which.
+fn named(fault: &Fault) -> String {
+    format!("{} {}", spelled(&fault.what), fault.of).trim_end().to_owned()
+}
+
 fn second(experiment: &Experiment, deployment: &Deployment, records: &[Record], number: u64) -> Second {
     let within = |at_ms: f64| at_ms >= number as f64 * 1e3 && at_ms < (number + 1) as f64 * 1e3;
     let of: Vec<&Record> = records.iter().filter(|record| within(record.at_ms)).collect();
@@ -185,6 +189,6 @@
         refused: ends(&[End::Refused]),
         failed: ends(&[End::Late, End::Failed, End::Unanswered]),
         fronted: deployment.copies.iter().filter(|copy| copy.fronted.load(Ordering::SeqCst)).count(),
-        faults: in_force.map(|fault| format!("{:?} {}", fault.what, fault.of)).collect(),
+        faults: in_force.map(named).collect(),
     }
 }
