Wait a moment for an address that a killed predecessor still holds

Suspect named first: the listener. Since the log has a thread of its own, a killed process lets its sockets go only when its last thread has ended, which on loaded cores may be after its successor has started. The bind is tried again for 1 s, each 5 ms, for clients and for the door; a real conflict is told after that. The test was seen to fail without it.

--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -53,7 +53,7 @@
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::{spawn_blocking, spawn_local};
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 use tracing::{error, info, warn};
 
 /// How often other processes of this sidecar are looked for.
@@ -63,6 +63,9 @@
 /// How often and how long after each other a faulty file is looked at: it may just be being written.
 const RELOAD_LOOKS: u32 = 5;
 const RELOAD_LOOK: Duration = Duration::from_millis(100);
+/// An address in use is tried again for so long, and this often.
+const BIND_PATIENCE: Duration = Duration::from_secs(1);
+const BIND_LOOK: Duration = Duration::from_millis(5);
 /// Connections that may wait to be accepted; the system may allow fewer.
 const BACKLOG: u32 = 1024;
 
@@ -125,9 +128,12 @@
         }
         spawn_local(sharing.keep_up());
     }
-    let listener = listen_at(listen, control.is_some()).map_err(|e| format!("listen: {listen}: {e}"))?;
+    let bind = || listen_at(listen, control.is_some());
+    let listener = patiently(bind).await.map_err(|e| format!("listen: {listen}: {e}"))?;
     if let Some(control) = control {
-        let door = TcpListener::bind(control).await.map_err(|e| format!("control: {control}: {e}"))?;
+        let door = patiently(|| listen_at(control, false))
+            .await
+            .map_err(|e| format!("control: {control}: {e}"))?;
         info!(sidecar = name, %control, "the operators' door is open");
         let behind = Door::new(bans, counters, inbound.clone(), inbox);
         spawn_local(behind.clone().follow());
@@ -140,6 +146,20 @@
     }
 }
 
+/// Binds, and tries again for a while where the address is in use: a process that was killed holds it until the last
+/// of its threads has ended, and its successor may be there before.
+async fn patiently(bind: impl Fn() -> io::Result<TcpListener>) -> io::Result<TcpListener> {
+    let until = Instant::now() + BIND_PATIENCE;
+    loop {
+        match bind() {
+            Err(e) if e.kind() == io::ErrorKind::AddrInUse && Instant::now() < until => {
+                tokio::time::sleep(BIND_LOOK).await;
+            }
+            bound => return bound,
+        }
+    }
+}
+
 /// Listens for clients; shared, another process of this sidecar may do so at the same address.
 fn listen_at(address: SocketAddr, shared: bool) -> io::Result<TcpListener> {
     let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -322,3 +322,15 @@
         assert_eq!((status >= 500 && status != 503, attempts), (true, 1), "{act:?}: it may have run");
     }
 }
+
+#[test]
+fn an_address_that_a_predecessor_still_holds_is_waited_for() {
+    let peer = Peer::serving("ok");
+    let config = config(&[&peer]);
+    let held = std::net::TcpListener::bind(config["listen"].as_str().unwrap()).unwrap();
+    // It is let go only after the new process has been looked for this often, and so has had the time to start.
+    let holding = std::thread::spawn(move || (0..40).for_each(|_| drop(held.accept())));
+    let sidecar = Sidecar::start(&config);
+    holding.join().unwrap();
+    assert_eq!(sidecar.ask("quote", "r1").status(), 200);
+}
