--- a/lab/tests/command_line.rs
+++ b/lab/tests/command_line.rs
@@ -78,3 +78,19 @@
     let (code, told) = run(&broken);
     assert!(code == 2 && told.contains("it ended before it was ready"), "{told}");
 }
+
+#[test]
+fn cargo_finds_the_program_by_the_words_of_the_readme() {
+    let readme = fs::read_to_string(Path::new(env!("CARGO_MANIFEST_DIR")).join("../README.md")).unwrap();
+    let first = readme.lines().find_map(|line| line.strip_prefix("cargo run --release ")).unwrap();
+    let (words, _) = first.split_once("-- demo").expect("the first command is the demo");
+    let run = |of| {
+        Command::new(env!("CARGO"))
+            .args(["run", "--locked"])
+            .args(words.split(' ').filter(|w| !w.is_empty()))
+            .args(["--", of])
+            .output()
+    };
+    let (code, told) = said(&run("list").unwrap());
+    assert!(code == 0 && told.contains("demo  "), "{told}");
+}
