--- a/lab/src/check.rs
+++ b/lab/src/check.rs
@@ -56,7 +56,10 @@
         That::SentToDraining => breaches(|breach| matches!(breach, Breach::Draining { .. })),
         That::PushedOver => breaches(|breach| matches!(breach, Breach::PushedOver { .. })),
         That::Crashes => Some(run.crashes as f64),
-        That::Lost => Some(records().map(|record| f64::from(record.lost)).sum()),
+        That::Lost => {
+            let between = breaches(|breach| matches!(breach, Breach::Unanswered { .. })).unwrap_or(0.0);
+            Some(records().map(|record| f64::from(record.lost)).sum::<f64>() + between)
+        }
         That::Served => served(&run.experiment, records()),
         That::Refused => part(records(), |record| record.end == End::Refused),
         That::Crossed => {
--- a/lab/src/copies.rs
+++ b/lab/src/copies.rs
@@ -2,6 +2,7 @@
 //! Whatever becomes of the lab, they end with it: a keeper, a shell that reads their process numbers from a pipe,
 //! kills what is left once that pipe closes.
 
+use crate::experiment::DescribedCopy;
 use crate::http::{self, Pool};
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
@@ -73,10 +74,14 @@
     pub name: String,
     /// Its zone's number.
     pub zone: usize,
+    /// The tier that it sends to.
+    pub tier: usize,
     /// Where clients connect.
     pub clients: SocketAddr,
     /// Its operators' door.
     pub door: SocketAddr,
+    /// Where it asks for the list.
+    pub discovery: SocketAddr,
     /// Clients' connections to it.
     pub pool: Pool,
     /// Whether the front sends clients to it.
@@ -102,18 +107,19 @@
 impl Copy {
     /// One that has not been started; its configuration is in its folder as `copy.toml`.
     pub fn new(
-        name: String,
-        zone: usize,
-        [clients, door]: [SocketAddr; 2],
+        described: &DescribedCopy,
+        [clients, door, discovery]: [SocketAddr; 3],
         binary: &Path,
         folder: PathBuf,
         keeper: Arc<Keeper>,
     ) -> Arc<Self> {
         Arc::new(Copy {
-            name,
-            zone,
+            name: described.name.clone(),
+            zone: described.zone,
+            tier: described.tier,
             clients,
             door,
+            discovery,
             pool: Pool::new(clients),
             fronted: AtomicBool::new(false),
             crashes: AtomicU64::new(0),
--- a/lab/src/deployment/configuration.rs
+++ b/lab/src/deployment/configuration.rs
@@ -1,20 +1,21 @@
 //! A copy's configuration, as an operator would write it.
 
-use crate::experiment::{Experiment, Group, Repeats};
+use crate::experiment::{DescribedCopy, Experiment, Group, Repeats};
+use crate::network::datagrams::Post;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 /// A copy's configuration, as an operator would write it.
 pub(super) fn configuration(
     experiment: &Experiment,
-    number: usize,
-    zone: usize,
-    [clients, door]: [SocketAddr; 2],
-    discovery: SocketAddr,
-) -> String {
+    all: &[DescribedCopy],
+    copy: &DescribedCopy,
+    [clients, door, discovery]: [SocketAddr; 3],
+) -> toml::Table {
     let micros = |time: Duration| format!("{}us", time.as_micros());
     let zones: Vec<&str> = experiment.zone.iter().map(|zone| zone.name.as_str()).collect();
-    let kind = experiment.kind.values().next();
+    let kind = experiment.kind.values().find(|kind| kind.tier == copy.tier);
+    let beside = all.iter().filter(|other| other.tier == copy.tier).count();
     let classes = experiment.class.iter().map(|class| {
         let mut table = toml::toml! { name = "" };
         let (repeats, group) = match (class.repeats, class.group) {
@@ -60,15 +61,17 @@
     put(&mut table, "listen", "clients", clients.to_string().into());
     put(&mut table, "listen", "operators", door.to_string().into());
     put(&mut table, "discovery", "address", discovery.to_string().into());
-    put(&mut table, "place", "zone", zones[zone].into());
+    put(&mut table, "place", "zone", zones[copy.zone].into());
     put(&mut table, "place", "zones", zones.into_iter().map(toml::Value::from).collect::<Vec<_>>().into());
-    put(&mut table, "place", "balancers", (experiment.copies().len() as i64).into());
-    put(&mut table, "place", "number", (number as i64).into());
+    put(&mut table, "place", "balancers", (beside as i64).into());
+    put(&mut table, "place", "number", (copy.number as i64).into());
+    put(&mut table, "place", "tier", (copy.tier as i64).into());
+    put(&mut table, "place", "tiers", (experiment.tiers().len() as i64).into());
     put(&mut table, "rules", "cold_share", cold.into());
     put(&mut table, "rules", "warm_within", format!("{warm}s").into());
     put(&mut table, "rules", "fall_multiple", fall.into());
     put(&mut table, "rules", "fall_after", format!("{after}s").into());
-    table.insert("name".to_owned(), experiment.copies()[number].clone().into());
+    table.insert("name".to_owned(), copy.name.clone().into());
     table.insert("class".to_owned(), classes.into());
     let tenants = experiment.tenant.iter().map(|tenant| {
         let mut table = toml::Table::new();
@@ -79,11 +82,43 @@
     if !experiment.tenant.is_empty() {
         table.insert("tenant".to_owned(), tenants.collect::<Vec<_>>().into());
     }
-    for (section, given) in &experiment.copy {
+    table
+}
+
+/// Copies that each begins with.
+const SEEDS: usize = 3;
+
+/// Makes a copy one of the fleet of its tier, where there is one: it listens at an address of its own, and others know
+/// it by one of the lab's.
+pub(super) fn join(
+    table: &mut toml::Table,
+    all: &[DescribedCopy],
+    copy: &DescribedCopy,
+    posts: &[Post],
+    number: usize,
+) {
+    let Some(post) = posts.get(number) else { return };
+    let others = all
+        .iter()
+        .zip(posts)
+        .filter(|(other, post)| other.tier == copy.tier && post.own != posts[number].own);
+    let seeds: Vec<toml::Value> =
+        others.take(SEEDS).map(|(_, post)| post.known.to_string().into()).collect();
+    let mut fleet = toml::Table::new();
+    fleet.insert("cluster".into(), format!("lab-{}", copy.tier).into());
+    fleet.insert("listen".into(), post.own.to_string().into());
+    fleet.insert("address".into(), post.known.to_string().into());
+    fleet.insert("seeds".into(), seeds.into());
+    table.insert("fleet".into(), fleet.into());
+}
+
+/// A configuration with an experiment's own sections over it.
+pub(super) fn laid_over(mut table: toml::Table, over: &toml::Table) -> toml::Table {
+    for (section, given) in over {
         match (given, table.get_mut(section)) {
             (toml::Value::Table(given), Some(toml::Value::Table(section))) => section.extend(given.clone()),
             _ => drop(table.insert(section.clone(), given.clone())),
         }
     }
-    table.to_string()
+    table
 }
--- a/lab/src/deployment/faults.rs
+++ b/lab/src/deployment/faults.rs
@@ -2,9 +2,9 @@
 
 use super::{Deployment, DeploymentError};
 use crate::copies::Copy;
-use crate::endpoint::Endpoint;
+use crate::endpoint::{Condition, Endpoint};
 use crate::experiment::{Fault, What};
-use crate::network;
+use crate::network::Way;
 use nix::sys::signal::Signal;
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -12,147 +12,176 @@
 use tokio::time::{Instant, sleep};
 
 impl Deployment {
-    /// Changes the list for some endpoints, once discovery tells it.
-    async fn tell(&self, of: &[Arc<Endpoint>], state: &'static str, boot: bool) {
-        sleep(self.experiment.discovery.late).await;
-        let boot_ms = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64;
-        self.table.send_modify(|table| {
-            table.rev += 1;
-            for entry in table.entries.iter_mut().filter(|entry| of.iter().any(|e| e.name == entry.uid)) {
-                (entry.state, entry.rev) = (state, table.rev);
-                if boot {
-                    entry.boot_ms = boot_ms;
-                }
-            }
-        });
-    }
-
-    /// The endpoints that a fault strikes: one by its name, or all of a zone.
-    fn struck(&self, fault: &Fault) -> Vec<Arc<Endpoint>> {
-        let zone = self.experiment.zone.iter().position(|zone| zone.name == fault.of);
-        let hit = |e: &&Arc<Endpoint>| e.name == fault.of || Some(e.zone) == zone;
-        self.endpoints.iter().filter(hit).cloned().collect()
-    }
-
-    fn copy(&self, name: &str) -> Option<&Arc<Copy>> {
-        self.copies.iter().find(|copy| copy.name == name)
-    }
-
-    /// Changes the ways between a fault's zone and the others, or the one that it names.
-    fn change_ways(&self, fault: &Fault, both: bool, change: impl Fn(&mut network::Way)) {
-        let number = |name: &String| self.experiment.zone.iter().position(|zone| zone.name == *name);
-        let Some(from) = number(&fault.of) else { return };
-        let to = fault.to.as_ref().and_then(number);
-        for other in (0..self.experiment.zone.len()).filter(|&z| z != from && to.is_none_or(|to| to == z)) {
-            self.network.change(from, other, &change);
-            if both {
-                self.network.change(other, from, &change);
-            }
-        }
-    }
-
     /// Lets a fault begin.
     pub async fn strike(&self, fault: &Fault) -> Result<(), DeploymentError> {
+        self.turn(fault, true);
         match fault.what {
-            What::Kill | What::Term => {
-                if let Some(copy) = self.copy(&fault.of) {
-                    copy.end(if fault.what == What::Kill { Signal::SIGKILL } else { Signal::SIGTERM })
-                        .await;
-                }
-            }
-            What::Pause => self.copy(&fault.of).into_iter().for_each(|copy| copy.pause(true)),
-            What::ZoneLost => {
-                let zone = self.experiment.zone.iter().position(|zone| zone.name == fault.of);
-                let copies = self.copies.iter().filter(|copy| Some(copy.zone) == zone);
-                let mut ending: JoinSet<()> = JoinSet::new();
-                for copy in copies.map(Arc::clone) {
-                    ending.spawn(async move { copy.end(Signal::SIGKILL).await });
-                }
-                let struck = self.struck(fault);
-                struck.iter().for_each(|endpoint| endpoint.stop());
-                while ending.join_next().await.is_some() {}
-                self.tell(&struck, "removed", false).await;
-            }
-            What::CutOff => self.change_ways(fault, true, |way| way.open = false),
-            What::CutOffOneWay => self.change_ways(fault, false, |way| way.open = false),
-            What::Reset => self.change_ways(fault, true, |way| way.reset = true),
-            What::Loss => self.change_ways(fault, true, |way| way.loss = fault.by),
-            What::Delay => {
-                let more = Duration::from_secs_f64(fault.by.max(0.0) / 1e3);
-                self.change_ways(fault, true, |way| way.delay += more);
-            }
-            What::Slow => self.struck(fault).iter().for_each(|e| e.change(|c| c.slow = fault.by.max(0.01))),
-            What::Failing => self.struck(fault).iter().for_each(|e| e.change(|c| c.failing = fault.by)),
-            What::Silent => self.struck(fault).iter().for_each(|e| e.change(|c| c.silent = true)),
-            What::Gone => {
+            What::Kill => self.end(self.copy(&fault.of).cloned(), Signal::SIGKILL).await,
+            What::Term => self.end(self.copy(&fault.of).cloned(), Signal::SIGTERM).await,
+            What::ZoneLost | What::Gone => {
                 let struck = self.struck(fault);
                 struck.iter().for_each(|endpoint| endpoint.stop());
+                let beside = struck.iter().filter_map(|endpoint| endpoint.behind.clone());
+                let zone = self.in_lost(fault);
+                self.end(beside.chain(zone), Signal::SIGKILL).await;
                 self.tell(&struck, "removed", false).await;
             }
+            What::DiscoveryMissing => self.tell(&self.struck(fault), "removed", false).await,
             What::Drain => {
                 let struck = self.struck(fault);
                 self.tell(&struck, "draining", false).await;
                 struck.iter().for_each(|e| e.change(|c| c.draining = Some(Instant::now())));
             }
-            What::DiscoveryDown => self.table.send_modify(|table| table.down = true),
-            What::DiscoveryStale => {
-                if let Some(zone) = self.experiment.zone.iter().position(|zone| zone.name == fault.of) {
-                    self.table.send_modify(|table| {
-                        let now = (table.rev, table.entries.clone());
-                        table.stale.insert(zone, now);
-                    });
-                }
-            }
+            _ => {}
         }
         Ok(())
     }
 
     /// Lets a fault end.
     pub async fn lift(&self, fault: &Fault) -> Result<(), DeploymentError> {
+        self.turn(fault, false);
         match fault.what {
-            What::Kill | What::Term => {
-                if let Some(copy) = self.copy(&fault.of) {
-                    copy.start().await?;
-                }
-            }
-            What::Pause => self.copy(&fault.of).into_iter().for_each(|copy| copy.pause(false)),
-            What::ZoneLost => {
-                let struck = self.struck(fault);
-                struck.iter().for_each(|endpoint| endpoint.start());
-                let zone = self.experiment.zone.iter().position(|zone| zone.name == fault.of);
-                for copy in self.copies.iter().filter(|copy| Some(copy.zone) == zone) {
-                    copy.start().await?;
-                }
-                self.tell(&struck, "up", true).await;
-            }
-            What::CutOff => self.change_ways(fault, true, |way| way.open = true),
-            What::CutOffOneWay => self.change_ways(fault, false, |way| way.open = true),
-            What::Reset => self.change_ways(fault, true, |way| way.reset = false),
-            What::Loss => self.change_ways(fault, true, |way| way.loss = 0.0),
-            What::Delay => {
-                let more = Duration::from_secs_f64(fault.by.max(0.0) / 1e3);
-                self.change_ways(fault, true, |way| way.delay = way.delay.saturating_sub(more));
-            }
-            What::Slow => self.struck(fault).iter().for_each(|e| e.change(|c| c.slow = 1.0)),
-            What::Failing => self.struck(fault).iter().for_each(|e| e.change(|c| c.failing = 0.0)),
-            What::Silent => self.struck(fault).iter().for_each(|e| e.change(|c| c.silent = false)),
-            What::Gone => {
+            What::Kill | What::Term => self.start(self.copy(&fault.of).cloned()).await?,
+            What::ZoneLost | What::Gone => {
                 let struck = self.struck(fault);
+                self.start(struck.iter().filter_map(|endpoint| endpoint.behind.clone())).await?;
                 struck.iter().for_each(|endpoint| endpoint.start());
+                self.start(self.in_lost(fault)).await?;
                 self.tell(&struck, "up", true).await;
             }
+            What::DiscoveryMissing => self.tell(&self.struck(fault), "up", false).await,
             What::Drain => {
                 let struck = self.struck(fault);
                 struck.iter().for_each(|e| e.change(|c| c.draining = None));
                 self.tell(&struck, "up", false).await;
             }
-            What::DiscoveryDown => self.table.send_modify(|table| table.down = false),
-            What::DiscoveryStale => {
-                if let Some(zone) = self.experiment.zone.iter().position(|zone| zone.name == fault.of) {
-                    self.table.send_modify(|table| drop(table.stale.remove(&zone)));
+            _ => {}
+        }
+        Ok(())
+    }
+
+    /// What is one thing at a fault's beginning and its opposite at the end.
+    fn turn(&self, fault: &Fault, on: bool) {
+        match fault.what {
+            What::Pause => self.copy(&fault.of).into_iter().for_each(|copy| copy.pause(on)),
+            What::DiscoveryDown => self.table.send_modify(|table| table.down = on),
+            What::DiscoveryTorn => self.table.send_modify(|table| table.torn = on),
+            What::DiscoveryStale => self.table.send_modify(|table| {
+                let Some(zone) = self.zone(&fault.of) else { return };
+                let now = (table.rev, table.entries.clone());
+                drop(if on { table.stale.insert(zone, now) } else { table.stale.remove(&zone) });
+            }),
+            _ if fault.of_way() => self.change_ways(fault, on),
+            _ => self.struck(fault).iter().for_each(|e| e.change(|condition| spoil(condition, fault, on))),
+        }
+    }
+
+    /// Changes the ways between a fault's zone or copy and the others, or the one that it names.
+    fn change_ways(&self, fault: &Fault, on: bool) {
+        let both = fault.what != What::CutOffOneWay;
+        let number = |name: &String| self.copies.iter().position(|copy| copy.name == *name);
+        let (count, from, to, zones) = match self.zone(&fault.of) {
+            Some(zone) => (
+                self.experiment.zone.len(),
+                Some(zone),
+                fault.to.as_ref().and_then(|to| self.zone(to)),
+                true,
+            ),
+            None => (self.copies.len(), number(&fault.of), fault.to.as_ref().and_then(number), false),
+        };
+        let Some(from) = from else { return };
+        for other in (0..count).filter(|&other| other != from && to.is_none_or(|to| to == other)) {
+            for (a, b) in [(from, other), (other, from)].into_iter().take(if both { 2 } else { 1 }) {
+                if zones {
+                    self.network.change(a, b, |way| bend(way, fault, on));
+                } else {
+                    self.network.change_between(a, b, |way| bend(way, fault, on));
+                }
+            }
+        }
+    }
+
+    /// Changes the list for some endpoints, once discovery tells it.
+    async fn tell(&self, of: &[Arc<Endpoint>], state: &'static str, boot: bool) {
+        sleep(self.experiment.discovery.late).await;
+        let boot_ms = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64;
+        self.table.send_modify(|table| {
+            table.rev += 1;
+            for entry in table.entries.iter_mut().filter(|entry| of.iter().any(|e| e.name == entry.uid)) {
+                (entry.state, entry.rev) = (state, table.rev);
+                if boot {
+                    entry.boot_ms = boot_ms;
                 }
             }
+        });
+    }
+
+    async fn end(&self, copies: impl IntoIterator<Item = Arc<Copy>>, how: Signal) {
+        let mut ending: JoinSet<()> = JoinSet::new();
+        for copy in copies {
+            ending.spawn(async move { copy.end(how).await });
+        }
+        while ending.join_next().await.is_some() {}
+    }
+
+    async fn start(&self, copies: impl IntoIterator<Item = Arc<Copy>>) -> Result<(), DeploymentError> {
+        let mut starting: JoinSet<_> = JoinSet::new();
+        for copy in copies {
+            starting.spawn(async move { copy.start().await });
+        }
+        while let Some(started) = starting.join_next().await {
+            started.map_err(super::lost_task)??;
         }
         Ok(())
     }
+
+    fn zone(&self, name: &str) -> Option<usize> {
+        self.experiment.zone.iter().position(|zone| zone.name == name)
+    }
+
+    /// The copies of a zone that is lost.
+    fn in_lost(&self, fault: &Fault) -> impl Iterator<Item = Arc<Copy>> {
+        let zone = self.zone(&fault.of).filter(|_| fault.what == What::ZoneLost);
+        self.copies.iter().filter(move |copy| Some(copy.zone) == zone).cloned()
+    }
+
+    /// The endpoints that a fault strikes: one by its name, or all of a zone.
+    fn struck(&self, fault: &Fault) -> Vec<Arc<Endpoint>> {
+        let zone = self.zone(&fault.of);
+        let hit = |e: &&Arc<Endpoint>| e.name == fault.of || Some(e.zone) == zone;
+        self.endpoints.iter().filter(hit).cloned().collect()
+    }
+
+    fn copy(&self, name: &str) -> Option<&Arc<Copy>> {
+        self.copies.iter().find(|copy| copy.name == name)
+    }
+}
+
+/// What a fault makes of a way, and its end of it again.
+fn bend(way: &mut Way, fault: &Fault, on: bool) {
+    let part = if on { fault.by } else { 0.0 };
+    match fault.what {
+        What::CutOff | What::CutOffOneWay => way.cut = on,
+        What::BlackHole => way.hole = on,
+        What::Reset => way.reset = on,
+        What::Resets => way.breaks = part,
+        What::Loss => way.loss = part,
+        What::Duplicate => way.duplicate = part,
+        What::Reorder => way.reorder = part,
+        What::Delay => {
+            let more = Duration::from_secs_f64(fault.by.max(0.0) / 1e3);
+            way.delay = if on { way.delay + more } else { way.delay.saturating_sub(more) };
+        }
+        _ => {}
+    }
+}
+
+/// What a fault makes of an endpoint, and its end of it again.
+fn spoil(condition: &mut Condition, fault: &Fault, on: bool) {
+    match fault.what {
+        What::Slow => condition.slow = if on { fault.by.max(0.01) } else { 1.0 },
+        What::Failing => condition.failing = if on { fault.by } else { 0.0 },
+        What::Silent => condition.silent = on,
+        _ => {}
+    }
 }
--- a/lab/src/deployment/mod.rs
+++ b/lab/src/deployment/mod.rs
@@ -5,13 +5,15 @@
 mod faults;
 
 use crate::copies::{Copy, CopyError, Keeper, front};
-use crate::discovery::{self, Entry, Table};
+use crate::discovery::{self, Caller, Desk, Entry, Table};
 use crate::endpoint::{Endpoint, World, mean_work};
-use crate::experiment::Experiment;
+use crate::experiment::{DescribedCopy, Experiment};
 use crate::ledger::Ledger;
-use crate::network::{self, Network, Place};
+use crate::network::datagrams::{self, Post, Sent};
+use crate::network::relay::{self, Place};
+use crate::network::{self, Network};
 use crate::schedule::TraceError;
-use addresses::{Addresses, CLIENTS, DISCOVERY, DOOR, ECHO, ENDPOINT, PORTS};
+use addresses::{Addresses, CLIENTS, DOOR, ECHO, ENDPOINT, FLEET, KNOWN, PORTS};
 use configuration::configuration;
 use std::io;
 use std::net::SocketAddr;
@@ -60,6 +62,8 @@
     pub endpoints: Vec<Arc<Endpoint>>,
     /// What the endpoints saw.
     pub ledger: Arc<Ledger>,
+    /// What each copy said to others in datagrams; empty where its configuration has no `fleet`.
+    pub said: Vec<Arc<Sent>>,
     /// What a relay adds to a round trip at the median, measured before the load.
     pub relay_adds: Duration,
     experiment: Arc<Experiment>,
@@ -76,7 +80,8 @@
         program: &Path,
         folder: &Path,
     ) -> Result<Self, DeploymentError> {
-        let parts = experiment.endpoints().len() + experiment.copies().len();
+        let described_copies = experiment.copies();
+        let parts = experiment.endpoints().len() + described_copies.len();
         if parts > usize::from(PORTS) {
             return Err(DeploymentError::TooLarge(parts));
         }
@@ -87,31 +92,49 @@
         let world = Arc::new(World {
             seed: experiment.seed,
             classes: experiment.class.clone(),
+            tiers: experiment.tiers(),
             mean_work: mean_work(&experiment.class),
             drain_grace: DRAIN_GRACE,
             ledger: ledger.clone(),
             keys: Default::default(),
+            calls: Default::default(),
         });
+        let keeper = Keeper::start().map_err(|e| DeploymentError::Io("the keeper".to_owned(), e))?;
         let mut tasks = JoinSet::new();
+        let post = |(number, copy): (usize, &DescribedCopy)| Post {
+            own: addresses.at(FLEET, number),
+            known: addresses.at(KNOWN, number),
+            zone: copy.zone,
+        };
+        let posts: Vec<Post> = match experiment.copy.contains_key("fleet") {
+            true => described_copies.iter().enumerate().map(post).collect(),
+            false => Vec::new(),
+        };
+        let said = datagrams::pass(&posts, &network, &mut tasks).await;
+        let said = said.map_err(|e| DeploymentError::Io("a relay of datagrams".to_owned(), e))?;
+        let copies = set_out(experiment, &addresses, &posts, program, folder, &keeper)?;
         let (mut endpoints, mut entries) = (Vec::new(), Vec::new());
         for (number, described) in experiment.endpoints().into_iter().enumerate() {
-            let (address, zone, cell) = (addresses.at(ENDPOINT, number), described.zone, described.cell);
-            let name = described.name.clone();
-            let endpoint = Endpoint::new(described, number as u64, address, world.clone());
+            let address = addresses.at(ENDPOINT, number);
+            let beside = described_copies.iter().position(|copy| copy.beside == Some(number));
+            let behind = beside.map(|copy| copies[copy].clone());
+            let (zone, cell, tier) = (described.zone, described.cell, described.kind.tier);
+            let endpoint = Endpoint::new(described, number as u64, address, behind, world.clone());
             tasks.spawn(endpoint.clone().serve(bind("an endpoint", address).await?));
             let mut relays = Vec::new();
             for from in 0..zones {
                 let place = Place { at: addresses.at(from, number), target: address };
                 let (there, back) = (network.way(from, zone), network.way(zone, from));
                 let (first, up) = (bind("a relay", place.at).await?, endpoint.up.subscribe());
-                tasks.spawn(ended("a relay", network::relay(first, place, there, back, up)));
+                tasks.spawn(ended("a relay", relay::relay(first, place, there, back, up)));
                 relays.push(place.at);
             }
-            let zone = experiment.zone[zone].name.clone();
+            let (uid, zone) = (endpoint.name.clone(), experiment.zone[zone].name.clone());
             entries.push(Entry {
-                uid: name,
+                uid,
                 zone,
                 cell,
+                tier,
                 addresses: relays,
                 state: "up",
                 boot_ms: 0,
@@ -120,29 +143,28 @@
             endpoints.push(endpoint);
         }
         let table = Arc::new(watch::Sender::new(Table { rev: 1, entries, ..Table::default() }));
-        for zone in 0..zones {
-            let at = addresses.at(DISCOVERY, zone);
-            tasks.spawn(discovery::serve(bind("discovery", at).await?, zone, table.subscribe()));
-        }
-        let keeper = Keeper::start().map_err(|e| DeploymentError::Io("the keeper".to_owned(), e))?;
-        let (names, mut copies) = (experiment.copies(), Vec::new());
-        for (zone, described) in experiment.zone.iter().enumerate() {
-            for _ in 0..described.copies {
-                let number = copies.len();
-                let here = folder.join(&names[number]);
-                let listens = [addresses.at(CLIENTS, number), addresses.at(DOOR, number)];
-                let text = configuration(experiment, number, zone, listens, addresses.at(DISCOVERY, zone));
-                std::fs::create_dir_all(&here)
-                    .and_then(|()| std::fs::write(here.join("copy.toml"), text))
-                    .map_err(|e| DeploymentError::Io(here.display().to_string(), e))?;
-                copies.push(Copy::new(names[number].clone(), zone, listens, program, here, keeper.clone()));
+        let desk = Arc::new(Desk::new(&experiment.discovery));
+        for tier in 0..experiment.tiers().len() {
+            for zone in 0..zones {
+                let listener = bind("discovery", addresses.discovery(zone, tier, zones)).await?;
+                let caller = Caller { zone, tier };
+                tasks.spawn(discovery::serve(listener, caller, table.subscribe(), desk.clone()));
             }
         }
-        let measured = network::overhead(addresses.at(ECHO, 0), addresses.at(ECHO, 1), TRIPS).await;
+        let measured = relay::overhead(addresses.at(ECHO, 0), addresses.at(ECHO, 1), TRIPS).await;
         let relay_adds = measured.map_err(|e| DeploymentError::Io("a relay".to_owned(), e))?;
         let experiment = experiment.clone();
-        let deployment =
-            Deployment { copies, endpoints, ledger, relay_adds, experiment, network, table, _tasks: tasks };
+        let deployment = Deployment {
+            copies,
+            endpoints,
+            ledger,
+            said,
+            relay_adds,
+            experiment,
+            network,
+            table,
+            _tasks: tasks,
+        };
         deployment.start_copies().await?;
         Ok(deployment)
     }
@@ -164,8 +186,7 @@
             });
         }
         while let Some(started) = starting.join_next().await {
-            started
-                .map_err(|e| DeploymentError::Io("a copy's start".to_owned(), io::Error::other(e)))??;
+            started.map_err(lost_task)??;
         }
         Ok(())
     }
@@ -179,6 +200,36 @@
     }
 }
 
+/// Writes each copy's configuration into a folder of its own.
+fn set_out(
+    experiment: &Experiment,
+    addresses: &Addresses,
+    posts: &[Post],
+    program: &Path,
+    folder: &Path,
+    keeper: &Arc<Keeper>,
+) -> Result<Vec<Arc<Copy>>, DeploymentError> {
+    let described = experiment.copies();
+    let mut copies = Vec::new();
+    for (number, copy) in described.iter().enumerate() {
+        let here = folder.join(&copy.name);
+        let discovery = addresses.discovery(copy.zone, copy.tier, experiment.zone.len());
+        let places = [addresses.at(CLIENTS, number), addresses.at(DOOR, number), discovery];
+        let mut table = configuration(experiment, &described, copy, places);
+        configuration::join(&mut table, &described, copy, posts, number);
+        let text = configuration::laid_over(table, &experiment.copy).to_string();
+        std::fs::create_dir_all(&here)
+            .and_then(|()| std::fs::write(here.join("copy.toml"), text))
+            .map_err(|e| DeploymentError::Io(here.display().to_string(), e))?;
+        copies.push(Copy::new(copy, places, program, here, keeper.clone()));
+    }
+    Ok(copies)
+}
+
+fn lost_task(e: tokio::task::JoinError) -> DeploymentError {
+    DeploymentError::Io("a task of the lab".to_owned(), io::Error::other(e))
+}
+
 /// Binds a part's address, or says which part can't have it.
 async fn bind(part: &str, at: SocketAddr) -> Result<TcpListener, DeploymentError> {
     network::listen(at).await.map_err(|e| DeploymentError::Io(format!("{part} at {at}"), e))
--- a/lab/src/discovery.rs
+++ b/lab/src/discovery.rs
@@ -1,5 +1,6 @@
-//! Discovery: the whole list, or a watch on its changes, told late, or down. One per zone, all with the same list but
-//! with the addresses of that zone's relays.
+//! Discovery: the whole list, or a watch on its changes, told late, torn, or down. One address per zone and tier, each
+//! with the endpoints of that tier at the addresses of that zone's relays; behind them one desk that takes callers in
+//! turn.
 
 use http_body_util::channel::Channel;
 use http_body_util::combinators::BoxBody;
@@ -11,13 +12,13 @@
 use hyper_util::rt::TokioIo;
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
-use std::convert::Infallible;
+use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::sync::watch;
-use tokio::time::timeout;
+use tokio::sync::{Mutex, watch};
+use tokio::time::{sleep, timeout};
 
 /// A watch on which nothing changes brings an empty line this often.
 const EMPTY_LINE: Duration = Duration::from_secs(2);
@@ -31,6 +32,8 @@
     pub zone: String,
     /// The number of the cell that it shares repeat keys with.
     pub cell: usize,
+    /// Its tier.
+    pub tier: usize,
     /// Where it is reached, by the number of the zone that asks.
     pub addresses: Vec<SocketAddr>,
     /// `up`, `draining` or `removed`.
@@ -50,98 +53,168 @@
     pub entries: Vec<Entry>,
     /// Nobody answers.
     pub down: bool,
+    /// What is told breaks off in the middle.
+    pub torn: bool,
     /// Zones, by their numbers, that are told the list as it stood once, and its version then.
     pub stale: BTreeMap<usize, (u64, Vec<Entry>)>,
 }
 
+/// Who asks.
+#[derive(Clone, Copy, Debug)]
+pub struct Caller {
+    /// The zone that it is in.
+    pub zone: usize,
+    /// The tier that it sends to.
+    pub tier: usize,
+}
+
+/// Where callers wait for their turn.
+pub struct Desk {
+    turn: Mutex<()>,
+    per_line: Duration,
+    patience: Duration,
+}
+
+impl Desk {
+    /// One that works as an experiment says.
+    pub fn new(described: &crate::experiment::Discovery) -> Self {
+        Desk { turn: Mutex::new(()), per_line: described.per_line, patience: described.patience }
+    }
+
+    /// Waits for a caller's turn and for so many lines to be told; false where that took too long.
+    async fn tell(&self, lines: usize) -> bool {
+        if self.per_line.is_zero() {
+            return true;
+        }
+        let Ok(_turn) = timeout(self.patience, self.turn.lock()).await else { return false };
+        sleep(self.per_line * lines as u32).await;
+        true
+    }
+}
+
 impl Table {
     /// The list's version and entries as a zone is told them.
     fn seen(&self, zone: usize) -> (u64, &[Entry]) {
         self.stale.get(&zone).map_or((self.rev, &self.entries), |(rev, entries)| (*rev, entries))
     }
 
-    /// The entries that changed after a version, as discovery words them to a zone.
-    fn after(&self, rev: u64, zone: usize) -> Value {
+    /// The entries that changed after a version, as discovery words them to a caller, and how many they are.
+    fn after(&self, rev: u64, Caller { zone, tier }: Caller) -> (String, usize) {
         let (all, (now, entries)) = (rev == 0, self.seen(zone));
-        let told = entries.iter().filter(|entry| entry.rev > rev && !(all && entry.state == "removed"));
+        let told = entries.iter().filter(|entry| entry.tier == tier && entry.rev > rev);
         let targets: Vec<Value> = told
+            .filter(|entry| !(all && entry.state == "removed"))
             .map(|entry| {
                 json!({"uid": entry.uid, "endpoint": entry.addresses[zone].to_string(), "az": entry.zone,
                        "model": "m", "pod_group": entry.cell, "state": entry.state, "capacity_hint": 1.0,
                        "boot_ms": entry.boot_ms})
             })
             .collect();
-        json!({"rev": now, "all": all, "targets": targets})
+        let lines = targets.len();
+        (json!({"rev": now, "all": all, "targets": targets}).to_string(), lines)
     }
 }
 
-type Body = BoxBody<Bytes, Infallible>;
+type Body = BoxBody<Bytes, io::Error>;
 
-/// Serves the list to one zone until the world is taken down.
-pub async fn serve(listener: TcpListener, zone: usize, table: watch::Receiver<Table>) {
+/// Serves the list to one zone and tier until the world is taken down.
+pub async fn serve(listener: TcpListener, caller: Caller, table: watch::Receiver<Table>, desk: Arc<Desk>) {
     let table = Arc::new(table);
     loop {
         let Ok((stream, _)) = listener.accept().await else { continue };
-        let table = table.clone();
+        let (table, desk) = (table.clone(), desk.clone());
         tokio::spawn(async move {
             let service = service_fn(|request| {
-                let table = (*table).clone();
-                async move { Ok::<_, Infallible>(answer(&request, zone, table)) }
+                let (table, desk) = ((*table).clone(), desk.clone());
+                async move { Ok::<_, io::Error>(answer(&request, caller, table, desk).await) }
             });
-            // An error here is a caller's leaving.
+            // An error here is a caller's leaving, or an answer that breaks off.
             let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
         });
     }
 }
 
-fn answer(request: &Request<Incoming>, zone: usize, table: watch::Receiver<Table>) -> Response<Body> {
+async fn answer(
+    request: &Request<Incoming>,
+    caller: Caller,
+    table: watch::Receiver<Table>,
+    desk: Arc<Desk>,
+) -> Response<Body> {
     let query = request.uri().query().unwrap_or_default();
     let value = |name: &str| query.split('&').find_map(|pair| pair.strip_prefix(name)?.strip_prefix('='));
-    if table.borrow().down {
-        let mut reply = Response::new(Full::default().boxed());
+    let watch = value("watch") == Some("1");
+    let after = value("after").and_then(|rev| rev.parse().ok()).filter(|_| watch).unwrap_or(0);
+    let lines = table.borrow().after(after, caller).1;
+    if table.borrow().down || !desk.tell(lines).await {
+        let mut reply = Response::new(Full::default().map_err(io::Error::other).boxed());
         *reply.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
         return reply;
     }
-    if value("watch") != Some("1") {
-        let list = table.borrow().after(0, zone).to_string();
-        return Response::new(Full::new(Bytes::from(list)).boxed());
+    let (lines, body) = Channel::<Bytes, io::Error>::new(16);
+    if watch {
+        tokio::spawn(follow(lines, after, caller, table, desk));
+    } else {
+        let list = table.borrow().after(0, caller).0;
+        let torn = table.borrow().torn;
+        tokio::spawn(async move { say(lines, list, torn).await });
     }
-    let after = value("after").and_then(|rev| rev.parse().ok()).unwrap_or(0);
-    let (lines, body) = Channel::<Bytes, Infallible>::new(16);
-    tokio::spawn(follow(lines, after, zone, table));
     Response::new(body.boxed())
 }
 
+type Lines = http_body_util::channel::Sender<Bytes, io::Error>;
+
+/// Says a text, or half of it before it breaks off; gives back where more can be said.
+async fn say(mut lines: Lines, text: String, torn: bool) -> Option<Lines> {
+    let mut text = Bytes::from(text);
+    if torn {
+        text.truncate(text.len() / 2);
+    }
+    lines.send_data(text).await.ok()?;
+    if torn {
+        lines.abort(io::ErrorKind::ConnectionReset.into());
+        return None;
+    }
+    Some(lines)
+}
+
 async fn follow(
-    mut lines: http_body_util::channel::Sender<Bytes, Infallible>,
+    mut lines: Lines,
     mut told: u64,
-    zone: usize,
+    caller: Caller,
     mut table: watch::Receiver<Table>,
+    desk: Arc<Desk>,
 ) {
+    let mut first = true;
     loop {
+        let first = std::mem::replace(&mut first, false);
         let line = {
             let now = table.borrow_and_update();
             if now.down {
                 return; // its end tells
             }
             // A rev from another life of the list is answered with all of it.
-            let rev = now.seen(zone).0;
+            let rev = now.seen(caller.zone).0;
             let told = if told > rev { 0 } else { told };
-            (rev != told || told == 0).then(|| (rev, now.after(told, zone).to_string() + "\n"))
+            (rev != told || told == 0).then(|| (rev, now.after(told, caller), now.torn))
         };
-        let text = match line {
-            Some((rev, text)) => {
+        let (text, torn) = match line {
+            Some((rev, (text, count), torn)) => {
+                // The call itself has had its turn.
+                if !first && !desk.tell(count).await {
+                    return;
+                }
                 told = rev;
-                text
+                (text + "\n", torn)
             }
             None => match timeout(EMPTY_LINE, table.changed()).await {
                 Ok(Ok(())) => continue,
                 Ok(Err(_)) => return,
-                Err(_) => "\n".to_owned(),
+                Err(_) => ("\n".to_owned(), false),
             },
         };
-        if lines.send_data(Bytes::from(text)).await.is_err() {
-            return; // the caller has left
-        }
+        lines = match say(lines, text, torn).await {
+            Some(lines) => lines,
+            None => return, // the caller has left, or heard half
+        };
     }
 }
--- a/lab/src/endpoint.rs
+++ b/lab/src/endpoint.rs
@@ -2,8 +2,11 @@
 //! Work is waited for and not computed, so that thousands fit into one process; the system's timer makes each
 //! wait up to a millisecond longer.
 
-use crate::experiment::{Class, Described, Group, Kind, Repeats};
+use crate::copies::Copy;
+use crate::experiment::{Class, Described, Group, Kind, Repeats, Tier};
+use crate::http::NoAnswer;
 use crate::ledger::{Breach, Ledger};
+use crate::load::ANSWER_SLACK;
 use crate::seeds::{Part, draws};
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Bytes, Incoming};
@@ -16,11 +19,12 @@
 use std::collections::{HashMap, VecDeque};
 use std::convert::Infallible;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::{Semaphore, watch};
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout_at};
 
 /// What is known of keys, by the group that shares them: when each was first seen.
 #[derive(Default)]
@@ -77,6 +81,8 @@
     pub up: watch::Sender<bool>,
     /// What a fault has made of it.
     pub condition: Mutex<Condition>,
+    /// The copy through which it calls the next tier; stopped and started with it.
+    pub behind: Option<Arc<Copy>>,
     number: u64,
     cell: usize,
     kind: Kind,
@@ -107,7 +113,9 @@
     pub seed: u64,
     /// Classes.
     pub classes: Vec<Class>,
-    /// The mean work of a request, over all classes, on a core of speed 1.
+    /// Tiers.
+    pub tiers: Vec<Tier>,
+    /// The mean work of a request, over all classes and tiers, on a core of speed 1.
     pub mean_work: Duration,
     /// For so long after it was told, requests may still come to a draining endpoint.
     pub drain_grace: Duration,
@@ -115,11 +123,19 @@
     pub ledger: Arc<Ledger>,
     /// Known keys.
     pub keys: Keys,
+    /// Calls between tiers so far: each has an id of its own.
+    pub calls: AtomicU64,
 }
 
 impl Endpoint {
     /// One that has been there for long.
-    pub fn new(described: Described<'_>, number: u64, address: SocketAddr, world: Arc<World>) -> Arc<Self> {
+    pub fn new(
+        described: Described<'_>,
+        number: u64,
+        address: SocketAddr,
+        behind: Option<Arc<Copy>>,
+        world: Arc<World>,
+    ) -> Arc<Self> {
         let Described { name, zone, cell, kind } = described;
         let connections = if kind.connections == 0 { Semaphore::MAX_PERMITS } else { kind.connections };
         let condition = Condition { slow: 1.0, failing: 0.0, silent: false, draining: None, started: None };
@@ -129,6 +145,7 @@
             address,
             up: watch::Sender::new(true),
             condition: Mutex::new(condition),
+            behind,
             number,
             cell,
             stood: Instant::now(),
@@ -189,11 +206,12 @@
         }
         let header =
             |name: &str| head.headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or_default();
-        let (id, key) = (header("x-request-id"), header("idempotency-key"));
+        let (id, key, left) = (header("x-request-id"), header("idempotency-key"), header("x-timeout"));
         let class = head.uri.path().split('/').nth(1).unwrap_or_default();
         let Some(class) = self.world.classes.iter().find(|known| known.name == class) else {
             return Ok(reply(StatusCode::NOT_FOUND, ""));
         };
+        let until = Instant::now() + time_left(left).unwrap_or(class.deadline);
         let number = id.rsplit('-').next().and_then(|number| number.parse().ok()).unwrap_or(0);
         self.world.ledger.attempt();
         let condition = self.condition();
@@ -227,11 +245,51 @@
         }
         if !known {
             let speed = (self.kind.speed * warmth / condition.slow / self.crowding()).max(1e-3);
-            self.work(work(self.world.seed, number, class).div_f64(speed)).await;
+            let part = self.world.tiers[self.kind.tier].work;
+            let work = work(self.world.seed, number, class).mul_f64(part / speed);
+            let Some(behind) = &self.behind else {
+                self.work(work).await;
+                return Ok(reply(StatusCode::OK, &self.name));
+            };
+            // Half of its own work before the calls, half after them; its place is kept all the while.
+            self.work(work / 2).await;
+            for _ in 0..self.calls(number) {
+                if !self.call(behind, class, number, until).await {
+                    return Ok(reply(StatusCode::INTERNAL_SERVER_ERROR, ""));
+                }
+            }
+            self.work(work / 2).await;
         }
         Ok(reply(StatusCode::OK, &self.name))
     }
 
+    /// How often a request calls the next tier.
+    fn calls(&self, number: u64) -> u32 {
+        let mean = self.world.tiers[self.kind.tier + 1].calls;
+        let mut draws = draws(self.world.seed, Part::Calls, number * 8 + self.kind.tier as u64);
+        mean as u32 + u32::from(draws.random::<f64>() < mean.fract())
+    }
+
+    /// Calls the next tier once, for what is left of the caller's time; whether it was served.
+    async fn call(&self, behind: &Copy, class: &Class, number: u64, until: Instant) -> bool {
+        let id = format!("t{}-{number}", self.world.calls.fetch_add(1, Ordering::Relaxed));
+        let left = until.saturating_duration_since(Instant::now());
+        let request = class.request(&id, &id, left).body(Full::new(Bytes::new()));
+        let Ok(request) = request else { return false };
+        let sent = Instant::now();
+        match timeout_at(until + ANSWER_SLACK, behind.pool.ask(request)).await {
+            Ok(Ok(answer)) => answer.status == StatusCode::OK,
+            Ok(Err(NoAnswer::Unreached)) => false,
+            Ok(Err(NoAnswer::Broken)) | Err(_) => {
+                // What a copy took and lives to answer, it owes an answer.
+                if !left.is_zero() && behind.well_since(sent) {
+                    self.world.ledger.breach(Breach::Unanswered { copy: behind.name.clone() });
+                }
+                false
+            }
+        }
+    }
+
     /// Keeps a core busy for so long. Work that has begun goes on, also when its caller leaves.
     async fn work(self: &Arc<Self>, work: Duration) {
         if work.is_zero() {
@@ -283,8 +341,8 @@
         while held.came.front().is_some_and(|at| now.duration_since(*at) > self.kind.fall_after) {
             held.came.pop_front();
         }
-        let a_second =
-            self.kind.cores as f64 * self.kind.speed * warmth / self.world.mean_work.as_secs_f64();
+        let work = self.world.mean_work.as_secs_f64() * self.world.tiers[self.kind.tier].work;
+        let a_second = self.kind.cores as f64 * self.kind.speed * warmth / work;
         let most = a_second * self.kind.fall_multiple * self.kind.fall_after.as_secs_f64();
         held.fallen = held.came.len() as f64 > most.max(1.0);
         held.fallen
@@ -329,6 +387,17 @@
     Duration::from_secs_f64(waits + work + stalls * stall)
 }
 
+/// The time that a caller says it will wait.
+fn time_left(said: &str) -> Option<Duration> {
+    let (number, unit) = said.split_at_checked(said.len().checked_sub(1)?)?;
+    let number: f64 = number.parse().ok().filter(|number| (0.0..1e12).contains(number))?;
+    match unit {
+        "m" => Some(Duration::from_secs_f64(number / 1e3)),
+        "u" => Some(Duration::from_secs_f64(number / 1e6)),
+        _ => None,
+    }
+}
+
 /// A request's work on a core of speed 1: the same in every run of the seed, whoever does it.
 fn work(seed: u64, number: u64, class: &Class) -> Duration {
     let median = class.work.as_secs_f64().max(1e-6);
@@ -358,6 +427,20 @@
 mod tests {
     use super::*;
 
+    #[test]
+    fn the_time_that_a_caller_says_is_read_as_the_protocol_has_it() {
+        for (said, micros) in [
+            ("480m", Some(480_000)),
+            ("90u", Some(90)),
+            ("1.5m", Some(1500)),
+            ("", None),
+            ("5", None),
+            ("-1m", None),
+        ] {
+            assert_eq!(time_left(said).map(|time| time.as_micros()), micros, "{said}");
+        }
+    }
+
     #[test]
     fn work_stands_still_with_its_endpoint() {
         let ms = Duration::from_millis;
--- a/lab/src/experiment/faults.rs
+++ b/lab/src/experiment/faults.rs
@@ -18,10 +18,10 @@
     /// To which: copies and endpoints go by their names (`a-0`, `a/standard-1`), zones by theirs; empty for discovery.
     #[serde(default)]
     pub of: String,
-    /// For a link: the other zone; without it all others.
+    /// For a way: the other zone or copy; without it all others.
     #[serde(default)]
     pub to: Option<String>,
-    /// For `slow`: by how much; for `delay`: in milliseconds; for `loss` and `failing`: which part.
+    /// For `slow`: by how much; for `delay`: in milliseconds; for all others that say how much: which part.
     #[serde(default)]
     pub by: f64,
 }
@@ -38,16 +38,26 @@
     Pause,
     /// A zone is lost: copies killed, endpoints gone, all started again at the end.
     ZoneLost,
-    /// Nothing comes through between a zone and others; held back, as retransmission would.
+    /// Nothing comes through between a zone, or a copy, and others. A connection's bytes are held back, as
+    /// retransmission would; datagrams are lost.
     CutOff,
-    /// Nothing comes through from a zone; what goes there does.
+    /// Nothing comes through from a zone or copy; what goes there does.
     CutOffOneWay,
-    /// Bytes between a zone and others take longer.
+    /// What is sent between a zone and others vanishes, and the connections that it was sent on stay silent.
+    BlackHole,
+    /// Bytes between a zone, or a copy, and others take longer.
     Delay,
-    /// Pieces between a zone and others are lost now and then, and come with the retransmission.
+    /// Pieces between a zone, or a copy, and others are lost now and then; a connection's come with the
+    /// retransmission.
     Loss,
+    /// Datagrams between a zone, or a copy, and others come twice now and then.
+    Duplicate,
+    /// Datagrams between a zone, or a copy, and others come after later ones now and then.
+    Reorder,
     /// Connections between a zone and others are reset, and refused from then on.
     Reset,
+    /// Connections between a zone and others are reset now and then, amid whatever they carry.
+    Resets,
     /// An endpoint's work takes longer.
     Slow,
     /// An endpoint answers 500 to a part of the requests.
@@ -62,6 +72,34 @@
     DiscoveryDown,
     /// Discovery goes on telling a zone the list as it stands now, and the others what becomes of it.
     DiscoveryStale,
+    /// Discovery's answers and lines break off in the middle.
+    DiscoveryTorn,
+    /// Discovery tells that an endpoint, or all of a zone, is removed, though it lives.
+    DiscoveryMissing,
+}
+
+impl Fault {
+    /// Whether it changes the ways between zones or copies.
+    pub fn of_way(&self) -> bool {
+        let ways = [
+            What::CutOff,
+            What::CutOffOneWay,
+            What::BlackHole,
+            What::Delay,
+            What::Loss,
+            What::Duplicate,
+            What::Reorder,
+            What::Reset,
+            What::Resets,
+        ];
+        ways.contains(&self.what)
+    }
+
+    /// Whether `by` is a part of all.
+    pub fn by_part(&self) -> bool {
+        let parts = [What::Loss, What::Duplicate, What::Reorder, What::Resets, What::Failing];
+        parts.contains(&self.what)
+    }
 }
 
 /// What must hold.
--- a/lab/src/experiment/fits.rs
+++ b/lab/src/experiment/fits.rs
@@ -21,14 +21,12 @@
                 return wrong(format!("zone `{}`: there is no kind `{kind}`", one.name));
             }
         }
+        self.tiers_fit()?;
         if let Some(name) = self.link.iter().flat_map(|link| &link.between).find(|name| !zone(name)) {
             return wrong(format!("link: there is no zone `{name}`"));
         }
         for (number, fault) in self.fault.iter().enumerate() {
             self.target(fault).map_err(|problem| format!("fault[{number}]: {problem}"))?;
-            if let Some(to) = fault.to.as_ref().filter(|to| !zone(to)) {
-                return wrong(format!("fault[{number}]: there is no zone `{to}`"));
-            }
         }
         for (number, check) in self.check.iter().enumerate() {
             if check.at_least.is_none() && check.at_most.is_none() {
@@ -48,43 +46,95 @@
         Ok(())
     }
 
+    /// Whether each tier has endpoints, and no two copies one name.
+    fn tiers_fit(&self) -> Result<(), String> {
+        if let Some((name, kind)) = self.kind.iter().find(|(_, kind)| kind.tier >= self.tiers().len()) {
+            return Err(format!(
+                "kind `{name}`: there is no tier {}; there are {}",
+                kind.tier,
+                self.tiers().len()
+            ));
+        }
+        for (number, tier) in self.tiers().iter().enumerate() {
+            if !self.endpoints().iter().any(|endpoint| endpoint.kind.tier == number) {
+                return Err(format!("tier[{number}]: no zone has endpoints of it"));
+            }
+            if !(tier.work > 0.0 && tier.calls >= 0.0) {
+                return Err(format!("tier[{number}]: work must be above 0, and calls at least 0"));
+            }
+        }
+        let mut names: Vec<String> = self.copies().into_iter().map(|copy| copy.name).collect();
+        names.sort();
+        match names.windows(2).find(|pair| pair[0] == pair[1]) {
+            Some(pair) => {
+                Err(format!("two copies would be called `{}`; give a zone or kind another name", pair[0]))
+            }
+            None => Ok(()),
+        }
+    }
+
     /// Checks that what a fault strikes is there.
     fn target(&self, fault: &Fault) -> Result<(), String> {
         let missing = |sort: &str, known: Vec<String>| {
             Err(format!("there is no {sort} `{}`; there are {}", fault.of, known.join(", ")))
         };
+        let zones: Vec<String> = self.zone.iter().map(|zone| zone.name.clone()).collect();
+        let copies: Vec<String> = self.copies().into_iter().map(|copy| copy.name).collect();
+        if fault.by_part() && !(fault.by > 0.0 && fault.by <= 1.0) {
+            return Err(format!("by = {}: say which part, above 0 and at most 1", fault.by));
+        }
+        if let Some(to) = &fault.to {
+            let (sort, known) = if copies.contains(&fault.of) { ("copy", copies) } else { ("zone", zones) };
+            return match fault.of_way() {
+                false => Err("`to` is for ways between zones or copies".to_owned()),
+                true if !known.contains(&fault.of) || !known.contains(to) => {
+                    Err(format!("there is no {sort} `{to}`; there are {}", known.join(", ")))
+                }
+                true => Ok(()),
+            };
+        }
         match fault.what {
             What::Kill | What::Term | What::Pause => {
-                let known = self.copies();
-                if known.contains(&fault.of) { Ok(()) } else { missing("copy", known) }
+                if copies.contains(&fault.of) {
+                    Ok(())
+                } else {
+                    missing("copy", copies)
+                }
             }
-            What::ZoneLost
-            | What::CutOff
+            What::CutOff
             | What::CutOffOneWay
             | What::Delay
             | What::Loss
-            | What::Reset
-            | What::DiscoveryStale => {
-                let known: Vec<String> = self.zone.iter().map(|zone| zone.name.clone()).collect();
-                if known.contains(&fault.of) { Ok(()) } else { missing("zone", known) }
+            | What::Duplicate
+            | What::Reorder => {
+                let known = [zones, copies].concat();
+                if known.contains(&fault.of) { Ok(()) } else { missing("zone or copy", known) }
+            }
+            What::ZoneLost | What::BlackHole | What::Reset | What::Resets | What::DiscoveryStale => {
+                if zones.contains(&fault.of) { Ok(()) } else { missing("zone", zones) }
             }
-            What::Slow | What::Failing | What::Silent | What::Gone | What::Drain => {
+            What::Slow
+            | What::Failing
+            | What::Silent
+            | What::Gone
+            | What::Drain
+            | What::DiscoveryMissing => {
                 let known: Vec<String> =
                     self.endpoints().into_iter().map(|endpoint| endpoint.name).collect();
                 // A zone's name strikes all of its endpoints.
-                let zone = self.zone.iter().any(|zone| zone.name == fault.of);
-                if zone || known.contains(&fault.of) { Ok(()) } else { missing("endpoint", known) }
+                let known_so = zones.contains(&fault.of) || known.contains(&fault.of);
+                if known_so { Ok(()) } else { missing("endpoint", known) }
             }
-            What::DiscoveryDown => Ok(()),
+            What::DiscoveryDown | What::DiscoveryTorn => Ok(()),
         }
     }
 
     /// The fault of a zone whose leaving or return a check measures; for a return one that ends.
     pub fn zone_fault(&self, check: &Check) -> Option<&Fault> {
-        let of_zone =
-            [What::ZoneLost, What::CutOff, What::CutOffOneWay, What::Delay, What::Loss, What::Reset];
+        let endpoints = [What::ZoneLost, What::Slow, What::Failing, What::Silent, What::Gone];
         let ends = |fault: &&Fault| check.that == That::LeftZoneWithin || fault.lasts.is_some();
-        let mut struck = self.fault.iter().filter(|fault| of_zone.contains(&fault.what));
+        let mut struck =
+            self.fault.iter().filter(|fault| fault.of_way() || endpoints.contains(&fault.what));
         struck.find(|fault| Some(&fault.of) == check.zone.as_ref() && ends(fault))
     }
 }
--- a/lab/src/experiment/mod.rs
+++ b/lab/src/experiment/mod.rs
@@ -7,7 +7,8 @@
 
 pub use faults::{Check, Fault, That, What};
 pub use world::{
-    Arrivals, Burst, Class, Described, Discovery, Group, Kind, Link, Load, Repeats, Step, Tenant, Zone,
+    Arrivals, Burst, Class, Described, DescribedCopy, Discovery, Group, Kind, Link, Load, Repeats, Step,
+    Tenant, Tier, Zone,
 };
 
 use serde::{Deserialize, Serialize};
@@ -50,6 +51,9 @@
     /// Delays between zones; none where nothing is said.
     #[serde(default)]
     pub link: Vec<Link>,
+    /// Tiers, from the one that takes clients' requests; one where nothing is said.
+    #[serde(default)]
+    pub tier: Vec<Tier>,
     /// Kinds of endpoints, by name.
     pub kind: BTreeMap<String, Kind>,
     /// Classes of requests.
@@ -132,10 +136,32 @@
         Ok(read)
     }
 
-    /// The names of all copies, by zone: `ZONE-NUMBER`.
-    pub fn copies(&self) -> Vec<String> {
-        let of = |zone: &Zone| (0..zone.copies).map(|n| format!("{}-{n}", zone.name)).collect::<Vec<_>>();
-        self.zone.iter().flat_map(of).collect()
+    /// Its tiers.
+    pub fn tiers(&self) -> Vec<Tier> {
+        let only = || vec![Tier { name: "only".to_owned(), work: 1.0, calls: 1.0 }];
+        if self.tier.is_empty() { only() } else { self.tier.clone() }
+    }
+
+    /// All copies: those that take clients, by zone, then those beside endpoints of all tiers but the last.
+    pub fn copies(&self) -> Vec<DescribedCopy> {
+        let mut copies = Vec::new();
+        for (zone, described) in self.zone.iter().enumerate() {
+            copies
+                .extend((0..described.copies).map(|n| (format!("{}-{n}", described.name), zone, 0, None)));
+        }
+        let last = self.tiers().len() - 1;
+        for (number, endpoint) in self.endpoints().into_iter().enumerate() {
+            let tier = endpoint.kind.tier;
+            if tier < last {
+                copies.push((endpoint.name.replace('/', "-"), endpoint.zone, tier + 1, Some(number)));
+            }
+        }
+        let mut counts = vec![0; last + 1];
+        let numbered = copies.into_iter().map(|(name, zone, tier, beside)| {
+            counts[tier] += 1;
+            DescribedCopy { name, zone, tier, number: counts[tier] - 1, beside }
+        });
+        numbered.collect()
     }
 
     /// All endpoints, by zone and kind.
--- a/lab/src/experiment/world.rs
+++ b/lab/src/experiment/world.rs
@@ -32,6 +32,9 @@
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Kind {
+    /// The number of the tier that it belongs to.
+    #[serde(default)]
+    pub tier: usize,
     /// Requests that it works on at once.
     pub cores: usize,
     /// Speed of a core; 1 does a class's work in its stated time.
@@ -78,6 +81,34 @@
     pub cell: usize,
 }
 
+/// A tier. Each endpoint of one has a copy of its own, through which it calls the next, one call after another.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Tier {
+    /// Its name.
+    pub name: String,
+    /// The part of a class's work that is done here for each call.
+    pub work: f64,
+    /// Calls of it that a request of the tier before makes, on average.
+    #[serde(default = "whole")]
+    pub calls: f64,
+}
+
+/// A copy as an experiment has it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct DescribedCopy {
+    /// Its name: `ZONE-NUMBER`, or `ZONE-KIND-NUMBER` beside an endpoint.
+    pub name: String,
+    /// Its zone's number.
+    pub zone: usize,
+    /// The tier that it sends to.
+    pub tier: usize,
+    /// Its number among those of its tier.
+    pub number: usize,
+    /// The number of the endpoint that it belongs to; none where it takes clients.
+    pub beside: Option<usize>,
+}
+
 /// A tenant.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -224,12 +255,24 @@
 }
 
 /// How the list reaches the copies.
-#[derive(Clone, Debug, Default, Deserialize)]
+#[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Discovery {
     /// A change is told so much later.
     #[serde(default, with = "humantime_serde")]
     pub late: Duration,
+    /// What it takes to tell a line of the list. It does so for one caller after the other; 0 for no time at all.
+    #[serde(default, with = "humantime_serde")]
+    pub per_line: Duration,
+    /// A call that has waited for its turn for so long is answered with 503.
+    #[serde(default = "second", with = "humantime_serde")]
+    pub patience: Duration,
+}
+
+impl Default for Discovery {
+    fn default() -> Self {
+        Discovery { late: Duration::ZERO, per_line: Duration::ZERO, patience: second() }
+    }
 }
 
 fn whole() -> f64 {
--- a/lab/src/http.rs
+++ b/lab/src/http.rs
@@ -1,9 +1,11 @@
-//! Clients' connections to the copies, and single calls.
+//! Clients' connections to the copies, what goes over them, and single calls.
 
+use crate::experiment::{Class, Repeats};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Bytes;
 use hyper::client::conn::http1::{self, SendRequest};
-use hyper::{Request, StatusCode, header};
+use hyper::http::request::Builder;
+use hyper::{Method, Request, StatusCode, header};
 use hyper_util::rt::TokioIo;
 use std::net::SocketAddr;
 use std::sync::{Mutex, PoisonError};
@@ -95,6 +97,21 @@
     Some(sender)
 }
 
+impl Class {
+    /// A request of this class under an id, for a caller that waits for so long; its key goes along where the class has
+    /// keys.
+    pub fn request(&self, id: &str, key: &str, left: Duration) -> Builder {
+        let method = if self.repeats == Repeats::Safe { Method::GET } else { Method::POST };
+        let request = Request::builder()
+            .method(method)
+            .uri(format!("/{}/x?user={id}", self.name))
+            .header(header::HOST, "origin.svc")
+            .header("x-request-id", id)
+            .header("x-timeout", format!("{}u", left.as_micros().max(1)));
+        if self.repeats == Repeats::Keyed { request.header("idempotency-key", key) } else { request }
+    }
+}
+
 /// One call on a connection of its own; none without an answer in time.
 pub async fn get(address: SocketAddr, path: &str, within: Duration) -> Option<Answer> {
     let request = Request::get(path).header(header::HOST, address.to_string());
--- a/lab/src/ledger.rs
+++ b/lab/src/ledger.rs
@@ -16,6 +16,11 @@
         /// The endpoint.
         endpoint: String,
     },
+    /// A copy beside an endpoint took a call, lived, and gave no answer in time.
+    Unanswered {
+        /// The copy.
+        copy: String,
+    },
     /// A cold endpoint was pushed over.
     PushedOver {
         /// The endpoint.
--- a/lab/src/load.rs
+++ b/lab/src/load.rs
@@ -2,13 +2,13 @@
 //! time.
 
 use crate::copies::Copy;
-use crate::experiment::{Experiment, Repeats};
+use crate::experiment::Experiment;
 use crate::http::{Answer, NoAnswer};
 use crate::schedule::Planned;
 use crate::seeds::{Part, draws};
 use http_body_util::Full;
+use hyper::StatusCode;
 use hyper::body::Bytes;
-use hyper::{Method, Request, StatusCode};
 use rand::Rng;
 use serde::Serialize;
 use std::sync::Arc;
@@ -17,7 +17,7 @@
 use tokio::time::{Instant, sleep, timeout_at};
 
 /// An answer may reach a client so much after its deadline before it counts as never come: the platform allows as much.
-const ANSWER_SLACK: Duration = Duration::from_millis(50);
+pub const ANSWER_SLACK: Duration = Duration::from_millis(50);
 /// A client whose try failed waits between this and three times as long before the next.
 const RETRY_WAIT: Duration = Duration::from_millis(100);
 
@@ -85,7 +85,8 @@
     /// The copy that the front gives a client of a zone: one of its own, or any where it knows of none there.
     fn fronted(&self, zone: usize) -> Option<Arc<Copy>> {
         let turn = self.turn.fetch_add(1, Ordering::Relaxed);
-        let up: Vec<_> = self.copies.iter().filter(|copy| copy.fronted.load(Ordering::SeqCst)).collect();
+        let takes = |copy: &&Arc<Copy>| copy.tier == 0 && copy.fronted.load(Ordering::SeqCst);
+        let up: Vec<_> = self.copies.iter().filter(takes).collect();
         let near: Vec<_> = up.iter().copied().filter(|copy| copy.zone == zone).collect();
         let from = if near.is_empty() { up } else { near };
         (!from.is_empty()).then(|| from[turn % from.len()].clone())
@@ -139,16 +140,8 @@
         let Some(copy) = self.fronted(planned.zone) else { return Try::None };
         let class = &self.experiment.class[planned.class];
         let left = until.saturating_duration_since(Instant::now());
-        let method = if class.repeats == Repeats::Safe { Method::GET } else { Method::POST };
-        let mut request = Request::builder()
-            .method(method)
-            .uri(format!("/{}/x?user={:016x}", class.name, planned.number))
-            .header("host", "origin.svc")
-            .header("x-request-id", format!("q{number}-{}", planned.number))
-            .header("x-timeout", format!("{}u", left.as_micros().max(1)));
-        if class.repeats == Repeats::Keyed {
-            request = request.header("idempotency-key", format!("k{}", planned.number));
-        }
+        let (id, key) = (format!("q{number}-{}", planned.number), format!("k{}", planned.number));
+        let mut request = class.request(&id, &key, left);
         if number > 1 {
             request = request.header("x-retried", "1");
         }
--- a/lab/src/network/mod.rs
+++ b/lab/src/network/mod.rs
@@ -1,55 +1,76 @@
 //! What lies between zones, and the relays through which all traffic between parts goes, so that a fault needs no
-//! privileges. A relay delays bytes, holds them back, and resets or refuses connections.
+//! privileges: [`relay`] for connections, [`datagrams`] for what processes say to each other.
 //!
 //! What it can't do: lose the first packet of a connection. The system completes every handshake on loopback, so a
 //! connection through a path that is cut off comes up, and stays silent.
 
+pub mod datagrams;
+pub mod relay;
+
+use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
-use tokio::net::{TcpListener, TcpSocket, TcpStream};
-use tokio::sync::{mpsc, watch};
-use tokio::time::{Instant, sleep, sleep_until};
+use tokio::net::{TcpListener, TcpSocket};
+use tokio::sync::watch;
+use tokio::time::sleep;
 
 /// An address may still be held for a moment by a process that is just being started.
 const BIND_TRIES: u32 = 100;
 const BIND_WAIT: Duration = Duration::from_millis(10);
-/// Pieces on their way through one direction of a relay.
-const PIECES: usize = 256;
-/// The least time after which the system sends a lost piece again.
-const RETRANSMITTED: Duration = Duration::from_millis(200);
-/// Bytes read at once.
-const PIECE: usize = 16 * 1024;
 
-/// The way from one zone to another.
-#[derive(Clone, Copy, Debug, PartialEq)]
+/// The way from one place to another.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Way {
-    /// Bytes arrive so much later.
+    /// What is sent arrives so much later.
     pub delay: Duration,
-    /// This part of the pieces is lost, and comes when it has been sent again.
+    /// This part of the pieces of a connection is lost, and comes when it has been sent again; of datagrams for good.
     pub loss: f64,
-    /// Bytes come through; otherwise they are held back until they do.
-    pub open: bool,
+    /// This part of the datagrams comes twice.
+    pub duplicate: f64,
+    /// This part of the datagrams comes after later ones.
+    pub reorder: f64,
+    /// At this part of its pieces a connection is reset.
+    pub breaks: f64,
+    /// Nothing comes through: a connection's bytes are held back until it does, datagrams are lost.
+    pub cut: bool,
+    /// What is sent is lost, and the connections that it was sent on stay silent for good.
+    pub hole: bool,
     /// Connections are reset, and refused.
     pub reset: bool,
 }
 
-/// All ways between zones.
+impl Way {
+    /// One way after the other.
+    pub fn then(self, next: Way) -> Way {
+        let either = |a: f64, b: f64| 1.0 - (1.0 - a) * (1.0 - b);
+        Way {
+            delay: self.delay + next.delay,
+            loss: either(self.loss, next.loss),
+            duplicate: either(self.duplicate, next.duplicate),
+            reorder: either(self.reorder, next.reorder),
+            breaks: either(self.breaks, next.breaks),
+            cut: self.cut || next.cut,
+            hole: self.hole || next.hole,
+            reset: self.reset || next.reset,
+        }
+    }
+}
+
+/// All ways: between zones, and what a fault adds between two copies.
 pub struct Network {
     zones: usize,
     ways: Vec<watch::Sender<Way>>,
+    between: Mutex<HashMap<(usize, usize), Way>>,
 }
 
 impl Network {
     /// Ways with these delays, by the numbers of the zones that they lead from and to.
     pub fn new(zones: usize, delay: impl Fn(usize, usize) -> Duration) -> Arc<Self> {
-        let way =
-            |i: usize| Way { delay: delay(i / zones, i % zones), loss: 0.0, open: true, reset: false };
+        let way = |i: usize| Way { delay: delay(i / zones, i % zones), ..Way::default() };
         let ways = (0..zones * zones).map(|i| watch::Sender::new(way(i))).collect();
-        Arc::new(Network { zones, ways })
+        Arc::new(Network { zones, ways, between: Mutex::default() })
     }
 
     /// The way from one zone to another.
@@ -61,6 +82,19 @@
     pub fn change(&self, from: usize, to: usize, change: impl FnOnce(&mut Way)) {
         self.ways[from * self.zones + to].send_modify(change);
     }
+
+    /// Changes what lies between two copies, by their numbers, on top of their zones' way.
+    pub fn change_between(&self, from: usize, to: usize, change: impl FnOnce(&mut Way)) {
+        let mut between = self.between.lock().unwrap_or_else(PoisonError::into_inner);
+        change(between.entry((from, to)).or_default());
+    }
+
+    /// The way from one copy to another, each with its number and its zone's.
+    pub fn between(&self, from: (usize, usize), to: (usize, usize)) -> Way {
+        let zones = *self.ways[from.1 * self.zones + to.1].borrow();
+        let between = self.between.lock().unwrap_or_else(PoisonError::into_inner);
+        between.get(&(from.0, to.0)).map_or(zones, |more| zones.then(*more))
+    }
 }
 
 /// Binds an address that may still be in use for a moment.
@@ -79,139 +113,3 @@
     }
     bind()
 }
-
-/// Where a relay stands, and between which zones.
-#[derive(Clone, Copy, Debug)]
-pub struct Place {
-    /// Where it listens.
-    pub at: SocketAddr,
-    /// What it leads to.
-    pub target: SocketAddr,
-}
-
-/// Relays connections for as long as the target is `up`: while it is not, they are refused, as a machine without the
-/// process does, and those that stand are reset. It begins with a listener at its place.
-pub async fn relay(
-    first: TcpListener,
-    place: Place,
-    there: watch::Receiver<Way>,
-    back: watch::Receiver<Way>,
-    mut up: watch::Receiver<bool>,
-) -> io::Result<()> {
-    let (mut reset, mut first) = (there.clone(), Some(first));
-    loop {
-        let gone = up.wait_for(|up| *up).await.is_err();
-        if gone || reset.wait_for(|way| !way.reset).await.is_err() {
-            return Ok(()); // the world is being taken down
-        }
-        let listener = match first.take() {
-            Some(listener) => listener,
-            None => listen(place.at).await?,
-        };
-        let ended = watch::Sender::new(());
-        loop {
-            tokio::select! {
-                accepted = listener.accept() => if let Ok((client, _)) = accepted {
-                    let (there, back, mut end) = (there.clone(), back.clone(), ended.subscribe());
-                    tokio::spawn(async move {
-                        tokio::select! {
-                            _ = pass(client, place.target, there, back) => {}
-                            _ = end.changed() => {}
-                        }
-                    });
-                },
-                down = up.wait_for(|up| !*up) => { if down.is_err() { return Ok(()) } break }
-                cut = reset.wait_for(|way| way.reset) => { if cut.is_err() { return Ok(()) } break }
-            }
-        }
-        drop(listener);
-        ended.send_replace(());
-    }
-}
-
-/// What a relay without a delay adds to a round trip, at the median over so many of them to an echo and back, half
-/// directly and half through a relay, in turn.
-pub async fn overhead(direct: SocketAddr, relayed: SocketAddr, trips: usize) -> io::Result<Duration> {
-    let echo = listen(direct).await?;
-    let echoing = tokio::spawn(async move {
-        while let Ok((mut stream, _)) = echo.accept().await {
-            let _ = stream.set_nodelay(true);
-            tokio::spawn(async move {
-                let (mut from, mut to) = stream.split();
-                let _ = tokio::io::copy(&mut from, &mut to).await; // until the caller leaves
-            });
-        }
-    });
-    let way = watch::Sender::new(Way { delay: Duration::ZERO, loss: 0.0, open: true, reset: false });
-    let up = watch::Sender::new(true);
-    let place = Place { at: relayed, target: direct };
-    let first = listen(relayed).await?;
-    let relaying = tokio::spawn(relay(first, place, way.subscribe(), way.subscribe(), up.subscribe()));
-    let mut streams = [TcpStream::connect(direct).await?, TcpStream::connect(relayed).await?];
-    for stream in &streams {
-        stream.set_nodelay(true)?;
-    }
-    let mut times: [Vec<Duration>; 2] = Default::default();
-    for _ in 0..trips {
-        for (stream, times) in streams.iter_mut().zip(&mut times) {
-            let began = Instant::now();
-            stream.write_all(&[0; 200]).await?;
-            stream.read_exact(&mut [0; 200]).await?;
-            times.push(began.elapsed());
-        }
-    }
-    echoing.abort();
-    relaying.abort();
-    let [direct, through] = times.map(|mut times| {
-        times.sort();
-        times.get(times.len() / 2).copied().unwrap_or_default()
-    });
-    Ok(through.saturating_sub(direct))
-}
-
-/// Passes one connection through; dropped midway it resets both sides.
-async fn pass(
-    client: TcpStream,
-    target: SocketAddr,
-    there: watch::Receiver<Way>,
-    back: watch::Receiver<Way>,
-) -> io::Result<()> {
-    let server = TcpStream::connect(target).await?;
-    for stream in [&client, &server] {
-        stream.set_nodelay(true)?;
-        stream.set_zero_linger()?;
-    }
-    let ((client_in, client_out), (server_in, server_out)) = (client.into_split(), server.into_split());
-    tokio::join!(pump(client_in, server_out, there), pump(server_in, client_out, back));
-    Ok(())
-}
-
-/// Passes bytes one way, each piece as much later as the way says when it comes.
-async fn pump(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, mut way: watch::Receiver<Way>) {
-    let delays = way.clone();
-    let (pieces, mut waiting) = mpsc::channel::<(Instant, Vec<u8>)>(PIECES);
-    let read = async move {
-        let mut piece = vec![0; PIECE];
-        while let Ok(size @ 1..) = from.read(&mut piece).await {
-            let Way { delay, loss, .. } = *delays.borrow();
-            let lost = loss > 0.0 && rand::random::<f64>() < loss;
-            let due =
-                Instant::now() + delay + if lost { RETRANSMITTED + 2 * delay } else { Duration::ZERO };
-            if pieces.send((due, piece[..size].to_vec())).await.is_err() {
-                break;
-            }
-        }
-    };
-    let write = async move {
-        while let Some((due, piece)) = waiting.recv().await {
-            if due > Instant::now() {
-                sleep_until(due).await;
-            }
-            if way.wait_for(|way| way.open).await.is_err() || to.write_all(&piece).await.is_err() {
-                return;
-            }
-        }
-        let _ = to.shutdown().await; // an orderly end goes on as one
-    };
-    tokio::join!(read, write);
-}
--- a/lab/src/run.rs
+++ b/lab/src/run.rs
@@ -188,7 +188,11 @@
         served: ends(&[End::Served]),
         refused: ends(&[End::Refused]),
         failed: ends(&[End::Late, End::Failed, End::Unanswered]),
-        fronted: deployment.copies.iter().filter(|copy| copy.fronted.load(Ordering::SeqCst)).count(),
+        fronted: deployment
+            .copies
+            .iter()
+            .filter(|c| c.tier == 0 && c.fronted.load(Ordering::SeqCst))
+            .count(),
         faults: in_force.map(named).collect(),
     }
 }
--- a/lab/src/seeds.rs
+++ b/lab/src/seeds.rs
@@ -14,6 +14,8 @@
     Failing,
     /// When an endpoint stands still, by its number.
     Stall,
+    /// How often a request calls the next tier, by its number.
+    Calls,
     /// A client's wait before it asks again, by the request's number.
     Retry,
 }
--- a/lab/src/standin.rs
+++ b/lab/src/standin.rs
@@ -24,7 +24,8 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
-use tokio::time::{sleep, timeout};
+use tokio::net::UdpSocket;
+use tokio::time::{interval, sleep, timeout};
 
 /// How often the list is asked for.
 const LOOK: Duration = Duration::from_millis(100);
@@ -37,10 +38,19 @@
 struct Config {
     listen: Listen,
     discovery: Discovery,
+    fleet: Option<Fleet>,
     #[serde(default)]
     stand_in: StandIn,
 }
 
+/// Where it greets others, who greet it.
+#[derive(Deserialize)]
+struct Fleet {
+    listen: SocketAddr,
+    address: SocketAddr,
+    seeds: Vec<SocketAddr>,
+}
+
 #[derive(Deserialize)]
 struct Listen {
     clients: SocketAddr,
@@ -90,6 +100,8 @@
     list: Mutex<Vec<Target>>,
     pools: Mutex<HashMap<SocketAddr, Arc<Pool>>>,
     taken: AtomicU64,
+    /// Greetings heard.
+    heard: AtomicU64,
 }
 
 #[tokio::main]
@@ -98,9 +110,12 @@
     let config: Config =
         toml::from_str(&std::fs::read_to_string(file.ok_or("name a file with --config")?)?)?;
     let doors = [config.listen.clients, config.listen.operators];
-    let (list, pools, taken) = Default::default();
-    let proxy = Arc::new(Proxy { config, list, pools, taken });
+    let (list, pools, taken, heard) = Default::default();
+    let proxy = Arc::new(Proxy { config, list, pools, taken, heard });
     tokio::spawn(proxy.clone().follow());
+    if proxy.config.fleet.is_some() {
+        tokio::spawn(proxy.clone().greet());
+    }
     let [clients, operators] = doors.map(|at| tokio::spawn(proxy.clone().serve(at)));
     clients.await??;
     operators.await??;
@@ -122,6 +137,26 @@
         }
     }
 
+    /// Greets the others again and again, by the address that they are known by, and counts what is heard of them.
+    async fn greet(self: Arc<Self>) -> std::io::Result<()> {
+        let Some(fleet) = &self.config.fleet else { return Ok(()) };
+        let socket = UdpSocket::bind(fleet.listen).await?;
+        let mut heard = [0; 64];
+        let mut next = interval(LOOK);
+        loop {
+            tokio::select! {
+                Ok((size, source)) = socket.recv_from(&mut heard) => {
+                    // Only what came by the address that its sender is known by.
+                    let known = heard[..size] == *source.to_string().as_bytes();
+                    self.heard.fetch_add(u64::from(known), Ordering::Relaxed);
+                }
+                _ = next.tick() => for other in &fleet.seeds {
+                    let _ = socket.send_to(fleet.address.to_string().as_bytes(), other).await;
+                },
+            }
+        }
+    }
+
     async fn serve(self: Arc<Self>, at: SocketAddr) -> std::io::Result<()> {
         let listener = listen(at).await?;
         loop {
@@ -139,7 +174,10 @@
         let members = self.list.lock().unwrap_or_else(PoisonError::into_inner).len();
         match request.uri().path() {
             "/-/ready" => return Ok(reply(StatusCode::OK, String::new())),
-            "/v1/metrics" => return Ok(reply(StatusCode::OK, format!("svc.members={members}\n"))),
+            "/v1/metrics" => {
+                let heard = self.heard.load(Ordering::Relaxed);
+                return Ok(reply(StatusCode::OK, format!("svc.members={members}\nsvc.heard={heard}\n")));
+            }
             _ => {}
         }
         let breaks = self.config.stand_in.breaks;
--- /dev/null
+++ b/lab/tests/deployment.rs
@@ -0,0 +1,137 @@
+//! A deployment as tests use it: stood up, struck, and asked at its copies' doors.
+
+use gullpulley_lab::deployment::Deployment;
+use gullpulley_lab::experiment::{Experiment, Fault};
+use std::path::Path;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::{Instant, sleep};
+
+const STAND_IN: &str = env!("CARGO_BIN_EXE_gullpulley-lab-standin");
+const PATIENCE: Duration = Duration::from_secs(30);
+
+const TWO_ZONES: &str = r#"
+name = "test"
+lasts = "1s"
+[[zone]]
+name = "a"
+copies = 1
+endpoints = { plain = 2 }
+[[zone]]
+name = "b"
+copies = 1
+endpoints = { plain = 2 }
+[kind.plain]
+cores = 1
+waiting = 30
+[[class]]
+name = "read"
+repeats = "safe"
+share = 1.0
+work = "10ms"
+wanted = "1s"
+deadline = "2s"
+[load]
+rate = 10.0
+"#;
+
+/// Two zones with a copy each of the stand-in and two endpoints, and what else an experiment may say.
+async fn stand(more: &str, folder: &Path) -> Deployment {
+    let experiment = Arc::new(Experiment::parse("test", &format!("{TWO_ZONES}{more}")).unwrap());
+    Deployment::stand(&experiment, Path::new(STAND_IN), folder).await.unwrap()
+}
+
+fn fault(text: &str) -> Fault {
+    toml::from_str(&format!("at = \"0s\"\n{text}")).unwrap()
+}
+
+async fn figure(deployment: &Deployment, copy: usize, name: &str) -> f64 {
+    deployment.copies[copy].figure(name).await.unwrap_or(-1.0)
+}
+
+/// Waits until a copy's figure is as it should be.
+async fn wait(deployment: &Deployment, copy: usize, name: &str, fits: impl Fn(f64) -> bool) {
+    let begun = Instant::now();
+    loop {
+        let now = figure(deployment, copy, name).await;
+        if fits(now) {
+            return;
+        }
+        assert!(begun.elapsed() < PATIENCE, "{name} of {} stays {now}", deployment.copies[copy].name);
+        sleep(Duration::from_millis(20)).await;
+    }
+}
+
+#[tokio::test]
+async fn copies_hear_of_each_other_through_the_lab_and_not_past_it() {
+    let folder = tempfile::tempdir().unwrap();
+    let deployment = stand("[copy.fleet]\n", folder.path()).await;
+    for copy in [0, 1] {
+        wait(&deployment, copy, "heard", |heard| heard > 0.0).await;
+    }
+    let cut = fault("what = \"cut-off-one-way\"\nof = \"a-0\"");
+    deployment.strike(&cut).await.unwrap();
+    let before = figure(&deployment, 1, "heard").await;
+    let there = figure(&deployment, 0, "heard").await;
+    wait(&deployment, 0, "heard", |heard| heard > there + 3.0).await;
+    let after = figure(&deployment, 1, "heard").await;
+    assert!(
+        after <= before + 1.0,
+        "b-0 heard {after} of a-0, after {before}: one may have been on its way"
+    );
+    deployment.lift(&cut).await.unwrap();
+    wait(&deployment, 1, "heard", |heard| heard > after).await;
+}
+
+#[tokio::test]
+async fn a_faulty_discovery_hides_a_zone_breaks_off_and_makes_callers_wait() {
+    let folder = tempfile::tempdir().unwrap();
+    let deployment = stand("[discovery]\nper_line = \"1ms\"\npatience = \"100ms\"\n", folder.path()).await;
+    wait(&deployment, 0, "members", |members| members == 4.0).await;
+    let missing = fault("what = \"discovery-missing\"\nof = \"b\"");
+    deployment.strike(&missing).await.unwrap();
+    wait(&deployment, 0, "members", |members| members == 2.0).await;
+    let torn = fault("what = \"discovery-torn\"");
+    deployment.strike(&torn).await.unwrap();
+    deployment.lift(&missing).await.unwrap();
+    let asked = |copy: usize| {
+        let discovery = deployment.copies[copy].discovery;
+        gullpulley_lab::http::get(discovery, "/api/targets", PATIENCE)
+    };
+    assert_eq!(asked(0).await, None, "half a list, and then its end");
+    deployment.lift(&torn).await.unwrap();
+    wait(&deployment, 0, "members", |members| members == 4.0).await;
+    // Four lines take 4 ms: of a hundred callers at once the last can't have its turn within 100 ms.
+    let all: Vec<_> = (0..100).map(|_| tokio::spawn(asked(0))).collect();
+    let (mut told, mut refused) = (0, 0);
+    for answer in all {
+        let answer = answer.await.unwrap().unwrap();
+        (told, refused) =
+            (told + u32::from(answer.status == 200), refused + u32::from(answer.status == 503));
+    }
+    assert!(told >= 1 && refused >= 20 && told + refused == 100, "{told} told, {refused} sent away");
+}
+
+#[tokio::test]
+async fn an_endpoint_of_an_upper_tier_lives_and_dies_with_the_copy_beside_it() {
+    let folder = tempfile::tempdir().unwrap();
+    let tiers = "[[tier]]\nname = \"x\"\nwork = 0.5\n[[tier]]\nname = \"y\"\nwork = 0.5\ncalls = 2.0\n\
+                 [kind.deep]\ntier = 1\ncores = 1\nwaiting = 30\n";
+    let text = TWO_ZONES.replace("{ plain = 2 }", "{ plain = 1, deep = 1 }");
+    let experiment = Arc::new(Experiment::parse("test", &format!("{text}{tiers}")).unwrap());
+    let deployment = Deployment::stand(&experiment, Path::new(STAND_IN), folder.path()).await.unwrap();
+    let names: Vec<&str> = deployment.copies.iter().map(|copy| copy.name.as_str()).collect();
+    assert_eq!(names, ["a-0", "b-0", "a-plain-0", "b-plain-0"]);
+    wait(&deployment, 2, "members", |members| members == 2.0).await;
+    let ask = || async {
+        let request = experiment.class[0].request("q1-1", "", PATIENCE).body(Default::default()).unwrap();
+        deployment.copies[0].pool.ask(request).await.map(|answer| answer.status.as_u16())
+    };
+    assert_eq!(ask().await, Ok(200));
+    assert_eq!(deployment.ledger.so_far().0, 3, "one attempt at the first tier, two calls of the second");
+    let gone = fault("what = \"gone\"\nof = \"a/plain-0\"");
+    deployment.strike(&gone).await.unwrap();
+    assert!(!deployment.copies[2].is_ready().await, "its copy has ended with it");
+    deployment.lift(&gone).await.unwrap();
+    assert!(deployment.copies[2].is_ready().await, "and is there before it");
+}
