Lab: power cuts and full, failing and slow disks, by a ward that traces a copy

Need: the store and the duties are to be proven under power cuts, and a lab that knows the program by its binary alone can't ask it what it has synced. Not taken: a library loaded into the program, which needs unsafe code and sees nothing of calls made past the C library; RLIMIT_FSIZE, which knows no fsync.

--- a/lab/src/copies.rs
+++ b/lab/src/copies.rs
@@ -6,7 +6,7 @@
 use crate::http::{self, Pool};
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
-use std::fs::OpenOptions;
+use std::fs::{File, OpenOptions};
 use std::io::{self, Write};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -15,8 +15,10 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use thiserror::Error;
+use tokio::io::{AsyncBufReadExt, BufReader};
+use tokio::process::ChildStdout;
 use tokio::sync::watch;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout};
 
 /// The keeper: `+ PID` and `- PID` lines say who lives; at the pipe's end it kills the living.
 const KEEPER: &str = "trap '' INT TERM HUP; l=; while read -r w p; do case $w in +) l=\"$l $p\";; \
@@ -88,6 +90,8 @@
     pub fronted: AtomicBool,
     /// Times that it ended though nobody had it end.
     pub crashes: AtomicU64,
+    /// A ward stands between it and its disk.
+    pub warded: bool,
     binary: PathBuf,
     folder: PathBuf,
     keeper: Arc<Keeper>,
@@ -98,6 +102,8 @@
 #[derive(Default)]
 struct Process {
     pid: Option<u32>,
+    /// Where the ward takes orders, where there is one.
+    orders: Option<File>,
     /// Its end is wanted.
     ending: bool,
     /// Since when it is as it should be; none while it is killed, paused or starting.
@@ -109,8 +115,8 @@
     pub fn new(
         described: &DescribedCopy,
         [clients, door, discovery]: [SocketAddr; 3],
-        binary: &Path,
-        folder: PathBuf,
+        [binary, folder]: [&Path; 2],
+        warded: bool,
         keeper: Arc<Keeper>,
     ) -> Arc<Self> {
         Arc::new(Copy {
@@ -123,8 +129,9 @@
             pool: Pool::new(clients),
             fronted: AtomicBool::new(false),
             crashes: AtomicU64::new(0),
+            warded,
             binary: binary.to_owned(),
-            folder,
+            folder: folder.to_owned(),
             keeper,
             process: Mutex::default(),
             ended: watch::Sender::new(0),
@@ -143,17 +150,37 @@
         let failed = |e| CopyError::Start(self.name.clone(), e);
         let log =
             OpenOptions::new().create(true).append(true).open(self.folder.join("log")).map_err(failed)?;
-        let mut command = tokio::process::Command::new(&self.binary);
+        std::fs::create_dir_all(self.folder.join("tmp")).map_err(failed)?;
+        let mut command = match self.warded {
+            true => {
+                let mut command = tokio::process::Command::new(ward().map_err(failed)?);
+                command.arg(self.folder.join("state")).arg("--").arg(&self.binary);
+                command.stdin(Stdio::piped()).stdout(Stdio::piped());
+                command
+            }
+            false => {
+                let mut command = tokio::process::Command::new(&self.binary);
+                command.stdin(Stdio::null()).stdout(Stdio::null());
+                command
+            }
+        };
         command.arg("run").arg("--config").arg(self.folder.join("copy.toml"));
-        command.env_clear().env("TMPDIR", &self.folder).stdin(Stdio::null()).stdout(Stdio::null());
+        command.env_clear().env("TMPDIR", self.folder.join("tmp"));
         let mut child = command.stderr(log).kill_on_drop(true).spawn().map_err(failed)?;
-        let pid = child.id().unwrap_or_default();
-        self.keeper.note('+', pid);
-        *self.process() = Process { pid: Some(pid), ending: false, well_since: None };
+        let started = child.id().unwrap_or_default();
+        self.keeper.note('+', started);
+        let orders = child.stdin.take().and_then(|stdin| stdin.into_owned_fd().ok()).map(File::from);
+        let pid = match child.stdout.take() {
+            Some(said) => {
+                pid_of(said).await.ok_or_else(|| CopyError::Ended(self.name.clone(), self.last_lines()))?
+            }
+            None => started,
+        };
+        *self.process() = Process { pid: Some(pid), orders, ending: false, well_since: None };
         let this = self.clone();
         tokio::spawn(async move {
             let _ = child.wait().await;
-            this.keeper.note('-', pid);
+            this.keeper.note('-', started);
             let mut process = this.process();
             if !process.ending {
                 this.crashes.fetch_add(1, Ordering::SeqCst);
@@ -200,25 +227,50 @@
 
     /// Ends it, and waits until it has ended.
     pub async fn end(&self, how: Signal) {
-        let mut ended = self.ended.subscribe();
-        let before = *ended.borrow();
-        {
-            let mut process = self.process();
-            (process.ending, process.well_since) = (true, None);
-            if process.pid.is_none() {
-                return;
-            }
-        }
+        let ended = self.ending();
         self.signal(how);
-        let _ = ended.wait_for(|ends| *ends > before).await;
+        self.ended(ended).await;
+    }
+
+    /// Its end is wanted from now on; how often it had ended before, none where it does not run.
+    fn ending(&self) -> Option<u64> {
+        let mut process = self.process();
+        (process.ending, process.well_since) = (true, None);
+        process.pid.map(|_| *self.ended.borrow())
+    }
+
+    async fn ended(&self, before: Option<u64>) {
+        if let Some(before) = before {
+            let _ = self.ended.subscribe().wait_for(|ends| *ends > before).await;
+        }
     }
 
     /// Stands still, or goes on.
     pub fn pause(&self, on: bool) {
         self.process().well_since = (!on).then(Instant::now);
+        if self.warded {
+            return self.order(if on { "pause on" } else { "pause off" });
+        }
         self.signal(if on { Signal::SIGSTOP } else { Signal::SIGCONT });
     }
 
+    /// Tells its ward what becomes of its disk.
+    pub fn order(&self, order: &str) {
+        if let Some(orders) = &mut self.process().orders {
+            // A pipe takes a line at once; nobody reads it where the process has just ended.
+            let _ = writeln!(orders, "{order}");
+        }
+    }
+
+    /// Ends it as a power cut does: killed, and only what was durable is left, by the draw of this seed.
+    pub async fn cut(&self, seed: u64) {
+        let ended = self.ending();
+        self.order(&format!("cut {seed}"));
+        self.ended(ended).await;
+        // Memory keeps nothing.
+        let _ = std::fs::remove_dir_all(self.folder.join("tmp"));
+    }
+
     fn signal(&self, signal: Signal) {
         if let Some(pid) = self.process().pid {
             let _ = kill(Pid::from_raw(pid as i32), signal); // it may just have ended
@@ -231,6 +283,22 @@
     }
 }
 
+/// Where the ward is: beside this program, or above it where this is a test.
+fn ward() -> io::Result<PathBuf> {
+    let this = std::env::current_exe()?;
+    let beside = this.ancestors().skip(1).take(2).map(|folder| folder.join("gullpulley-lab-ward"));
+    let missing =
+        || io::Error::other("there is no gullpulley-lab-ward beside this program: build the whole package");
+    beside.into_iter().find(|ward| ward.is_file()).ok_or_else(missing)
+}
+
+/// The process number that a ward says.
+async fn pid_of(said: ChildStdout) -> Option<u32> {
+    let (mut said, mut line) = (BufReader::new(said), String::new());
+    timeout(READY_WITHIN, said.read_line(&mut line)).await.ok()?.ok()?;
+    line.strip_prefix("pid ")?.trim().parse().ok()
+}
+
 /// Keeps the front's view of a copy: one that is ready gets clients at once, one that is not keeps them for `lag`.
 pub async fn front(copy: Arc<Copy>, lag: Duration) {
     let mut failing: Option<Instant> = None;
--- a/lab/src/deployment/faults.rs
+++ b/lab/src/deployment/faults.rs
@@ -18,6 +18,17 @@
         match fault.what {
             What::Kill => self.end(self.copy(&fault.of).cloned(), Signal::SIGKILL).await,
             What::Term => self.end(self.copy(&fault.of).cloned(), Signal::SIGTERM).await,
+            What::PowerCut => {
+                let struck = self.struck(fault);
+                struck.iter().for_each(|endpoint| endpoint.stop());
+                let mut cutting: JoinSet<()> = JoinSet::new();
+                for (number, copy) in self.on_disk(fault).into_iter().enumerate() {
+                    let seed = self.experiment.seed.wrapping_mul(1009) + number as u64;
+                    cutting.spawn(async move { copy.cut(seed).await });
+                }
+                while cutting.join_next().await.is_some() {}
+                self.tell(&struck, "removed", false).await;
+            }
             What::ZoneLost | What::Gone => {
                 let struck = self.struck(fault);
                 struck.iter().for_each(|endpoint| endpoint.stop());
@@ -42,6 +53,12 @@
         self.turn(fault, false);
         match fault.what {
             What::Kill | What::Term => self.start(self.copy(&fault.of).cloned()).await?,
+            What::PowerCut => {
+                let struck = self.struck(fault);
+                struck.iter().for_each(|endpoint| endpoint.start());
+                self.start(self.on_disk(fault)).await?;
+                self.tell(&struck, "up", true).await;
+            }
             What::ZoneLost | What::Gone => {
                 let struck = self.struck(fault);
                 self.start(struck.iter().filter_map(|endpoint| endpoint.behind.clone())).await?;
@@ -64,6 +81,9 @@
     fn turn(&self, fault: &Fault, on: bool) {
         match fault.what {
             What::Pause => self.copy(&fault.of).into_iter().for_each(|copy| copy.pause(on)),
+            What::DiskFull => self.order(fault, if on { "full on" } else { "full off" }),
+            What::DiskFailing => self.order(fault, if on { "failing on" } else { "failing off" }),
+            What::DiskSlow => self.order(fault, &format!("slow {}", if on { fault.by as u64 } else { 0 })),
             What::DiscoveryDown => self.table.send_modify(|table| table.down = on),
             What::DiscoveryTorn => self.table.send_modify(|table| table.torn = on),
             What::DiscoveryStale => self.table.send_modify(|table| {
@@ -103,6 +123,9 @@
 
     /// Changes the list for some endpoints, once discovery tells it.
     async fn tell(&self, of: &[Arc<Endpoint>], state: &'static str, boot: bool) {
+        if of.is_empty() {
+            return;
+        }
         sleep(self.experiment.discovery.late).await;
         let boot_ms = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64;
         self.table.send_modify(|table| {
@@ -139,6 +162,17 @@
         self.experiment.zone.iter().position(|zone| zone.name == name)
     }
 
+    /// The copies whose disks a fault strikes.
+    fn on_disk(&self, fault: &Fault) -> Vec<Arc<Copy>> {
+        let zone = self.zone(&fault.of);
+        let hit = |copy: &&Arc<Copy>| copy.name == fault.of || Some(copy.zone) == zone;
+        self.copies.iter().filter(hit).cloned().collect()
+    }
+
+    fn order(&self, fault: &Fault, order: &str) {
+        self.on_disk(fault).iter().for_each(|copy| copy.order(order));
+    }
+
     /// The copies of a zone that is lost.
     fn in_lost(&self, fault: &Fault) -> impl Iterator<Item = Arc<Copy>> {
         let zone = self.zone(&fault.of).filter(|_| fault.what == What::ZoneLost);
--- a/lab/src/deployment/mod.rs
+++ b/lab/src/deployment/mod.rs
@@ -216,12 +216,16 @@
         let discovery = addresses.discovery(copy.zone, copy.tier, experiment.zone.len());
         let places = [addresses.at(CLIENTS, number), addresses.at(DOOR, number), discovery];
         let mut table = configuration(experiment, &described, copy, places);
+        if experiment.copy.contains_key("state") {
+            let dir = here.join("state").display().to_string();
+            table.insert("state".into(), toml::Table::from_iter([("dir".to_owned(), dir.into())]).into());
+        }
         configuration::join(&mut table, &described, copy, posts, number);
         let text = configuration::laid_over(table, &experiment.copy).to_string();
         std::fs::create_dir_all(&here)
             .and_then(|()| std::fs::write(here.join("copy.toml"), text))
             .map_err(|e| DeploymentError::Io(here.display().to_string(), e))?;
-        copies.push(Copy::new(copy, places, program, here, keeper.clone()));
+        copies.push(Copy::new(copy, places, [program, &here], experiment.warded(copy), keeper.clone()));
     }
     Ok(copies)
 }
--- a/lab/src/experiment/faults.rs
+++ b/lab/src/experiment/faults.rs
@@ -21,7 +21,7 @@
     /// For a way: the other zone or copy; without it all others.
     #[serde(default)]
     pub to: Option<String>,
-    /// For `slow`: by how much; for `delay`: in milliseconds; for all others that say how much: which part.
+    /// For `slow`: by how much; for `delay` and `disk-slow`: in milliseconds; for all others that say how much: which part.
     #[serde(default)]
     pub by: f64,
 }
@@ -36,6 +36,15 @@
     Term,
     /// A copy stands still.
     Pause,
+    /// Power is cut under a copy, or under a zone with all that is in it: killed, and of its disk only what was durable
+    /// is left.
+    PowerCut,
+    /// A copy's disk, or those of a zone's copies, takes nothing more.
+    DiskFull,
+    /// What a copy writes, or makes durable, fails.
+    DiskFailing,
+    /// What a copy writes, or makes durable, takes longer.
+    DiskSlow,
     /// A zone is lost: copies killed, endpoints gone, all started again at the end.
     ZoneLost,
     /// Nothing comes through between a zone, or a copy, and others. A connection's bytes are held back, as
@@ -95,6 +104,11 @@
         ways.contains(&self.what)
     }
 
+    /// Whether a ward has to stand between the copy and its disk.
+    pub fn of_disk(&self) -> bool {
+        matches!(self.what, What::PowerCut | What::DiskFull | What::DiskFailing | What::DiskSlow)
+    }
+
     /// Whether `by` is a part of all.
     pub fn by_part(&self) -> bool {
         let parts = [What::Loss, What::Duplicate, What::Reorder, What::Resets, What::Failing];
--- a/lab/src/experiment/fits.rs
+++ b/lab/src/experiment/fits.rs
@@ -101,7 +101,11 @@
                     missing("copy", copies)
                 }
             }
-            What::CutOff
+            What::PowerCut
+            | What::DiskFull
+            | What::DiskFailing
+            | What::DiskSlow
+            | What::CutOff
             | What::CutOffOneWay
             | What::Delay
             | What::Loss
@@ -131,7 +135,8 @@
 
     /// The fault of a zone whose leaving or return a check measures; for a return one that ends.
     pub fn zone_fault(&self, check: &Check) -> Option<&Fault> {
-        let endpoints = [What::ZoneLost, What::Slow, What::Failing, What::Silent, What::Gone];
+        let endpoints =
+            [What::ZoneLost, What::PowerCut, What::Slow, What::Failing, What::Silent, What::Gone];
         let ends = |fault: &&Fault| check.that == That::LeftZoneWithin || fault.lasts.is_some();
         let mut struck =
             self.fault.iter().filter(|fault| fault.of_way() || endpoints.contains(&fault.what));
--- a/lab/src/experiment/mod.rs
+++ b/lab/src/experiment/mod.rs
@@ -164,6 +164,12 @@
         numbered.collect()
     }
 
+    /// Whether a fault strikes a copy's disk.
+    pub fn warded(&self, copy: &DescribedCopy) -> bool {
+        let struck = |fault: &Fault| fault.of == copy.name || fault.of == self.zone[copy.zone].name;
+        self.fault.iter().any(|fault| fault.of_disk() && struck(fault))
+    }
+
     /// All endpoints, by zone and kind.
     pub fn endpoints(&self) -> Vec<Described<'_>> {
         let (mut all, mut cells) = (Vec::new(), 0);
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod copies;
 pub mod deployment;
 pub mod discovery;
+pub mod disk;
 pub mod endpoint;
 pub mod experiment;
 pub mod http;
--- a/lab/src/seeds.rs
+++ b/lab/src/seeds.rs
@@ -16,6 +16,8 @@
     Stall,
     /// How often a request calls the next tier, by its number.
     Calls,
+    /// What of the unsynced a power cut leaves, by cut.
+    Disk,
     /// A client's wait before it asks again, by the request's number.
     Retry,
 }
--- a/lab/src/standin.rs
+++ b/lab/src/standin.rs
@@ -3,7 +3,7 @@
 //!
 //! ```toml
 //! [stand_in]
-//! breaks = "lost"      # or "repeat", "drain", "cold"; left out it keeps the rules as far as a plain proxy can
+//! breaks = "lost"      # or "repeat", "drain", "cold", "sync"; left out it keeps the rules as far as a plain proxy can
 //! delay_ms = 20        # before each request goes on
 //! ```
 #![forbid(unsafe_code)]
@@ -20,7 +20,10 @@
 use serde::Deserialize;
 use std::collections::HashMap;
 use std::error::Error;
+use std::fs::File;
+use std::io::Write;
 use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -39,10 +42,17 @@
     listen: Listen,
     discovery: Discovery,
     fleet: Option<Fleet>,
+    state: Option<State>,
     #[serde(default)]
     stand_in: StandIn,
 }
 
+/// Where it keeps a number that it counts up.
+#[derive(Deserialize)]
+struct State {
+    dir: PathBuf,
+}
+
 /// Where it greets others, who greet it.
 #[derive(Deserialize)]
 struct Fleet {
@@ -81,6 +91,8 @@
     Drain,
     /// All goes to the endpoint that started last.
     Cold,
+    /// What is said to be kept on disk was never synced.
+    Sync,
 }
 
 #[derive(Clone, Deserialize)]
@@ -102,6 +114,8 @@
     taken: AtomicU64,
     /// Greetings heard.
     heard: AtomicU64,
+    /// The number that it keeps.
+    kept: AtomicU64,
 }
 
 #[tokio::main]
@@ -110,12 +124,18 @@
     let config: Config =
         toml::from_str(&std::fs::read_to_string(file.ok_or("name a file with --config")?)?)?;
     let doors = [config.listen.clients, config.listen.operators];
-    let (list, pools, taken, heard) = Default::default();
-    let proxy = Arc::new(Proxy { config, list, pools, taken, heard });
+    let (list, pools, taken, heard, kept) = Default::default();
+    let proxy = Arc::new(Proxy { config, list, pools, taken, heard, kept });
     tokio::spawn(proxy.clone().follow());
     if proxy.config.fleet.is_some() {
         tokio::spawn(proxy.clone().greet());
     }
+    if let Some(State { dir }) = &proxy.config.state {
+        let before = std::fs::read_to_string(dir.join("count")).ok().and_then(|count| count.parse().ok());
+        proxy.kept.store(before.unwrap_or(0), Ordering::Relaxed);
+        let (proxy, dir) = (proxy.clone(), dir.clone());
+        std::thread::spawn(move || proxy.keep(&dir));
+    }
     let [clients, operators] = doors.map(|at| tokio::spawn(proxy.clone().serve(at)));
     clients.await??;
     operators.await??;
@@ -157,6 +177,28 @@
         }
     }
 
+    /// Counts up on disk, and tells of a number once it is durable there.
+    fn keep(&self, dir: &Path) {
+        let sync = self.config.stand_in.breaks != Some(Breaks::Sync);
+        loop {
+            let next = self.kept.load(Ordering::Relaxed) + 1;
+            let written = || {
+                let (new, file) = (dir.join("new"), dir.join("count"));
+                let mut writing = File::create(&new)?;
+                writing.write_all(next.to_string().as_bytes())?;
+                if sync {
+                    writing.sync_all()?;
+                }
+                std::fs::rename(new, file)?;
+                if sync { File::open(dir)?.sync_all() } else { Ok(()) }
+            };
+            if written().is_ok() {
+                self.kept.store(next, Ordering::Relaxed);
+            }
+            std::thread::sleep(LOOK / 5);
+        }
+    }
+
     async fn serve(self: Arc<Self>, at: SocketAddr) -> std::io::Result<()> {
         let listener = listen(at).await?;
         loop {
@@ -175,8 +217,9 @@
         match request.uri().path() {
             "/-/ready" => return Ok(reply(StatusCode::OK, String::new())),
             "/v1/metrics" => {
-                let heard = self.heard.load(Ordering::Relaxed);
-                return Ok(reply(StatusCode::OK, format!("svc.members={members}\nsvc.heard={heard}\n")));
+                let [heard, kept] = [&self.heard, &self.kept].map(|count| count.load(Ordering::Relaxed));
+                let figures = format!("svc.members={members}\nsvc.heard={heard}\nsvc.kept={kept}\n");
+                return Ok(reply(StatusCode::OK, figures));
             }
             _ => {}
         }
--- a/lab/tests/deployment.rs
+++ b/lab/tests/deployment.rs
@@ -135,3 +135,45 @@
     deployment.lift(&gone).await.unwrap();
     assert!(deployment.copies[2].is_ready().await, "and is there before it");
 }
+
+#[tokio::test]
+async fn a_power_cut_leaves_what_was_durable_and_a_disk_fails_fills_up_and_slows_down() {
+    for (breaks, keeps) in [("", true), ("breaks = \"sync\"", false)] {
+        let folder = tempfile::tempdir().unwrap();
+        let cut = "at = \"0s\"\nwhat = \"power-cut\"\nof = \"a\"\n";
+        let more = format!("[copy.state]\n[copy.stand_in]\n{breaks}\n[[fault]]\n{cut}");
+        let deployment = stand(&more, folder.path()).await;
+        assert!(deployment.copies[0].warded && !deployment.copies[1].warded);
+        wait(&deployment, 0, "kept", |kept| kept >= 5.0).await;
+        let told = figure(&deployment, 0, "kept").await;
+        let cut: Fault = toml::from_str(cut).unwrap();
+        deployment.strike(&cut).await.unwrap();
+        assert!(!deployment.copies[0].is_ready().await);
+        deployment.lift(&cut).await.unwrap();
+        let left = figure(&deployment, 0, "kept").await;
+        assert_eq!(left >= told, keeps, "{left} after {told}");
+        if !keeps {
+            continue;
+        }
+        let stays = async |what: &str| {
+            let disk = fault(&format!("what = \"{what}\"\nof = \"a-0\"\nby = 600000.0"));
+            deployment.strike(&disk).await.unwrap();
+            sleep(Duration::from_millis(100)).await; // a write may be under way
+            let before = figure(&deployment, 0, "kept").await;
+            sleep(Duration::from_millis(300)).await;
+            assert_eq!(
+                figure(&deployment, 0, "kept").await,
+                before,
+                "{what}: nothing more is kept, and it answers"
+            );
+            deployment.lift(&disk).await.unwrap();
+            (before, disk)
+        };
+        for what in ["disk-full", "disk-failing"] {
+            let (before, _) = stays(what).await;
+            wait(&deployment, 0, "kept", |kept| kept > before).await;
+        }
+        stays("disk-slow").await; // what waits for the disk waits on
+        assert_eq!(deployment.copies[0].crashes.load(std::sync::atomic::Ordering::SeqCst), 0);
+    }
+}
