--- a/lab/src/check.rs
+++ b/lab/src/check.rs
@@ -1,5 +1,6 @@
 //! What must hold, measured on a finished run.
 
+use crate::doors;
 use crate::experiment::{Check, Experiment, That, spelled};
 use crate::ledger::Breach;
 use crate::load::{End, Record};
@@ -22,10 +23,8 @@
 
 /// The four rules, which hold in every experiment, and its own checks.
 pub fn verdicts(run: &Run) -> Vec<Verdict> {
-    let rule =
-        |that| Check { that, at_least: None, at_most: Some(0.0), from: None, until: None, zone: None };
     let rules = [That::Lost, That::RepeatedEffects, That::SentToDraining, That::PushedOver, That::Crashes]
-        .map(rule);
+        .map(Check::never);
     let own = &run.experiment.check;
     // An experiment that states a bound of its own for a rule knows what it does.
     let stated = |check: &&Check| !own.iter().any(|stated| stated.that == check.that);
@@ -38,7 +37,14 @@
         check.at_least.is_none_or(|least| figure >= least)
             && check.at_most.is_none_or(|most| figure <= most)
     });
-    let mut name = spelled(&check.that);
+    let mut name = match &check.metric {
+        Some(metric) => {
+            let labels: Vec<String> =
+                check.labels.iter().map(|(name, value)| format!("{name}={value}")).collect();
+            format!("{} {metric}{{{}}}", spelled(&check.over), labels.join(","))
+        }
+        None => spelled(&check.that),
+    };
     for (word, time) in [("from", check.from), ("until", check.until)] {
         name += &time.map_or_else(String::new, |time| format!(" {word} {:.1} s", time.as_secs_f64()));
     }
@@ -67,6 +73,8 @@
         }
         That::LeftZoneWithin => left(run, check),
         That::ReturnedWithin => returned(run, check),
+        That::HoldersOfADuty => doors::holders(&run.samples),
+        That::Figure => doors::figure(&run.samples, check),
         That::P99Ms => {
             let taking = latencies(records());
             (!taking.is_empty()).then(|| taking.value_at_quantile(0.99) as f64 / 1e3)
@@ -204,12 +212,20 @@
         let records = (0..480).map(record).collect();
         let (breaches, faults, relay_adds) =
             (vec![Breach::PushedOver { endpoint: "b/x-0".into() }], vec![], Duration::ZERO);
-        Run { experiment, records, breaches, attempts: 480, crashes: 0, faults, relay_adds }
+        Run {
+            experiment,
+            records,
+            breaches,
+            attempts: 480,
+            crashes: 0,
+            faults,
+            samples: vec![],
+            relay_adds,
+        }
     }
 
     fn check(that: That) -> Check {
-        let (at_least, at_most, from, until, zone) = (None, Some(1.0), None, None, Some("b".to_owned()));
-        Check { that, at_least, at_most, from, until, zone }
+        Check { at_most: Some(1.0), zone: Some("b".to_owned()), ..Check::never(that) }
     }
 
     #[test]
--- a/lab/src/compare.rs
+++ b/lab/src/compare.rs
@@ -35,6 +35,15 @@
     pub fn differs(&self) -> Option<bool> {
         self.interval.map(|[low, high]| low > 0.0 || high < 0.0)
     }
+
+    /// The same in words.
+    pub fn said(&self) -> &'static str {
+        match self.differs() {
+            Some(true) => "they differ",
+            Some(false) => "no difference seen",
+            None => "too few plays to say; 8 at least",
+        }
+    }
 }
 
 /// Compares one figure over pairs of plays on the same seeds. The interval is that of the sign test: it assumes
@@ -44,8 +53,8 @@
     let differences = sorted(pairs.iter().map(|[first, second]| second - first).collect());
     let rank = rank(differences.len(), CHANCE / FIGURES.len() as f64);
     Comparison {
-        medians: [median(&column(0)), median(&column(1))],
-        difference: median(&differences),
+        medians: [median(column(0)), median(column(1))],
+        difference: median(differences.clone()),
         interval: rank.map(|rank| [differences[rank], differences[differences.len() - 1 - rank]]),
     }
 }
@@ -55,7 +64,9 @@
     values
 }
 
-fn median(sorted: &[f64]) -> f64 {
+/// The median; 0 of nothing.
+pub fn median(values: Vec<f64>) -> f64 {
+    let sorted = sorted(values);
     match sorted.len() {
         0 => 0.0,
         n if n % 2 == 1 => sorted[n / 2],
--- a/lab/src/copies.rs
+++ b/lab/src/copies.rs
@@ -225,6 +225,12 @@
         line?.parse().ok()
     }
 
+    /// What its door says, as OpenMetrics text.
+    pub async fn metrics(&self) -> Option<String> {
+        let answer = http::get(self.door, "/v1/metrics?format=openmetrics", Duration::from_secs(1)).await?;
+        (answer.status == 200).then_some(answer.body)
+    }
+
     /// Ends it, and waits until it has ended.
     pub async fn end(&self, how: Signal) {
         let ended = self.ending();
--- a/lab/src/experiment/faults.rs
+++ b/lab/src/experiment/faults.rs
@@ -1,10 +1,11 @@
 //! What goes wrong, and what must hold.
 
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 /// Something that goes wrong.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Fault {
     /// When.
@@ -117,7 +118,7 @@
 }
 
 /// What must hold.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Check {
     /// What is measured.
@@ -137,6 +138,46 @@
     /// Only of clients in this zone.
     #[serde(default)]
     pub zone: Option<String>,
+    /// For `figure`: the metric at the doors, ...
+    #[serde(default)]
+    pub metric: Option<String>,
+    /// ... those of its samples that have these labels, ...
+    #[serde(default)]
+    pub labels: BTreeMap<String, String>,
+    /// ... and what is made of them.
+    #[serde(default)]
+    pub over: Over,
+}
+
+impl Check {
+    /// That something does not happen at all.
+    pub fn never(that: That) -> Self {
+        let (at_least, at_most, from, until, zone, metric) = (None, Some(0.0), None, None, None, None);
+        Check {
+            that,
+            at_least,
+            at_most,
+            from,
+            until,
+            zone,
+            metric,
+            labels: BTreeMap::new(),
+            over: Over::Mean,
+        }
+    }
+}
+
+/// What is made of the samples that copies gave at their doors.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Over {
+    /// The mean.
+    #[default]
+    Mean,
+    /// The least.
+    Least,
+    /// The most.
+    Most,
 }
 
 /// What a check measures.
@@ -165,4 +206,8 @@
     LeftZoneWithin,
     /// Seconds from the end of a fault of the zone until the zone serves nearly its part of before.
     ReturnedWithin,
+    /// The most copies that held the same duty at one time, as far as their doors prove it.
+    HoldersOfADuty,
+    /// A figure that copies gave at their doors.
+    Figure,
 }
--- a/lab/src/experiment/fits.rs
+++ b/lab/src/experiment/fits.rs
@@ -32,6 +32,11 @@
             if check.at_least.is_none() && check.at_most.is_none() {
                 return wrong(format!("check[{number}]: say at_least or at_most"));
             }
+            if (check.that == That::Figure) != check.metric.is_some() {
+                return wrong(format!(
+                    "check[{number}]: `metric` goes with `figure`, and `figure` with it"
+                ));
+            }
             if matches!(check.that, That::LeftZoneWithin | That::ReturnedWithin)
                 && self.zone_fault(check).is_none()
             {
--- a/lab/src/experiment/mod.rs
+++ b/lab/src/experiment/mod.rs
@@ -5,7 +5,7 @@
 mod fits;
 mod world;
 
-pub use faults::{Check, Fault, That, What};
+pub use faults::{Check, Fault, Over, That, What};
 pub use world::{
     Arrivals, Burst, Class, Described, DescribedCopy, Discovery, Group, Kind, Link, Load, Repeats, Step,
     Tenant, Tier, Zone,
@@ -32,7 +32,7 @@
 }
 
 /// An experiment as its file has it.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Experiment {
     /// Its name.
@@ -72,11 +72,20 @@
     /// What must hold.
     #[serde(default)]
     pub check: Vec<Check>,
+    /// Figures at the copies' doors that are followed and shown, by the names of their metrics.
+    #[serde(default)]
+    pub doors: Vec<String>,
+    /// How often they are.
+    #[serde(default = "quarter_second", with = "humantime_serde")]
+    pub doors_every: Duration,
     /// Lines added to each copy's configuration.
     #[serde(default)]
     pub copy: toml::Table,
 }
 
+/// The metric by which a copy says that it holds a duty: 1 with the labels `duty` and `epoch`.
+pub const DUTY_HELD: &str = "gullpulley_duty_held";
+
 /// A word as experiments spell it.
 pub fn spelled(word: &impl Serialize) -> String {
     match serde_json::to_value(word) {
@@ -89,6 +98,10 @@
     1
 }
 
+fn quarter_second() -> Duration {
+    Duration::from_millis(250)
+}
+
 impl Experiment {
     /// Reads a file.
     pub fn load(file: &Path) -> Result<Self, ExperimentError> {
@@ -136,6 +149,23 @@
         Ok(read)
     }
 
+    /// It as a file would have it.
+    pub fn text(&self) -> String {
+        toml::to_string(self).unwrap_or_else(|e| format!("# it can't be written: {e}\n"))
+    }
+
+    /// The metrics at the doors that its plots and checks need.
+    pub fn followed(&self) -> Vec<&str> {
+        let checked = self.check.iter().filter_map(|check| check.metric.as_deref());
+        let holders =
+            self.check.iter().filter(|check| check.that == That::HoldersOfADuty).map(|_| DUTY_HELD);
+        let mut all: Vec<&str> =
+            self.doors.iter().map(String::as_str).chain(checked).chain(holders).collect();
+        all.sort();
+        all.dedup();
+        all
+    }
+
     /// Its tiers.
     pub fn tiers(&self) -> Vec<Tier> {
         let only = || vec![Tier { name: "only".to_owned(), work: 1.0, calls: 1.0 }];
--- a/lab/src/experiment/world.rs
+++ b/lab/src/experiment/world.rs
@@ -1,12 +1,12 @@
 //! What there is: zones, links, endpoints by kind, tenants, classes, what clients send, how the list travels.
 
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::path::PathBuf;
 use std::time::Duration;
 
 /// A zone and what stands in it.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Zone {
     /// Its name.
@@ -18,7 +18,7 @@
 }
 
 /// What lies between two zones.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Link {
     /// The two zones; both ways are alike.
@@ -29,7 +29,7 @@
 }
 
 /// A kind of endpoint.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Kind {
     /// The number of the tier that it belongs to.
@@ -82,7 +82,7 @@
 }
 
 /// A tier. Each endpoint of one has a copy of its own, through which it calls the next, one call after another.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Tier {
     /// Its name.
@@ -110,7 +110,7 @@
 }
 
 /// A tenant.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Tenant {
     /// Its name.
@@ -122,7 +122,7 @@
 }
 
 /// A class of requests.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Class {
     /// Its name: the first part of the path.
@@ -155,7 +155,7 @@
 }
 
 /// Whether a request may be sent again.
-#[derive(Clone, Copy, Debug, Deserialize, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Repeats {
     /// At any time.
@@ -167,7 +167,7 @@
 }
 
 /// Which endpoints know each other's keys.
-#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Group {
     /// All.
@@ -193,7 +193,7 @@
 }
 
 /// What clients send.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Load {
     /// Requests a second at the start.
@@ -219,7 +219,7 @@
 }
 
 /// Another rate from a time on.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Step {
     /// From when.
@@ -230,7 +230,7 @@
 }
 
 /// A multiple of the rate for a time.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Burst {
     /// From when.
@@ -244,7 +244,7 @@
 }
 
 /// How requests come.
-#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Arrivals {
     /// Independent of each other.
@@ -255,7 +255,7 @@
 }
 
 /// How the list reaches the copies.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Discovery {
     /// A change is told so much later.
--- a/lab/src/ledger.rs
+++ b/lab/src/ledger.rs
@@ -1,10 +1,12 @@
 //! What the endpoints saw: effects by request, and breaches of the rules that show only there.
 
+use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 /// A breach, with what it concerns.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum Breach {
     /// A request had more effects than its class allows.
     Repeated {
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod deployment;
 pub mod discovery;
 pub mod disk;
+pub mod doors;
 pub mod endpoint;
 pub mod experiment;
 pub mod http;
--- a/lab/src/load.rs
+++ b/lab/src/load.rs
@@ -10,7 +10,7 @@
 use hyper::StatusCode;
 use hyper::body::Bytes;
 use rand::Rng;
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
@@ -22,7 +22,7 @@
 const RETRY_WAIT: Duration = Duration::from_millis(100);
 
 /// How a request ended for its client.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum End {
     /// Served within the time wanted.
@@ -38,7 +38,7 @@
 }
 
 /// What became of a request.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct Record {
     /// Its number.
     pub number: u64,
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -3,9 +3,9 @@
 
 use clap::{Args, Parser, Subcommand};
 use gullpulley_lab::check::verdicts;
-use gullpulley_lab::compare::{self, FIGURES, figures};
+use gullpulley_lab::compare::{self, FIGURES};
 use gullpulley_lab::experiment::Experiment;
-use gullpulley_lab::report;
+use gullpulley_lab::report::{self, plays::Plays};
 use gullpulley_lab::run::{Run, Second, run};
 use std::path::{Path, PathBuf};
 use std::process::{Command as Process, ExitCode};
@@ -75,6 +75,11 @@
         #[command(flatten)]
         with: With,
     },
+    /// Make the page of a folder with results anew: of a run, a comparison or a sweep
+    Report {
+        /// The folder
+        folder: PathBuf,
+    },
     /// List the experiments that come with the project
     List,
 }
@@ -104,6 +109,10 @@
             compare(&file, [&first, &second], plays, &with)
         }
         Command::Sweep { file, setting, plays, with } => sweep(&file, &setting, plays, &with),
+        Command::Report { folder } => report::again(&folder)
+            .map(|page| println!("report: {}", page.display()))
+            .map_err(|e| e.to_string())
+            .map(|()| 0),
         Command::List => list().map(|()| 0),
     };
     match done {
@@ -158,6 +167,7 @@
         experiment.seed = seed.unwrap_or(experiment.seed) + add;
         let run = in_time(Arc::new(experiment), &self.program, folder, |_| {})?;
         run.void().iter().for_each(|void| println!("VOID: {void}"));
+        report::keep(&run, folder).map_err(|e| e.to_string())?;
         Ok(run)
     }
 }
@@ -167,16 +177,16 @@
     let [first, second] = variants.map(|variant| Variant::of(variant, with));
     let variants = [first?, second?];
     let folder = with.folder("compare");
-    let mut pairs: Vec<[[f64; FIGURES.len()]; 2]> = Vec::new();
-    let mut void = false;
+    let described = Experiment::parse(&file.display().to_string(), &text).map_err(|e| e.to_string())?;
+    let shown = variants.iter().map(|variant| variant.shown.clone()).collect();
+    let mut all = Plays::new(&described.name, &described.about, None, shown);
     for play in 0..plays {
         let mut pair = [[0.0; FIGURES.len()]; 2];
         // Each goes first half of the time: what comes second may find the machine warmer.
         for side in if play % 2 == 0 { [0, 1] } else { [1, 0] } {
             let here = folder.join(format!("{play}-{side}"));
             let run = variants[side].play(file, &text, with.seed, play, &here)?;
-            void |= run.void().is_some();
-            pair[side] = figures(&run);
+            pair[side] = all.add(side, &run);
         }
         println!(
             "play {:>3}: worth served {:.4} and {:.4}, p50 {:.1} and {:.1} ms",
@@ -186,24 +196,23 @@
             pair[0][2],
             pair[1][2]
         );
-        pairs.push(pair);
     }
     println!("\nA: {}\nB: {}\n", variants[0].shown, variants[1].shown);
     println!("{:<20} {:>10} {:>10} {:>10}  interval of the difference", "median of", "A", "B", "B - A");
     for (i, name) in FIGURES.iter().enumerate() {
-        let pairs: Vec<[f64; 2]> = pairs.iter().map(|[a, b]| [a[i], b[i]]).collect();
-        let seen = compare::compare(&pairs);
+        let seen = compare::compare(&all.pairs(i));
         let interval =
             seen.interval.map_or_else(String::new, |[low, high]| format!("{low:+.4} to {high:+.4}: "));
-        let said = match seen.differs() {
-            Some(true) => "they differ",
-            Some(false) => "no difference seen",
-            None => "too few plays to say; 8 at least",
-        };
         let [a, b] = seen.medians;
-        println!("{name:<20} {a:>10.4} {b:>10.4} {:>+10.4}  {interval}{said}", seen.difference);
+        println!("{name:<20} {a:>10.4} {b:>10.4} {:>+10.4}  {interval}{}", seen.difference, seen.said());
     }
-    Ok(if void { VOID } else { 0 })
+    conclude_plays(&all, &folder)
+}
+
+fn conclude_plays(plays: &Plays, folder: &Path) -> Result<u8, String> {
+    let page = report::plays::write(plays, folder).map_err(|e| e.to_string())?;
+    println!("\nreport: {}", page.display());
+    Ok(if plays.void > 0 { VOID } else { 0 })
 }
 
 fn sweep(file: &Path, setting: &str, plays: u64, with: &With) -> Result<u8, String> {
@@ -211,22 +220,21 @@
     let (key, values) = setting.split_once('=').ok_or(format!("`{setting}` is no key=value,value"))?;
     let (folder, program) = (with.folder("sweep"), with.program()?);
     println!("{key:<24} {:>6} {}", "play", FIGURES.map(|name| format!("{name:>19}")).concat());
-    let mut void = false;
-    for value in values.split(',') {
+    let described = Experiment::parse(&file.display().to_string(), &text).map_err(|e| e.to_string())?;
+    let shown = values.split(',').map(str::to_owned).collect();
+    let mut all = Plays::new(&described.name, &described.about, Some(key.to_owned()), shown);
+    for (column, value) in values.split(',').enumerate() {
         let settings = vec![format!("{key}={value}")];
         let variant = Variant { shown: value.to_owned(), program: program.clone(), settings };
         for play in 0..plays {
             let run =
                 variant.play(file, &text, with.seed, play, &folder.join(format!("{value}-{play}")))?;
-            void |= run.void().is_some();
-            println!(
-                "{value:<24} {:>6} {}",
-                play + 1,
-                figures(&run).map(|figure| format!("{figure:>19.4}")).concat()
-            );
+            let figures = all.add(column, &run);
+            let shown = figures.map(|figure| format!("{figure:>19.4}")).concat();
+            println!("{value:<24} {:>6} {shown}", play + 1);
         }
     }
-    Ok(if void { VOID } else { 0 })
+    conclude_plays(&all, &folder)
 }
 
 /// Runs an experiment until it ends or is given up; copies of the program end with it either way.
--- a/lab/src/run.rs
+++ b/lab/src/run.rs
@@ -2,11 +2,12 @@
 //! of every request is recorded.
 
 use crate::deployment::{Deployment, DeploymentError};
+use crate::doors::{self, Sample};
 use crate::experiment::{Experiment, Fault, spelled};
 use crate::ledger::Breach;
 use crate::load::{Clients, End, Record};
 use crate::schedule::schedule;
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 use std::path::Path;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -21,7 +22,7 @@
 const LATE_MOST_MS: f64 = 20.0;
 
 /// A fault as it was carried out.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct Struck {
     /// What happened, and to which.
     pub what: String,
@@ -65,6 +66,8 @@
     pub crashes: u64,
     /// What went wrong, as it was carried out.
     pub faults: Vec<Struck>,
+    /// What copies said at their doors.
+    pub samples: Vec<Sample>,
     /// What a relay adds to a round trip at the median.
     pub relay_adds: Duration,
 }
@@ -114,6 +117,9 @@
             });
         }
     });
+    let (saying, mut said) = mpsc::unbounded_channel();
+    let _doors = doors::follow(&deployment.copies, &experiment, start, &saying);
+    let mut samples = Vec::new();
     let mut faults = faults(&deployment, &experiment, start);
     let (mut records, mut struck, mut seconds): (Vec<Record>, Vec<Struck>, u64) = Default::default();
     while records.len() < count {
@@ -122,6 +128,7 @@
                 Some(record) => records.push(record),
                 None => break,
             },
+            Some(sample) = said.recv() => samples.push(sample),
             Some(done) = faults.join_next() => struck.extend(done.ok().transpose()?),
             () = sleep_until(start + Duration::from_secs(seconds + 1)) => {
                 progress(&second(&experiment, &deployment, &records, seconds));
@@ -138,7 +145,7 @@
     let (attempts, breaches) = deployment.ledger.so_far();
     let crashes = deployment.copies.iter().map(|copy| copy.crashes.load(Ordering::SeqCst)).sum();
     let relay_adds = deployment.relay_adds;
-    Ok(Run { experiment, records, breaches, attempts, crashes, faults: struck, relay_adds })
+    Ok(Run { experiment, records, breaches, attempts, crashes, faults: struck, samples, relay_adds })
 }
 
 /// Each fault strikes and is lifted by itself, at its own times.
--- a/lab/src/standin.rs
+++ b/lab/src/standin.rs
@@ -5,9 +5,11 @@
 //! [stand_in]
 //! breaks = "lost"      # or "repeat", "drain", "cold", "sync"; left out it keeps the rules as far as a plain proxy can
 //! delay_ms = 20        # before each request goes on
+//! holds = "orders"     # a duty that it says it holds, whoever else may
 //! ```
 #![forbid(unsafe_code)]
 
+use gullpulley_lab::experiment::DUTY_HELD;
 use gullpulley_lab::http::{Pool, get};
 use gullpulley_lab::network::listen;
 use http_body_util::Full;
@@ -78,6 +80,8 @@
     breaks: Option<Breaks>,
     #[serde(default)]
     delay_ms: u64,
+    /// A duty that it says it holds, whoever else may.
+    holds: Option<String>,
 }
 
 #[derive(Clone, Copy, Deserialize, PartialEq)]
@@ -218,8 +222,12 @@
             "/-/ready" => return Ok(reply(StatusCode::OK, String::new())),
             "/v1/metrics" => {
                 let [heard, kept] = [&self.heard, &self.kept].map(|count| count.load(Ordering::Relaxed));
+                let held = self.config.stand_in.holds.iter();
+                let held: String =
+                    held.map(|duty| format!("{DUTY_HELD}{{duty=\"{duty}\",epoch=\"1\"}} 1\n")).collect();
                 let figures = format!("svc.members={members}\nsvc.heard={heard}\nsvc.kept={kept}\n");
-                return Ok(reply(StatusCode::OK, figures));
+                let open = request.uri().query() == Some("format=openmetrics");
+                return Ok(reply(StatusCode::OK, if open { held } else { figures }));
             }
             _ => {}
         }
--- a/lab/tests/command_line.rs
+++ b/lab/tests/command_line.rs
@@ -72,6 +72,12 @@
         page.contains("<svg") && !page.contains("http://127") && !page.contains("<script"),
         "it needs but itself"
     );
+    fs::remove_file(folder.path().join("report.html")).unwrap();
+    let (code, told) = run(&["report", &into]);
+    assert!(code == 0 && told.contains("report.html"), "{told}");
+    assert_eq!(fs::read_to_string(folder.path().join("report.html")).unwrap(), page, "the same page again");
+    let (code, told) = run(&["report", &folder.path().join("..").display().to_string()]);
+    assert!(code == 2 && told.contains("neither results.jsonl nor"), "{told}");
     let (code, told) = run(&["run", "/nonexistent.toml"]);
     assert!(code == 2 && told.contains("/nonexistent.toml: No such file"), "{told}");
     let broken = ["run", &experiment("calm.toml"), "--program", "/bin/false", "--into", &into];
@@ -79,6 +85,32 @@
     assert!(code == 2 && told.contains("it ended before it was ready"), "{told}");
 }
 
+#[test]
+fn plays_of_two_variants_end_with_a_page_that_can_be_made_again() {
+    let folder = tempfile::tempdir().unwrap();
+    let into = folder.path().display().to_string();
+    let run = |arguments: &[&str]| said(&Command::new(LAB).args(arguments).output().unwrap());
+    let variants = ["load.rate=20,lasts=300ms", "load.rate=40,lasts=300ms"];
+    let (code, told) = run(&[
+        "compare",
+        &experiment("calm.toml"),
+        variants[0],
+        variants[1],
+        "--plays",
+        "1",
+        "--program",
+        STAND_IN,
+        "--into",
+        &into,
+    ]);
+    assert!([0, 3].contains(&code) && told.contains("too few plays to say"), "{told}");
+    let page = fs::read_to_string(folder.path().join("report.html")).unwrap();
+    assert!(page.contains("worth served: B - A") && page.contains("load.rate=40"));
+    assert!(folder.path().join("0-1/results.jsonl").is_file(), "each play is kept");
+    assert_eq!(run(&["report", &into]).0, 0);
+    assert_eq!(fs::read_to_string(folder.path().join("report.html")).unwrap(), page);
+}
+
 #[test]
 fn cargo_finds_the_program_by_the_words_of_the_readme() {
     let readme = fs::read_to_string(Path::new(env!("CARGO_MANIFEST_DIR")).join("../README.md")).unwrap();
--- a/lab/tests/rules.rs
+++ b/lab/tests/rules.rs
@@ -43,13 +43,15 @@
 
 #[test]
 fn a_stand_in_that_breaks_a_rule_is_seen_to() {
+    let one_holder = "[[check]]\nthat = \"holders-of-a-duty\"\nat_most = 1.0\n";
     for (breaks, rule) in [
-        ("lost", "lost"),
-        ("repeat", "repeated-effects"),
-        ("drain", "sent-to-draining"),
-        ("cold", "pushed-over"),
+        ("breaks = \"lost\"", "lost"),
+        ("breaks = \"repeat\"", "repeated-effects"),
+        ("breaks = \"drain\"", "sent-to-draining"),
+        ("breaks = \"cold\"", "pushed-over"),
+        ("holds = \"orders\"", "holders-of-a-duty"),
     ] {
-        let text = format!("{RULES}\n[copy.stand_in]\nbreaks = \"{breaks}\"\n");
+        let text = format!("{RULES}\n[copy.stand_in]\n{breaks}\n{one_holder}");
         let broken = broken(&play(&text, Path::new(STAND_IN)));
         // A plain proxy may break others besides: it spares no cold endpoint.
         assert!(broken.iter().any(|broken| broken == rule), "{breaks}: only {broken:?}");
