--- a/lab/src/endpoint.rs
+++ b/lab/src/endpoint.rs
@@ -3,7 +3,7 @@
 //! wait up to a millisecond longer.
 
 use crate::copies::Copy;
-use crate::experiment::{Class, Described, Group, Kind, Repeats, Tier};
+use crate::experiment::{Class, Described, Group, Kind, Repeats, Spread, Tier};
 use crate::http::NoAnswer;
 use crate::ledger::{Breach, Ledger};
 use crate::load::ANSWER_SLACK;
@@ -15,7 +15,7 @@
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use rand::Rng;
-use rand_distr::{Distribution, LogNormal};
+use rand_distr::{Distribution, Exp1, LogNormal};
 use std::collections::{HashMap, VecDeque};
 use std::convert::Infallible;
 use std::net::SocketAddr;
@@ -247,6 +247,7 @@
             let speed = (self.kind.speed * warmth / condition.slow / self.crowding()).max(1e-3);
             let part = self.world.tiers[self.kind.tier].work;
             let work = work(self.world.seed, number, class).mul_f64(part / speed);
+            sleep(class.waits.mul_f64(part)).await;
             let Some(behind) = &self.behind else {
                 self.work(work).await;
                 return Ok(reply(StatusCode::OK, &self.name));
@@ -400,20 +401,23 @@
 
 /// A request's work on a core of speed 1: the same in every run of the seed, whoever does it.
 fn work(seed: u64, number: u64, class: &Class) -> Duration {
-    let median = class.work.as_secs_f64().max(1e-6);
-    match LogNormal::new(median.ln(), class.spread.max(0.0)) {
-        Ok(spread) => {
-            Duration::from_secs_f64(spread.sample(&mut draws(seed, Part::Work, number)).min(60.0))
+    let (mean, sigma) = (class.work.as_secs_f64().max(1e-6), class.spread.max(0.0));
+    let mut draws = draws(seed, Part::Work, number);
+    let drawn = match class.distribution {
+        Spread::Fixed => mean,
+        Spread::Exponential => mean * Distribution::<f64>::sample(&Exp1, &mut draws),
+        Spread::LogNormal => {
+            let spread = LogNormal::new(mean.ln() - sigma * sigma / 2.0, sigma);
+            spread.map_or(mean, |spread| spread.sample(&mut draws))
         }
-        Err(_) => class.work,
-    }
+    };
+    Duration::from_secs_f64(drawn.min(60.0))
 }
 
 /// The mean of a request's work over all classes.
 pub fn mean_work(classes: &[Class]) -> Duration {
     let shares: f64 = classes.iter().map(|class| class.share).sum();
-    let mean = |class: &Class| class.work.as_secs_f64() * (class.spread * class.spread / 2.0).exp();
-    let whole: f64 = classes.iter().map(|class| class.share * mean(class)).sum();
+    let whole: f64 = classes.iter().map(|class| class.share * class.work.as_secs_f64()).sum();
     Duration::from_secs_f64((whole / shares.max(1e-9)).max(1e-6))
 }
 
@@ -441,6 +445,18 @@
         }
     }
 
+    #[test]
+    fn work_has_its_mean_however_it_spreads() {
+        let text = include_str!("../experiments/calm.toml");
+        for words in ["", "distribution = \"exponential\"", "distribution = \"fixed\"", "spread = 1.0"] {
+            let text = text.replacen("work = \"20ms\"", &format!("work = \"20ms\"\n{words}"), 1);
+            let class = &crate::experiment::Experiment::parse("test", &text).unwrap().class[0];
+            let all: f64 = (0..20_000).map(|number| work(7, number, class).as_secs_f64()).sum();
+            let mean = all / 20_000.0;
+            assert!((0.0194..0.0206).contains(&mean), "{words}: {mean} s, not about 20 ms");
+        }
+    }
+
     #[test]
     fn work_stands_still_with_its_endpoint() {
         let ms = Duration::from_millis;
--- a/lab/src/experiment/world.rs
+++ b/lab/src/experiment/world.rs
@@ -137,12 +137,18 @@
     pub window: Duration,
     /// Its part of all requests.
     pub share: f64,
-    /// The median of its work on a core of speed 1.
+    /// The mean of its work on a core of speed 1.
     #[serde(with = "humantime_serde")]
     pub work: Duration,
-    /// How the work spreads: the sigma of its log-normal distribution.
+    /// How the work spreads ...
+    #[serde(default)]
+    pub distribution: Spread,
+    /// ... and how far, where that is log-normal: its sigma.
     #[serde(default = "third")]
     pub spread: f64,
+    /// What it waits for others besides, without a core but in its place.
+    #[serde(default, with = "humantime_serde")]
+    pub waits: Duration,
     /// An answer within this is worth its worth.
     #[serde(with = "humantime_serde")]
     pub wanted: Duration,
@@ -154,6 +160,19 @@
     pub worth: f64,
 }
 
+/// How work spreads.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Spread {
+    /// As a product of many small influences does.
+    #[default]
+    LogNormal,
+    /// As waiting for something that comes at random does.
+    Exponential,
+    /// Not at all.
+    Fixed,
+}
+
 /// Whether a request may be sent again.
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(rename_all = "lowercase")]
--- a/lab/tests/deployment.rs
+++ b/lab/tests/deployment.rs
@@ -1,65 +1,17 @@
 //! A deployment as tests use it: stood up, struck, and asked at its copies' doors.
 
+mod support;
+
 use gullpulley_lab::deployment::Deployment;
 use gullpulley_lab::experiment::{Experiment, Fault};
 use std::path::Path;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::time::{Instant, sleep};
-
-const STAND_IN: &str = env!("CARGO_BIN_EXE_gullpulley-lab-standin");
-const PATIENCE: Duration = Duration::from_secs(30);
-
-const TWO_ZONES: &str = r#"
-name = "test"
-lasts = "1s"
-[[zone]]
-name = "a"
-copies = 1
-endpoints = { plain = 2 }
-[[zone]]
-name = "b"
-copies = 1
-endpoints = { plain = 2 }
-[kind.plain]
-cores = 1
-waiting = 30
-[[class]]
-name = "read"
-repeats = "safe"
-share = 1.0
-work = "10ms"
-wanted = "1s"
-deadline = "2s"
-[load]
-rate = 10.0
-"#;
+use support::{PATIENCE, STAND_IN, TWO_ZONES, fault, figure, wait};
+use tokio::time::sleep;
 
-/// Two zones with a copy each of the stand-in and two endpoints, and what else an experiment may say.
 async fn stand(more: &str, folder: &Path) -> Deployment {
-    let experiment = Arc::new(Experiment::parse("test", &format!("{TWO_ZONES}{more}")).unwrap());
-    Deployment::stand(&experiment, Path::new(STAND_IN), folder).await.unwrap()
-}
-
-fn fault(text: &str) -> Fault {
-    toml::from_str(&format!("at = \"0s\"\n{text}")).unwrap()
-}
-
-async fn figure(deployment: &Deployment, copy: usize, name: &str) -> f64 {
-    deployment.copies[copy].figure(name).await.unwrap_or(-1.0)
-}
-
-/// Waits until a copy's figure is as it should be.
-async fn wait(deployment: &Deployment, copy: usize, name: &str, fits: impl Fn(f64) -> bool) {
-    let begun = Instant::now();
-    loop {
-        let now = figure(deployment, copy, name).await;
-        if fits(now) {
-            return;
-        }
-        assert!(begun.elapsed() < PATIENCE, "{name} of {} stays {now}", deployment.copies[copy].name);
-        sleep(Duration::from_millis(20)).await;
-    }
+    support::stand(Path::new(STAND_IN), more, folder).await
 }
 
 #[tokio::test]
--- /dev/null
+++ b/lab/tests/program.rs
@@ -0,0 +1,64 @@
+//! Several copies of the program with faults between them.
+
+mod support;
+
+use gullpulley_lab::check::verdicts;
+use gullpulley_lab::experiment::Experiment;
+use gullpulley_lab::run::run;
+use std::sync::Arc;
+use support::{PATIENCE, TWO_ZONES, fault, figure, program, stand, wait};
+use tokio::time::timeout;
+
+#[tokio::test]
+async fn copies_go_on_with_the_list_they_have_while_discovery_is_torn_or_down_and_follow_it_again() {
+    let folder = tempfile::tempdir().unwrap();
+    let deployment = stand(program(), "", folder.path()).await;
+    let served = async || {
+        let request = plain_request(&deployment.copies[0].name);
+        let answer = timeout(PATIENCE, deployment.copies[0].pool.ask(request)).await.unwrap();
+        answer.unwrap().status.as_u16()
+    };
+    for what in ["discovery-torn", "discovery-down"] {
+        let faulty = fault(&format!("what = \"{what}\""));
+        let missing = fault("what = \"discovery-missing\"\nof = \"b\"");
+        deployment.strike(&faulty).await.unwrap();
+        deployment.strike(&missing).await.unwrap();
+        assert_eq!(served().await, 200, "{what}");
+        assert_eq!(
+            figure(&deployment, 0, "members").await,
+            4.0,
+            "{what}: nothing is believed of half a list"
+        );
+        deployment.lift(&faulty).await.unwrap();
+        for copy in [0, 1] {
+            wait(&deployment, copy, "members", |members| members == 2.0).await;
+        }
+        deployment.lift(&missing).await.unwrap();
+        wait(&deployment, 1, "members", |members| members == 4.0).await;
+        wait(&deployment, 0, "members", |members| members == 4.0).await;
+    }
+}
+
+/// A request that can be sent at any time.
+fn plain_request(id: &str) -> hyper::Request<http_body_util::Full<hyper::body::Bytes>> {
+    let experiment = Experiment::parse("test", TWO_ZONES).unwrap();
+    experiment.class[0].request(&format!("{id}-1"), "", PATIENCE).body(Default::default()).unwrap()
+}
+
+#[test]
+fn copies_told_to_end_one_after_the_other_under_load_lose_nothing() {
+    let restarts = "[[fault]]\nat = \"300ms\"\nlasts = \"400ms\"\nwhat = \"term\"\nof = \"a-0\"\n\
+                    [[fault]]\nat = \"1200ms\"\nlasts = \"400ms\"\nwhat = \"term\"\nof = \"b-0\"\n";
+    let text = TWO_ZONES
+        .replace("lasts = \"1s\"", "lasts = \"2s\"")
+        .replace("rate = 10.0", "rate = 100.0\nretries = 8\nfront_lag = \"100ms\"");
+    let experiment = Arc::new(Experiment::parse("test", &format!("{text}{restarts}")).unwrap());
+    let folder = tempfile::tempdir().unwrap();
+    let runtime = tokio::runtime::Runtime::new().unwrap();
+    let done = runtime.block_on(run(experiment, program(), folder.path(), |_| {})).unwrap();
+    let broken: Vec<_> = verdicts(&done).into_iter().filter(|verdict| !verdict.holds).collect();
+    assert!(broken.is_empty() && done.faults.len() == 2, "{broken:?}");
+    // A client whose try found nobody at the door asks again; none is left without an answer.
+    let unanswered = done.records.iter().filter(|record| record.endpoint.is_none()).count();
+    assert_eq!(unanswered, 0, "of {}", done.records.len());
+}
--- a/lab/tests/rules.rs
+++ b/lab/tests/rules.rs
@@ -1,26 +1,15 @@
 //! The program keeps the four rules, and the lab sees a stand-in break each of them.
 
+mod support;
+
 use gullpulley_lab::check::verdicts;
 use gullpulley_lab::experiment::Experiment;
 use gullpulley_lab::run::{Run, run};
-use std::path::{Path, PathBuf};
-use std::process::Command;
-use std::sync::{Arc, OnceLock};
+use std::path::Path;
+use std::sync::Arc;
+use support::{STAND_IN, program};
 
 const RULES: &str = include_str!("../experiments/rules.toml");
-const STAND_IN: &str = env!("CARGO_BIN_EXE_gullpulley-lab-standin");
-
-/// The program, built once for all tests, next to the lab's own.
-fn program() -> &'static Path {
-    static BUILT: OnceLock<PathBuf> = OnceLock::new();
-    BUILT.get_or_init(|| {
-        let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("..");
-        let mut build = Command::new(env!("CARGO"));
-        build.args(["build", "--locked", "--bin", "gullpulley"]).current_dir(root);
-        assert!(build.status().unwrap().success());
-        Path::new(STAND_IN).with_file_name("gullpulley")
-    })
-}
 
 fn play(text: &str, program: &Path) -> Run {
     let folder = tempfile::tempdir().unwrap();
