Read lists of many lines; where pushed, wait for the first; reopen a silent watch at once

Sentences that the program or its docs did not assume: - 'Lists may come indented': a watch was read line by line (net/discovery.rs), so the first line of an indented list was no list and broke the watch, again and again: such a sidecar never heard of a change. Now lists are put together by a reader that knows no lines (config/list.rs). Half a list followed by empty lines is silence. - 'What the agent has counts as told from the first moment of a new process': a new process served by the list in its configuration until the watch had answered (net/mod.rs). Where lists are pushed it now waits for the first list, for the first failure, or for 1 s. - 'What it misses counts as told 6 s after it fell silent': silence was noticed after 3 s, then waited out like a failed call (0.25 to 0.75 s). It says nothing against calls: 0.125 to 0.375 s now, where lists are pushed. - Already so: a sidecar without a watch asks again with backoff (policy/list.rs); answers after SIGTERM on each open connection say close (net/inbound.rs); the cold budget is parted by the settings' count (policy/cold.rs); calls that wait are no part of this site's protocol. What counts as refused or lost changes no code.

The lab gains watches that fall silent and lists in many lines and pieces. Also held now: requests on 24 connections between SIGTERM and their end, a body half sent at SIGTERM, an endpoint named twice.

--- a/lab/src/deployment/faults.rs
+++ b/lab/src/deployment/faults.rs
@@ -86,6 +86,7 @@
             What::DiskSlow => self.order(fault, &format!("slow {}", if on { fault.by as u64 } else { 0 })),
             What::DiscoveryDown => self.table.send_modify(|table| table.down = on),
             What::DiscoveryTorn => self.table.send_modify(|table| table.torn = on),
+            What::DiscoverySilent => self.table.send_modify(|table| table.silenced += u64::from(on)),
             What::DiscoveryStale => self.table.send_modify(|table| {
                 let Some(zone) = self.zone(&fault.of) else { return };
                 let now = (table.rev, table.entries.clone());
--- a/lab/src/discovery.rs
+++ b/lab/src/discovery.rs
@@ -18,6 +18,7 @@
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::{Mutex, watch};
+use tokio::task::yield_now;
 use tokio::time::{sleep, timeout};
 
 /// A watch on which nothing changes brings an empty line this often.
@@ -55,6 +56,8 @@
     pub down: bool,
     /// What is told breaks off in the middle.
     pub torn: bool,
+    /// How often all watches that were open then have fallen silent, for good.
+    pub silenced: u64,
     /// Zones, by their numbers, that are told the list as it stood once, and its version then.
     pub stale: BTreeMap<usize, (u64, Vec<Entry>)>,
 }
@@ -73,12 +76,20 @@
     turn: Mutex<()>,
     per_line: Duration,
     patience: Duration,
+    indented: bool,
+    pieces: usize,
 }
 
 impl Desk {
     /// One that works as an experiment says.
     pub fn new(described: &crate::experiment::Discovery) -> Self {
-        Desk { turn: Mutex::new(()), per_line: described.per_line, patience: described.patience }
+        let crate::experiment::Discovery { per_line, patience, indented, pieces, .. } = *described;
+        Desk { turn: Mutex::new(()), per_line, patience, indented, pieces }
+    }
+
+    /// A list in the words that callers get.
+    fn lay_out(&self, list: &Value) -> String {
+        if self.indented { format!("{list:#}") } else { list.to_string() }
     }
 
     /// Waits for a caller's turn and for so many lines to be told; false where that took too long.
@@ -99,7 +110,7 @@
     }
 
     /// The entries that changed after a version, as discovery words them to a caller, and how many they are.
-    fn after(&self, rev: u64, Caller { zone, tier }: Caller) -> (String, usize) {
+    fn after(&self, rev: u64, Caller { zone, tier }: Caller) -> (Value, usize) {
         let (all, (now, entries)) = (rev == 0, self.seen(zone));
         let told = entries.iter().filter(|entry| entry.tier == tier && entry.rev > rev);
         let targets: Vec<Value> = told
@@ -111,7 +122,7 @@
             })
             .collect();
         let lines = targets.len();
-        (json!({"rev": now, "all": all, "targets": targets}).to_string(), lines)
+        (json!({"rev": now, "all": all, "targets": targets}), lines)
     }
 }
 
@@ -154,22 +165,29 @@
     if watch {
         tokio::spawn(follow(lines, after, caller, table, desk));
     } else {
-        let list = table.borrow().after(0, caller).0;
+        let list = desk.lay_out(&table.borrow().after(0, caller).0);
         let torn = table.borrow().torn;
-        tokio::spawn(async move { say(lines, list, torn).await });
+        tokio::spawn(async move { say(lines, list, desk.pieces, torn).await });
     }
     Response::new(body.boxed())
 }
 
 type Lines = http_body_util::channel::Sender<Bytes, io::Error>;
 
-/// Says a text, or half of it before it breaks off; gives back where more can be said.
-async fn say(mut lines: Lines, text: String, torn: bool) -> Option<Lines> {
+/// Says a text in pieces of so many bytes (0 for whole), or half of it before it breaks off; gives back where more can
+/// be said.
+async fn say(mut lines: Lines, text: String, pieces: usize, torn: bool) -> Option<Lines> {
     let mut text = Bytes::from(text);
     if torn {
         text.truncate(text.len() / 2);
     }
-    lines.send_data(text).await.ok()?;
+    while !text.is_empty() {
+        let piece = if pieces == 0 { text.len() } else { pieces.min(text.len()) };
+        lines.send_data(text.split_to(piece)).await.ok()?;
+        if pieces > 0 {
+            yield_now().await; // else they would be written as one
+        }
+    }
     if torn {
         lines.abort(io::ErrorKind::ConnectionReset.into());
         return None;
@@ -185,8 +203,14 @@
     desk: Arc<Desk>,
 ) {
     let mut first = true;
+    let silenced = table.borrow().silenced;
     loop {
         let first = std::mem::replace(&mut first, false);
+        if table.borrow().silenced > silenced {
+            // Its connection stays up, and nothing more is said on it.
+            while table.changed().await.is_ok() {}
+            return;
+        }
         let line = {
             let now = table.borrow_and_update();
             if now.down {
@@ -198,13 +222,13 @@
             (rev != told || told == 0).then(|| (rev, now.after(told, caller), now.torn))
         };
         let (text, torn) = match line {
-            Some((rev, (text, count), torn)) => {
+            Some((rev, (list, count), torn)) => {
                 // The call itself has had its turn.
                 if !first && !desk.tell(count).await {
                     return;
                 }
                 told = rev;
-                (text + "\n", torn)
+                (desk.lay_out(&list) + "\n", torn)
             }
             None => match timeout(EMPTY_LINE, table.changed()).await {
                 Ok(Ok(())) => continue,
@@ -212,7 +236,7 @@
                 Err(_) => ("\n".to_owned(), false),
             },
         };
-        lines = match say(lines, text, torn).await {
+        lines = match say(lines, text, desk.pieces, torn).await {
             Some(lines) => lines,
             None => return, // the caller has left, or heard half
         };
--- a/lab/src/experiment/faults.rs
+++ b/lab/src/experiment/faults.rs
@@ -80,6 +80,8 @@
     Drain,
     /// Discovery answers 503, and its watches end.
     DiscoveryDown,
+    /// All watches that are open fall silent, and stay so; those opened from then on do not.
+    DiscoverySilent,
     /// Discovery goes on telling a zone the list as it stands now, and the others what becomes of it.
     DiscoveryStale,
     /// Discovery's answers and lines break off in the middle.
--- a/lab/src/experiment/fits.rs
+++ b/lab/src/experiment/fits.rs
@@ -134,7 +134,7 @@
                 let known_so = zones.contains(&fault.of) || known.contains(&fault.of);
                 if known_so { Ok(()) } else { missing("endpoint", known) }
             }
-            What::DiscoveryDown | What::DiscoveryTorn => Ok(()),
+            What::DiscoveryDown | What::DiscoveryTorn | What::DiscoverySilent => Ok(()),
         }
     }
 
--- a/lab/src/experiment/world.rs
+++ b/lab/src/experiment/world.rs
@@ -286,11 +286,23 @@
     /// A call that has waited for its turn for so long is answered with 503.
     #[serde(default = "second", with = "humantime_serde")]
     pub patience: Duration,
+    /// Lists come in many lines rather than one.
+    #[serde(default)]
+    pub indented: bool,
+    /// Lists come in pieces of so many bytes; 0 for whole.
+    #[serde(default)]
+    pub pieces: usize,
 }
 
 impl Default for Discovery {
     fn default() -> Self {
-        Discovery { late: Duration::ZERO, per_line: Duration::ZERO, patience: second() }
+        Discovery {
+            late: Duration::ZERO,
+            per_line: Duration::ZERO,
+            patience: second(),
+            indented: false,
+            pieces: 0,
+        }
     }
 }
 
--- a/lab/tests/program.rs
+++ b/lab/tests/program.rs
@@ -6,8 +6,9 @@
 use gullpulley_lab::experiment::Experiment;
 use gullpulley_lab::run::run;
 use std::sync::Arc;
+use std::time::Duration;
 use support::{PATIENCE, TWO_ZONES, fault, figure, program, stand, wait};
-use tokio::time::timeout;
+use tokio::time::{Instant, sleep, timeout};
 
 #[tokio::test]
 async fn copies_go_on_with_the_list_they_have_while_discovery_is_torn_or_down_and_follow_it_again() {
@@ -39,6 +40,47 @@
     }
 }
 
+#[tokio::test]
+async fn what_a_silent_watch_misses_is_known_within_six_seconds() {
+    // Falling silent alone, as discovery goes down for a moment, and right after an outage; lists come in any form.
+    for (layout, around) in [("", ""), ("indented = true\npieces = 7\n", "during"), ("", "before")] {
+        let folder = tempfile::tempdir().unwrap();
+        let deployment = stand(program(), &format!("[discovery]\n{layout}"), folder.path()).await;
+        let down = fault("what = \"discovery-down\"");
+        if around == "before" {
+            let calls_fail = async || {
+                let told =
+                    gullpulley_lab::http::get(deployment.copies[0].discovery, "/api/targets", PATIENCE);
+                told.await.is_some_and(|answer| answer.status == 503)
+            };
+            deployment.strike(&down).await.unwrap();
+            assert!(calls_fail().await);
+            deployment.lift(&down).await.unwrap();
+            for copy in [0, 1] {
+                // News comes through again: the watch is up.
+                let drain = fault("what = \"drain\"\nof = \"a/plain-0\"");
+                deployment.strike(&drain).await.unwrap();
+                wait(&deployment, copy, "members_unavailable", |out| out == 1.0).await;
+                deployment.lift(&drain).await.unwrap();
+                wait(&deployment, copy, "members_unavailable", |out| out == 0.0).await;
+            }
+        }
+        deployment.strike(&fault("what = \"discovery-silent\"")).await.unwrap();
+        let silent = Instant::now();
+        deployment.strike(&fault("what = \"discovery-missing\"\nof = \"b\"")).await.unwrap();
+        if around == "during" {
+            deployment.strike(&down).await.unwrap();
+            sleep(Duration::from_millis(300)).await;
+            deployment.lift(&down).await.unwrap();
+        }
+        for copy in [0, 1] {
+            wait(&deployment, copy, "members", |members| members == 2.0).await;
+        }
+        let within = silent.elapsed();
+        assert!(within < Duration::from_secs(6), "{layout}{around}: known after {within:?}");
+    }
+}
+
 /// A request that can be sent at any time.
 fn plain_request(id: &str) -> hyper::Request<http_body_util::Full<hyper::body::Bytes>> {
     let experiment = Experiment::parse("test", TWO_ZONES).unwrap();
--- a/src/config/list.rs
+++ b/src/config/list.rs
@@ -1,7 +1,12 @@
-//! The endpoint list as discovery words it; a configuration carries the one last held.
+//! The endpoint list as discovery words it; a configuration carries the one last held, and a watch brings
+//! lists one behind the other.
 
 use serde::Deserialize;
 use std::net::SocketAddr;
+use thiserror::Error;
+
+/// No list, and nothing that may yet become one, is longer than this many bytes.
+pub const LIST_MOST: usize = 4 << 20;
 
 /// A list as discovery words it.
 #[derive(Debug, Default, Deserialize)]
@@ -55,3 +60,50 @@
     /// Gone; only among changes.
     Removed,
 }
+
+/// What a watch brought that is no list.
+#[derive(Debug, Error)]
+pub enum ListFault {
+    /// It can't become a list any more.
+    #[error("the watch brought what is no list: {0}")]
+    Malformed(#[from] serde_json::Error),
+    /// It has not become a list within [`LIST_MOST`].
+    #[error("the watch brought a list of over {LIST_MOST} bytes")]
+    TooLong,
+}
+
+/// Puts lists together that come one behind the other in pieces, each laid out in one line or in many.
+#[derive(Default)]
+pub struct ListReader {
+    text: Vec<u8>,
+}
+
+impl ListReader {
+    /// Takes a piece, and gives the lists that are whole with it. After a fault nothing more can be read.
+    pub fn take(&mut self, piece: &[u8]) -> Result<Vec<List>, ListFault> {
+        self.text.extend_from_slice(piece);
+        let mut lists = Vec::new();
+        // A list ends where a line does, or a piece. To look at each piece of a long one would cost its square.
+        if piece.split(|&byte| byte == b'\n').any(|line| line.trim_ascii_end().ends_with(b"}")) {
+            let mut stream = serde_json::Deserializer::from_slice(&self.text).into_iter();
+            for list in stream.by_ref() {
+                match list {
+                    Ok(list) => lists.push(list),
+                    Err(e) if e.is_eof() => break,
+                    Err(e) => return Err(e.into()),
+                }
+            }
+            let read = stream.byte_offset();
+            self.text.drain(..read);
+        }
+        if !self.is_amid() {
+            self.text.clear();
+        }
+        if self.text.len() > LIST_MOST { Err(ListFault::TooLong) } else { Ok(lists) }
+    }
+
+    /// A list has begun and not ended.
+    pub fn is_amid(&self) -> bool {
+        !self.text.trim_ascii().is_empty()
+    }
+}
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -10,7 +10,7 @@
 mod router;
 
 pub use fault::{ConfigError, Fault};
-pub use list::{List, State, Target};
+pub use list::{LIST_MOST, List, ListFault, ListReader, State, Target};
 
 use crate::api::{Discovery, Group, Semantics, Settings};
 use serde::Deserialize;
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -1,7 +1,7 @@
 //! The endpoint list: asks discovery for it, and follows its changes.
 
 use super::guard::Guard;
-use gullpulley::config::{List, Names, State};
+use gullpulley::config::{LIST_MOST, List, ListReader, Names, State};
 use gullpulley::{
     CellId, Discovery as Mode, EndpointId, EndpointInfo, EndpointNames, EndpointState, KindId, Membership,
     ZoneId,
@@ -17,11 +17,12 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
+use thiserror::Error;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::watch;
 use tokio::task::spawn_local;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout, timeout_at};
 use tracing::{info, warn};
 
 /// A connection to discovery that is not up after this long has failed.
@@ -32,8 +33,6 @@
 /// machine cut off is, which nothing else would ever tell. News counts as told after 6 s: what is left
 /// of them has to do for two calls, as the first may fail.
 const SILENCE: Duration = Duration::from_secs(3);
-/// No list, and no line of a watch, is longer than this.
-const LIST_MOST: usize = 4 << 20;
 /// First wait before a watch that the node keeps up itself is tried again; doubles with each failure.
 const BACKOFF: Duration = Duration::from_millis(250);
 /// Doublings of that wait.
@@ -57,6 +56,23 @@
     Move(SocketAddr),
 }
 
+/// What has come of discovery since the start.
+#[derive(Clone, Copy, PartialEq)]
+enum Heard {
+    Nothing,
+    Failures,
+    Lists,
+}
+
+/// Why a watch is over.
+#[derive(Debug, Error)]
+enum Over {
+    #[error("the watch fell silent")]
+    Silent,
+    #[error("{0}")]
+    Broken(String),
+}
+
 /// What the node knows of discovery.
 pub struct Discovery {
     address: Cell<SocketAddr>,
@@ -65,8 +81,8 @@
     ids: RefCell<EndpointNames>,
     rev: Cell<u64>,
     draws: RefCell<Pcg32>,
-    /// A list has come since the start.
-    heard: watch::Sender<bool>,
+    /// What has come of it since the start.
+    heard: watch::Sender<Heard>,
     /// Why it fails, since the last list.
     failing: RefCell<Option<String>>,
     /// Where news goes.
@@ -85,7 +101,7 @@
         let draws = RefCell::new(Pcg32::seed_from_u64(seed));
         let (ids, rev) = Default::default();
         let address = Cell::new(address);
-        let heard = watch::Sender::new(false);
+        let heard = watch::Sender::new(Heard::Nothing);
         Rc::new(Discovery {
             address,
             mode,
@@ -165,8 +181,8 @@
             if this.mode == Mode::Push {
                 this.keep_watch().await;
             } else {
-                let reason = this.follow().await;
-                this.failed(&reason);
+                let over = this.follow().await;
+                this.failed(&over.to_string());
             }
         });
         Guard::new(task.abort_handle())
@@ -177,45 +193,43 @@
         let mut failures = 0;
         loop {
             let before = self.rev.get();
-            let reason = self.follow().await;
-            self.failed(&reason);
-            failures = if self.rev.get() == before { failures + 1 } else { 0 };
+            let over = self.follow().await;
+            self.failed(&over.to_string());
+            // A watch that fell silent says nothing against calls, and of the 6 s half have passed.
+            let well = self.rev.get() != before || matches!(over, Over::Silent);
+            failures = if well { 0 } else { failures + 1 };
             let jitter = 0.5 + f64::from(self.draws.borrow_mut().next_u32()) / f64::from(u32::MAX);
             let doubled = BACKOFF * (1 << failures.min(BACKOFF_DOUBLES));
             tokio::time::sleep(doubled.mul_f64(jitter)).await;
         }
     }
 
-    /// Follows changes until the watch ends; gives the reason.
-    async fn follow(&self) -> String {
+    /// Follows changes until the watch is over.
+    async fn follow(&self) -> Over {
         let path = format!("/api/targets?watch=1&after={}", self.rev.get());
         let (response, _connection) = match self.call(&path).await {
             Ok(answered) => answered,
-            Err(reason) => return reason,
+            Err(reason) => return Over::Broken(reason),
         };
         let mut body = response.into_body();
-        let mut text = Vec::new();
+        let mut lists = ListReader::default();
+        let mut silent_at = Instant::now() + SILENCE;
         loop {
-            match timeout(SILENCE, body.frame()).await {
-                Err(_) => return "the watch fell silent".to_owned(),
-                Ok(None) => return "the watch ended".to_owned(),
-                Ok(Some(Err(e))) => return format!("the watch broke: {e}"),
-                Ok(Some(Ok(frame))) => text.extend_from_slice(frame.data_ref().map_or(&[][..], |d| d)),
+            let frame = match timeout_at(silent_at, body.frame()).await {
+                Err(_) => return Over::Silent,
+                Ok(None) => return Over::Broken("the watch ended".to_owned()),
+                Ok(Some(Err(e))) => return Over::Broken(format!("the watch broke: {e}")),
+                Ok(Some(Ok(frame))) => frame,
+            };
+            let piece = frame.data_ref().map_or(&[][..], |data| data);
+            // To skip a change would leave the list wrong for good: the watch begins again instead.
+            match lists.take(piece) {
+                Ok(whole) => whole.into_iter().for_each(|list| self.take(list)),
+                Err(fault) => return Over::Broken(fault.to_string()),
             }
-            while let Some(end) = text.iter().position(|&b| b == b'\n') {
-                let line: Vec<u8> = text.drain(..=end).collect();
-                let line = line.trim_ascii();
-                if line.is_empty() {
-                    continue;
-                }
-                // To skip a change would leave the list wrong for good: the watch begins again instead.
-                match serde_json::from_slice(line) {
-                    Ok(list) => self.take(list),
-                    Err(e) => return format!("the watch brought what is no list: {e}"),
-                }
-            }
-            if text.len() > LIST_MOST {
-                return "the watch brought too long a line".to_owned();
+            // Empty lines behind half a list keep up a watch that tells nothing any more.
+            if !lists.is_amid() || !piece.trim_ascii().is_empty() {
+                silent_at = Instant::now() + SILENCE;
             }
         }
     }
@@ -249,12 +263,17 @@
 
     /// Waits until a list has come.
     pub async fn heard(&self) {
-        let _ = self.heard.subscribe().wait_for(|heard| *heard).await; // fails only without a sender
+        let _ = self.heard.subscribe().wait_for(|heard| *heard == Heard::Lists).await; // fails only without a sender
+    }
+
+    /// Waits until a list has come, or a call has failed.
+    pub async fn tried(&self) {
+        let _ = self.heard.subscribe().wait_for(|heard| *heard != Heard::Nothing).await; // as above
     }
 
     fn take(&self, list: List) {
         self.rev.set(list.rev);
-        self.heard.send_replace(true);
+        self.heard.send_replace(Heard::Lists);
         self.failing.take();
         if !list.targets.is_empty() {
             let sort = if list.all { "whole list" } else { "changes" };
@@ -269,6 +288,13 @@
         if self.failing.replace(Some(reason.to_owned())).is_none_or(|before| before != reason) {
             warn!(address = %self.address.get(), "discovery: {reason}");
         }
+        self.heard.send_if_modified(|heard| {
+            let first = *heard == Heard::Nothing;
+            if first {
+                *heard = Heard::Failures;
+            }
+            first
+        });
         self.tell(News { membership: Membership::Failed, addresses: Vec::new() });
     }
 
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -60,6 +60,9 @@
 const LOOK: Duration = Duration::from_millis(100);
 /// A new process waits for its first list no longer than this: it has 6 s to say that it is ready.
 const LIST_WAIT: Duration = Duration::from_millis(2500);
+/// Where lists are pushed, what the agent beside us has counts as told from the first moment of this process: so
+/// long we wait for it to say so, or to fail. Longer, and the list known at the start has to do.
+const PUSH_WAIT: Duration = Duration::from_secs(1);
 /// How often and how long after each other a faulty file is looked at: it may just be being written.
 const RELOAD_LOOKS: u32 = 5;
 const RELOAD_LOOK: Duration = Duration::from_millis(100);
@@ -119,6 +122,9 @@
     let mut driver = spawn_local(driver.run(inputs));
     spawn_local(discovery.clone().run(asked));
     spawn_local(outbound.clone().sweep());
+    if settings.discovery == gullpulley::Discovery::Push {
+        let _ = timeout(PUSH_WAIT, discovery.tried()).await;
+    }
     let overlap = control.and_then(|_| join(&name));
     if let Some(overlap) = overlap {
         let sharing = Sharing { overlap, budget, inbound: inbound.clone(), outbound, inbox: inbox.clone() };
--- a/tests/node_limits.rs
+++ b/tests/node_limits.rs
@@ -125,6 +125,44 @@
     assert!(sidecar.ended().success());
 }
 
+#[test]
+fn whatever_is_sent_on_a_connection_open_at_sigterm_is_answered_or_never_taken() {
+    let peer = Peer::serving("ok");
+    let mut sidecar = Sidecar::start(&config(&[&peer]));
+    let mut clients: Vec<Client> = (0..24).map(|_| sidecar.client()).collect();
+    for (n, client) in clients.iter_mut().enumerate().skip(8) {
+        assert_eq!(client.ask("book", &format!("r{n}")).status(), 200);
+    }
+    let whole = request("book", "half", "20000m");
+    let (sent, rest) = whole.split_at(whole.len() - 2);
+    let mut half = sidecar.client();
+    half.send(sent);
+    sidecar.signal("-TERM");
+    wait_for("the drain to begin", || sidecar.ready() != Some(200));
+    half.send(rest);
+    let answer = half.receive().expect("a request whose body was half sent is answered");
+    assert_eq!((answer.status(), answer.header("connection")), (200, "close"));
+    // One after the other until each is closed: some at once, some just as their connection is closed.
+    let mut answered = 0;
+    for (n, client) in clients.iter_mut().enumerate() {
+        thread::sleep(Duration::from_millis(25)); // spreads them over the time in which connections are closed
+        client.send(&request("book", &format!("t{n}"), "20000m"));
+        match client.receive() {
+            Some(answer) => assert_eq!((answer.status(), answer.header("connection")), (200, "close")),
+            None => continue,
+        }
+        answered += 1;
+    }
+    assert!(sidecar.ended().success());
+    let ran = |message: &Message| message.header("x-request-id").starts_with('t');
+    assert_eq!(
+        peer.seen.lock().unwrap().iter().filter(|m| ran(m)).count(),
+        answered,
+        "none ran unanswered"
+    );
+    assert!(answered >= 8, "{answered}");
+}
+
 #[test]
 fn what_waits_in_the_backlog_at_sigterm_is_answered() {
     let peer = Peer::serving("ok");
--- a/tests/node_list.rs
+++ b/tests/node_list.rs
@@ -78,17 +78,56 @@
 }
 
 #[test]
-fn a_watch_with_an_undecodable_line_begins_again() {
+fn a_watch_with_what_is_no_list_or_only_half_of_one_begins_again() {
+    // Empty lines behind half a list: the watch is alive, and will never tell anything.
+    for said in
+        ["{\"rev\":9,\"all\":false,\"targets\":[{\"uid\":7}]}", "{\"rev\":9,\"all\":false,\n \"targets\":["]
+    {
+        for mode in ["subscribe", "automatic"] {
+            let peer = Peer::serving("ok");
+            let discovery = Discovery::new(list(8, false, &[]));
+            let sidecar = following(&peer, &discovery, mode);
+            wait_for("the first watch", || discovery.calls().len() == 1);
+            discovery.say(said);
+            wait_for("a second watch", || {
+                discovery.say("");
+                discovery.calls().len() == 2
+            });
+            assert_eq!(discovery.calls()[1], "/api/targets?watch=1&after=8", "the change was not skipped");
+            assert_eq!(sidecar.ask("quote", "r").status(), 200);
+        }
+    }
+}
+
+#[test]
+fn an_indented_list_is_followed_and_of_an_endpoint_named_twice_the_last_word_counts() {
     for mode in ["subscribe", "automatic"] {
-        let peer = Peer::serving("ok");
+        let (old, new) = (Peer::serving("old"), Peer::serving("new"));
         let discovery = Discovery::new(list(8, false, &[]));
-        let sidecar = following(&peer, &discovery, mode);
-        wait_for("the first watch", || discovery.calls().len() == 1);
-        discovery.say("{\"rev\":9,\"all\":false,\"targets\":[{\"uid\":7}]}");
-        wait_for("a second watch", || discovery.calls().len() == 2);
-        assert_eq!(discovery.calls()[1], "/api/targets?watch=1&after=8", "the change was not skipped");
-        assert_eq!(sidecar.ask("quote", "r").status(), 200);
+        let sidecar = following(&old, &discovery, mode);
+        assert_eq!(sidecar.ask("book", "r1").body, b"old");
+        let twice = [
+            target("s-0", old.address, "up"),
+            target("s-new", new.address, "up"),
+            target("s-0", old.address, "draining"),
+        ];
+        discovery.say(&format!("{:#}", list(9, false, &twice)));
+        wait_for("the idle connection's end", || old.closed() == 1);
+        assert_eq!(sidecar.ask("book", "r2").body, b"new");
+        assert_eq!(discovery.calls().len(), 1, "on the same watch");
+    }
+}
+
+#[test]
+fn where_lists_are_pushed_a_new_process_serves_by_what_the_agent_has_now() {
+    let (old, new) = (Peer::serving("old"), Peer::serving("new"));
+    let replaced = list(90, true, &[target("s-new", new.address, "up")]);
+    let discovery = Discovery::slow(replaced, std::time::Duration::from_millis(200));
+    let sidecar = following(&old, &discovery, "automatic");
+    for n in 0..10 {
+        assert_eq!(sidecar.ask("book", &format!("r{n}")).body, b"new");
     }
+    assert_eq!(old.count(), 0, "not even the first");
 }
 
 #[test]
--- a/tests/support/node.rs
+++ b/tests/support/node.rs
@@ -179,6 +179,11 @@
 impl Discovery {
     /// Answers each watch with this line first.
     pub fn new(first: Value) -> Discovery {
+        Discovery::slow(first, Duration::ZERO)
+    }
+
+    /// Takes so long for that.
+    pub fn slow(first: Value, takes: Duration) -> Discovery {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let (calls, newest) = (Arc::<Mutex<Vec<String>>>::default(), Arc::<Mutex<_>>::default());
         let discovery = Discovery {
@@ -190,6 +195,7 @@
             let mut open = Vec::new();
             for mut stream in listener.incoming().flatten() {
                 let Some(message) = Message::read(&mut BufReader::new(&mut stream)) else { continue };
+                thread::sleep(takes);
                 let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
                 let _ = stream.write_all(head.as_bytes());
                 write_line(&mut stream, &first.to_string());
