Let a busy balancer use all of its zone once its part holds C of its calls each

A trace of the windows each half second (tier 0, then taken out): 53 balancers may hold 1,200 calls and hold 530; six that get 52 requests a second, five times the least and three times the mean, make 3,700 of the 4,670 refusals. Those six hold up to 30 calls, at a part of four endpoints of their zone: late answers there keep their windows at 15, as large as everyone's, and the rest of the zone is not used, since other zones still offer two samples. Refuted: refusals of deeper tiers that come up (2 of 570 attempts failed), windows that never open again (they do).

Changed: policy/choice.rs, 6 lines: beyond C (LIMIT_START) own calls for each endpoint of the part on a side, the sample is drawn from all of that side. No new constant.

--- a/src/policy/choice.rs
+++ b/src/policy/choice.rs
@@ -4,6 +4,7 @@
 //! what was seen of each endpoint.
 
 use super::Balancer;
+use super::limits::LIMIT_START;
 use super::list::Endpoint;
 use super::requests::Pending;
 use crate::api::*;
@@ -35,9 +36,13 @@
     pub(super) fn pick(&mut self, now: Duration, id: RequestId) -> Option<usize> {
         self.common_heat = self.shared_heat(now);
         // Of this balancer's part, or of all where too few of it can take the call.
+        // A balancer that gets several times the mean would crowd its part of a zone: beyond C calls each, all of it.
+        let crowds =
+            |side: usize| f64::from(self.windows[side].out) >= LIMIT_START * self.pools[side].len() as f64;
+        let wide = [0, 1].map(|side| if crowds(side) { 2 } else { 0 });
         for pool in [0, 2] {
-            let near = self.sample(now, id, pool);
-            let far = self.sample(now, id, pool + 1);
+            let near = self.sample(now, id, pool.max(wide[0]));
+            let far = self.sample(now, id, pool.max(wide[1]) + 1);
             if pool == 0 && near.1 + far.1 < CHOICES {
                 continue;
             }
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -2,7 +2,7 @@
 
 mod support;
 use gullpulley::*;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use support::*;
 
 /// An outcome and its time for endpoints of which `bad` is true; the others answer in 20 ms.
@@ -387,6 +387,29 @@
     assert!(out > 80, "{out} calls out where forty endpoints answer in time");
 }
 
+#[test]
+fn a_balancer_that_gets_several_times_the_mean_does_not_crowd_its_part() {
+    // calm+mass, seed 8: six of 53 balancers held up to thirty calls at a part of four endpoints of their zone, saw
+    // late answers there, and refused half of what came while the rest of the zone had room.
+    let settings = Settings { balancers: 40, ..Settings::default() };
+    let three = (1..=60).map(|id| EndpointInfo { zone: ZoneId((id % 3) as u32), ..endpoint(id) }).collect();
+    let mut d = Driver::new(settings, three);
+    let mut most = 0;
+    for _ in 0..2000 {
+        for _ in 0..2 {
+            if d.out.len() < 40 {
+                d.request(ms(2000));
+            }
+        }
+        let id = d.out[0].0;
+        d.advance(ms(10));
+        d.end(id, Outcome::Ok, ms(10));
+        let held: HashSet<EndpointId> = d.out.iter().map(|o| o.2).filter(|to| at_home(*to)).collect();
+        most = held.len().max(most);
+    }
+    assert!(most >= 18, "{most} of 20 endpoints of its zone, its part there being 4");
+}
+
 #[test]
 fn an_endpoint_that_turns_good_and_bad_is_used_less_but_not_lost() {
     let mut d = Driver::new(Settings::default(), endpoints(5));
