End an old process by its successor also where it sees it only while it drains

The log of one: `draining clients=1`, 0.14 ms later `processes of this sidecar: 2`, then nothing for 3.4 s, `giving up 1 requests`, `drained ms=3451`. Each process looks for others each 100 ms; told to end before it had seen its successor it took itself for alone (net/inbound.rs, serve), and went on accepting beside it for as long as clients came, to the end of its time, where what is in work is failed.

Changed: the loop that empties the backlog ends as soon as the successor is seen, and hands over. The test says that the old process ends before its time is up.

--- a/src/net/inbound.rs
+++ b/src/net/inbound.rs
@@ -133,12 +133,18 @@
         self.draining.set(true);
         let longest = self.wording.settings.classes.iter().map(|c| c.deadline).max().unwrap_or_default();
         let until = asked + longest.min(DEADLINE_MOST) + DRAIN_SLACK;
+        // What still waits in the backlog then counts as taken: closing the listener would reset it.
+        while Instant::now() < until && !self.succeeded.get() {
+            let wait = (asked + DRAIN_ACCEPT).max(Instant::now() + BACKLOG_EMPTY);
+            if timeout_at(wait, self.accept(&listener)).await.is_err() {
+                break;
+            }
+        }
+        // A successor may be seen only now. To accept beside it for as long as clients come would end with what is in
+        // work when the time is up.
         if self.succeeded.get() {
             self.hand_over(listener);
         } else {
-            while timeout_at(asked + DRAIN_ACCEPT, self.accept(&listener)).await.is_ok() {}
-            // What still waits in the backlog counts as taken: closing the listener would reset it.
-            while Instant::now() < until && timeout(BACKLOG_EMPTY, self.accept(&listener)).await.is_ok() {}
             drop(listener);
         }
         self.close.send_replace(());
--- a/tests/operations.rs
+++ b/tests/operations.rs
@@ -293,7 +293,10 @@
         let count = |door| figure(door, "downstream_requests.book.completed");
         wait_for("the new process to serve", || count(door) > 20);
         old.signal("-TERM");
+        let told = std::time::Instant::now();
         assert!(old.ended().success());
+        // Also where it is told before it has seen its successor, for which it looks each 100 ms.
+        assert!(told.elapsed() < std::time::Duration::from_secs(3), "not only once its time was up");
         let before = asked.load(Ordering::SeqCst);
         wait_for("more requests", || asked.load(Ordering::SeqCst) > before + 50);
         drop(stopping);
