Keep what must not be forgotten in a checked file behind one thread, off unless asked

What can't be trusted is set aside as it was found: a copy in memory is opened, checked whole and closed before the file is touched. A write or sync that failed is never tried again in this life, and a mark in the folder has the next one set the file aside. During an upgrade the newer process waits for the lock and serves meanwhile.

`run` keeps its identity there with [state] dir: folder, name, starts. The platform's JSON has no such section: no thread, no file.

Not yet: a folder put back to an older copy (peers remember; membership), `state inspect` and its kin (recovery).

--- a/lab/tests/program.rs
+++ b/lab/tests/program.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use gullpulley_lab::check::verdicts;
-use gullpulley_lab::experiment::Experiment;
+use gullpulley_lab::experiment::{Experiment, Fault};
 use gullpulley_lab::run::run;
 use std::sync::Arc;
 use std::time::Duration;
@@ -81,6 +81,47 @@
     }
 }
 
+#[tokio::test]
+async fn what_a_process_keeps_outlives_cuts_and_what_its_disk_spoils_is_set_aside() {
+    let folder = tempfile::tempdir().unwrap();
+    let cut = "at = \"0s\"\nwhat = \"power-cut\"\nof = \"a\"\n";
+    let more = format!("[copy.state]\n[[fault]]\n{cut}");
+    let deployment = stand(program(), &more, folder.path()).await;
+    let cut: Fault = toml::from_str(cut).unwrap();
+    let state = async |copy: usize, name: &str, value: f64| {
+        let begun = Instant::now();
+        loop {
+            let metrics = deployment.copies[copy].metrics().await.unwrap_or_default();
+            let line = format!("gullpulley_state_{name} ");
+            let said = metrics.lines().find_map(|found| found.strip_prefix(&*line)?.parse::<f64>().ok());
+            if said == Some(value) {
+                return;
+            }
+            assert!(begun.elapsed() < PATIENCE, "{name} of copy {copy} is {said:?}, not {value}");
+            sleep(Duration::from_millis(20)).await;
+        }
+    };
+    for start in 1..=4 {
+        state(0, "incarnation", f64::from(start)).await;
+        deployment.strike(&cut).await.unwrap();
+        deployment.lift(&cut).await.unwrap();
+    }
+    state(0, "set_aside", 0.0).await;
+    let kill = fault("what = \"kill\"\nof = \"b-0\"");
+    state(1, "incarnation", 1.0).await;
+    deployment.strike(&kill).await.unwrap();
+    let file = folder.path().join("b-0/state/memory.redb");
+    let mut bytes = std::fs::read(&file).unwrap();
+    bytes.iter_mut().skip(4096).for_each(|byte| *byte ^= 0x55);
+    std::fs::write(&file, &bytes).unwrap();
+    deployment.lift(&kill).await.unwrap();
+    state(1, "set_aside", 1.0).await;
+    state(1, "incarnation", 1.0).await;
+    state(1, "kept", 1.0).await;
+    let answer = timeout(PATIENCE, deployment.copies[1].pool.ask(plain_request("b"))).await.unwrap();
+    assert_eq!(answer.unwrap().status.as_u16(), 200, "serving goes on without what was set aside");
+}
+
 /// A request that can be sent at any time.
 fn plain_request(id: &str) -> hyper::Request<http_body_util::Full<hyper::body::Bytes>> {
     let experiment = Experiment::parse("test", TWO_ZONES).unwrap();
--- a/src/config/keys.rs
+++ b/src/config/keys.rs
@@ -78,6 +78,7 @@
     key("process.sockets", Whole(1, 1 << 24), Is("1024"), "limits.sockets", "descriptors that it may hold"),
     key("log.level", Level, Is("\"info\""), "log.level", "error, warn, info, debug or trace; or by target, as \"info,gullpulley::net=debug\" (*)"),
     key("log.format", Word(&["text", "json"]), Is("\"text\""), "log.format", "text for people, or a JSON object a line"),
+    key("state.dir", Text, Nothing("\"/var/lib/gullpulley\""), "state.dir", "a folder of this sidecar's own for what must outlive the process; without it nothing is kept"),
     key("place.zone", Text, Required, "settings.myZone", "the zone that it runs in, one of place.zones"),
     key("place.zones", Names, Required, "settings.areas", "the zones of the deployment"),
     key("place.kinds", Names, Is("[]"), "settings.kinds", "machine kinds as discovery names them"),
@@ -127,7 +128,7 @@
 pub const TABLES: &[(&str, &[Key])] = &[("class", CLASS_KEYS), ("tenant", TENANT_KEYS)];
 
 /// Sections of parts that do not exist yet.
-pub const RESERVED: &[&str] = &["zones", "fleet", "duties", "state"];
+pub const RESERVED: &[&str] = &["zones", "fleet", "duties"];
 
 /// What may change while the process runs; all else needs a restart.
 pub const LIVE: &[&str] = &["discovery.address", "log.level"];
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -20,7 +20,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::os::unix::fs::MetadataExt;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::time::Duration;
 
 /// Descriptors kept free for the listener, the runtime, standard streams, discovery and shed clients.
@@ -59,6 +59,8 @@
     pub names: Names,
     /// How it logs.
     pub log: Log,
+    /// Where it keeps what must outlive the process; without it nothing is kept.
+    pub state: Option<PathBuf>,
     /// Where values come from, as far as it was noted in reading.
     origins: Option<BTreeMap<String, String>>,
 }
@@ -147,6 +149,7 @@
             vec![("name", quoted(&self.name)), ("seed", quoted(&format!("{:016x}", self.seed)))];
         entries.push(("listen.clients", quoted(&self.listen)));
         entries.extend(self.control.map(|door| ("listen.operators", quoted(&door))));
+        entries.extend(self.state.as_ref().map(|dir| ("state.dir", quoted(&dir.display()))));
         entries.extend([
             ("discovery.address", quoted(&self.discovery)),
             ("discovery.mode", quoted(&mode)),
--- a/src/config/operator.rs
+++ b/src/config/operator.rs
@@ -418,6 +418,7 @@
             kinds: once.names("place.kinds"),
         },
         log: Log { level: once.text("log.level"), json: once.text("log.format") == "json" },
+        state: once.typed("state.dir").map(|_| once.text("state.dir").into()),
         origins: Some(origins),
     })
 }
--- a/src/config/router.rs
+++ b/src/config/router.rs
@@ -185,6 +185,7 @@
         settings,
         names,
         log: file.log,
+        state: None,
         origins: None,
     })
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod config;
 mod names;
 mod policy;
+pub mod state;
 mod stats;
 
 pub use api::*;
--- a/src/net/counters.rs
+++ b/src/net/counters.rs
@@ -1,6 +1,7 @@
 //! What the operators may read: counts since the start of the process, each taken once, where the fact
 //! occurs. How many endpoints there are, and which of them are avoided, the module says.
 
+use super::keeping::Keeping;
 use crate::logging::LogHandle;
 use gullpulley::Census;
 use prometheus_client::encoding::text;
@@ -45,6 +46,7 @@
     taking: Family<Labels, Histogram>,
     deciding: Histogram,
     log: LogHandle,
+    keeping: Option<Rc<Keeping>>,
 }
 
 struct Class {
@@ -63,7 +65,7 @@
 
 impl Counters {
     /// Nothing counted yet.
-    pub fn new(classes: &[String], log: LogHandle) -> Rc<Self> {
+    pub fn new(classes: &[String], log: LogHandle, keeping: Option<Rc<Keeping>>) -> Rc<Self> {
         // 1 ms to 16 s, and 1 us to 16 ms: what a bucket tells is right within a factor of two, or four.
         let taking: Family<Labels, Histogram> =
             Family::new_with_constructor(|| Histogram::new(exponential_buckets(0.001, 2.0, 15)));
@@ -75,7 +77,7 @@
         };
         let (upstream, pending) = Default::default();
         let classes = classes.iter().map(class).collect();
-        Rc::new(Counters { classes, upstream, pending, taking, deciding, log })
+        Rc::new(Counters { classes, upstream, pending, taking, deciding, log, keeping })
     }
 
     /// A request of a class has come whole.
@@ -165,6 +167,9 @@
         }
         registry.register("window_attempts", "Own attempts that may be out", size);
         registry.register("window_attempts_out", "Own attempts that are out", out);
+        if let Some(keeping) = &self.keeping {
+            keeping.register(&mut registry);
+        }
         let mut written = String::new();
         let _ = text::encode(&mut written, &registry); // writing to a string does not fail
         written
--- /dev/null
+++ b/src/net/keeping.rs
@@ -0,0 +1,115 @@
+//! What this process keeps on disk, as the serving thread sees it: told by the disk's thread, never waited for.
+
+use gullpulley::state::memory::{Change, Identity, Memory};
+use gullpulley::state::store::Found;
+use gullpulley::state::writer::{Refused, Statement, Writer};
+use prometheus_client::metrics::counter::ConstCounter;
+use prometheus_client::metrics::gauge::ConstGauge;
+use prometheus_client::registry::Registry;
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::sync::atomic::Ordering::Relaxed;
+use tokio::sync::mpsc::{Receiver, channel};
+use tracing::{error, info, warn};
+
+/// Statements of the disk that may wait for this thread; at more the disk's thread waits.
+const STATEMENTS: usize = 64;
+
+/// The folder of a process, and what is known of it.
+pub struct Keeping {
+    name: String,
+    writer: RefCell<Writer>,
+    /// Who it is, and the batch that says so.
+    told: Cell<Option<(u64, u64)>>,
+    /// The incarnation that is durable; 0 before.
+    incarnation: Cell<u64>,
+    set_aside: Cell<u64>,
+    over: Cell<bool>,
+}
+
+impl Keeping {
+    /// Starts the thread of this folder; returns at once, and tells what comes of it to `follow`.
+    pub fn start(folder: PathBuf, name: &str) -> io::Result<(Rc<Self>, Receiver<Statement>)> {
+        let (says, said) = channel(STATEMENTS);
+        let say = move |statement| drop(says.blocking_send(statement)); // fails only while the process ends
+        let writer = RefCell::new(Writer::start(folder, name.to_owned(), say)?);
+        let (told, incarnation, set_aside, over) = Default::default();
+        let name = name.to_owned();
+        Ok((Rc::new(Keeping { name, writer, told, incarnation, set_aside, over }), said))
+    }
+
+    /// Follows what the disk says.
+    pub async fn follow(self: Rc<Self>, mut said: Receiver<Statement>) {
+        while let Some(statement) = said.recv().await {
+            match statement {
+                Statement::Waiting(why) => {
+                    info!("state: {why}; this process waits for it, and serves meanwhile")
+                }
+                Statement::Opened(found) => self.opened(found),
+                Statement::Durable(number) => {
+                    if let Some((batch, incarnation)) = self.told.get()
+                        && number >= batch
+                        && self.incarnation.replace(incarnation) != incarnation
+                    {
+                        info!(incarnation, "state: start {incarnation} on this folder is kept");
+                    }
+                }
+                Statement::Over(e) => {
+                    self.over.set(true);
+                    error!("state: {e}; nothing is kept from now on, and serving goes on");
+                }
+            }
+        }
+    }
+
+    fn opened(&self, found: Found) {
+        let memory = match found {
+            Found::Kept(memory) => memory,
+            Found::Nothing => Memory::default(),
+            Found::SetAside(path, why) => {
+                self.set_aside.set(self.set_aside.get() + 1);
+                warn!("state: {why}; it is now {}, and this process begins anew", path.display());
+                Memory::default()
+            }
+        };
+        let identity = match memory.identity {
+            Some(identity) => Identity { incarnation: identity.incarnation + 1, ..identity },
+            None => Identity::drawn(&self.name),
+        };
+        let incarnation = identity.incarnation;
+        match self.writer.borrow_mut().submit(vec![Change::Identity(identity)]) {
+            Ok(batch) => self.told.set(Some((batch, incarnation))),
+            Err(Refused::Full | Refused::Over) => {
+                warn!("state: this start could not be handed to the disk")
+            }
+        }
+    }
+
+    /// Adds its figures.
+    pub fn register(&self, registry: &mut Registry) {
+        let writer = self.writer.borrow();
+        let figures = writer.figures();
+        let state = registry.sub_registry_with_prefix("state");
+        for (name, help, value) in [
+            ("kept", "1 while what is said here is kept", u64::from(!self.over.get())),
+            ("incarnation", "Starts on this folder, as far as they are durable", self.incarnation.get()),
+            ("set_aside", "Memories found at this start that could not be trusted", self.set_aside.get()),
+            ("waiting", "Batches that wait for the disk", writer.waiting() as u64),
+            ("longest_commit_us", "What the longest commit took", figures.longest_us.load(Relaxed)),
+        ] {
+            state.register(name, help, ConstGauge::new(value as i64));
+        }
+        let stuck = "For how long the disk has been at one commit";
+        state.register("stuck_seconds", stuck, ConstGauge::new(writer.stuck_for()));
+        for (name, help, count) in [
+            ("commits", "Commits, each with its syncs", &figures.commits),
+            ("commits_us", "What all commits took", &figures.commits_us),
+            ("durable", "Batches that are durable", &figures.durable),
+            ("refused", "Batches refused as too many waited", &figures.refused),
+        ] {
+            state.register(name, help, ConstCounter::new(count.load(Relaxed)));
+        }
+    }
+}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,8 +1,8 @@
 //! The sidecar on its sockets. Start-up, signals and the parts' acquaintance are here; the rest, from
 //! plain types up, each knowing only what stands before it:
 //!
-//! `guard`, `clock`, `budget`, `counters`, `bans`, `overlap`: tasks, time, sockets held, counts, orders, other
-//! processes;
+//! `guard`, `clock`, `budget`, `keeping`, `counters`, `bans`, `overlap`: tasks, time, sockets held, what is kept,
+//! counts, orders, other processes;
 //! `progress`, `passing`: how far an attempt is, bodies that pass through;
 //! `outbound`, `discovery`: connections to endpoints and to discovery;
 //! `message`, `driver`: turns what happens there into the policy's events, and carries out its actions;
@@ -18,6 +18,7 @@
 mod driver;
 mod guard;
 mod inbound;
+mod keeping;
 mod message;
 mod outbound;
 mod overlap;
@@ -40,6 +41,7 @@
     Config, ConfigError, DOOR_RESERVE, Difference, Fault, Named, Vars, differences, keys,
 };
 use inbound::Inbound;
+use keeping::Keeping;
 use message::{Inbox, Input};
 use outbound::Outbound;
 use overlap::Overlap;
@@ -76,7 +78,18 @@
 pub async fn run(config: Config, file: PathBuf, log: LogHandle) -> Result<(), String> {
     let reload = Reload { file, held: config.entries(), log: log.clone() };
     let Config {
-        name, listen, control, discovery, seed, sockets, memory_mb, known, settings, names, ..
+        name,
+        listen,
+        control,
+        discovery,
+        seed,
+        sockets,
+        memory_mb,
+        known,
+        settings,
+        names,
+        state,
+        ..
     } = config;
     let term = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
     let hup = signal(SignalKind::hangup()).map_err(|e| format!("SIGHUP: {e}"))?;
@@ -89,7 +102,15 @@
     let (calls, asked) = mpsc::unbounded_channel();
     let listed = |named: &[Named]| named.iter().map(|n| n.name.clone()).collect::<Vec<_>>();
     let (classes, tenants) = (listed(&names.classes), listed(&names.tenants));
-    let counters = Counters::new(&classes, log);
+    let keeping = match state {
+        Some(folder) => {
+            let (keeping, said) = Keeping::start(folder, &name).map_err(|e| format!("state: {e}"))?;
+            spawn_local(keeping.clone().follow(said));
+            Some(keeping)
+        }
+        None => None,
+    };
+    let counters = Counters::new(&classes, log, keeping);
     let outbound = Outbound::new(&settings, budget.clone(), counters.clone());
     let inbound = Inbound::new(
         Wording { settings: settings.clone(), classes, tenants },
--- a/src/policy/choice.rs
+++ b/src/policy/choice.rs
@@ -36,7 +36,7 @@
     pub(super) fn pick(&mut self, now: Duration, id: RequestId) -> Option<usize> {
         self.common_heat = self.shared_heat(now);
         // Of this balancer's part, or of all where too few of it can take the call.
-        // A balancer that gets several times the mean would crowd its part of a zone: beyond C calls each, all of it.
+        // With several times the mean it would crowd its part of a zone: beyond C calls each, all of it.
         let crowds =
             |side: usize| f64::from(self.windows[side].out) >= LIMIT_START * self.pools[side].len() as f64;
         let wide = [0, 1].map(|side| if crowds(side) { 2 } else { 0 });
--- a/tests/configuration.rs
+++ b/tests/configuration.rs
@@ -146,7 +146,13 @@
     }
     let once = load("toml", &example, &[]).unwrap();
     let changed: Vec<String> = differences(&once.entries(), &entries).into_iter().map(|d| d.key).collect();
-    let wanted = ["listen.operators", "tenant[0].allowance_per_s", "tenant[0].name", "tenant[0].portion"];
+    let wanted = [
+        "listen.operators",
+        "state.dir",
+        "tenant[0].allowance_per_s",
+        "tenant[0].name",
+        "tenant[0].portion",
+    ];
     assert_eq!(changed, wanted, "what is held back is what holds without it");
 }
 
