--- a/src/state/store.rs
+++ b/src/state/store.rs
@@ -349,6 +349,8 @@
 fn trouble(error: DatabaseError) -> Trouble {
     match error {
         DatabaseError::DatabaseAlreadyOpen => Trouble::Error(StoreError::Taken(PathBuf::new())),
+        // Only the trial ends a repair, where it finds the last commit damaged.
+        DatabaseError::RepairAborted => damaged("pages of its last commit are not as their checksums say"),
         DatabaseError::Storage(redb::StorageError::Io(e)) if !of_content(&e) => {
             Trouble::Error(StoreError::Unreachable(PathBuf::new(), e))
         }
