Hold an attempt to what binds it when it is written, not when it was decided

Suspect named first: connecting eats the window. The policy asks whether the window is open when it decides (policy/retries.rs may_repeat), and outbound.rs `attempt` then connected for up to 1.5 s and wrote without asking again. Action::Send now says by when it may be written; one that comes up later ends as moot, and its connection is kept.

Of the same kind, from reading: a drain told between the decision and the attempt's first turn on the thread did not bind, as `attempt` counted from that turn (`began`). It counts from the decision now.

Ruled out: group and zone of the repeats (policy-level tests hold), repeats that the HTTP library makes on its own.

--- a/src/api.rs
+++ b/src/api.rs
@@ -517,6 +517,9 @@
         endpoint: EndpointId,
         /// Give up on it after this long.
         timeout: Duration,
+        /// Not to be written to the endpoint later than this from now, however long connecting takes: a
+        /// repeat's window is over by then. The attempt ends as moot.
+        write_within: Option<Duration>,
     },
     /// Final answer: refused; trying again is harmless.
     Refuse {
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -7,7 +7,8 @@
 use super::counters::Counters;
 use super::discovery::{Call, Discovery, News};
 use super::message::{Answer, Arrival, Content, Forward, Inbox, Input};
-use super::outbound::{Ended, Outbound};
+use super::outbound::{Dispatch, Ended, Outbound};
+use super::progress::Progress;
 use gullpulley::{
     Action, AttemptEnded, AttemptNo, Balancer, EndpointId, EndpointState, Event, Membership, Outcome,
     RequestId, TimerToken,
@@ -352,7 +353,9 @@
 
     fn carry_out(&mut self, action: Action) {
         match action {
-            Action::Send { request, endpoint, timeout } => self.send(request, endpoint, timeout),
+            Action::Send { request, endpoint, timeout, write_within } => {
+                self.send(request, endpoint, timeout, write_within);
+            }
             Action::Refuse { request, retry_after } => {
                 self.finish(request, Answer::Refused(retry_after));
                 self.tidy(request);
@@ -384,7 +387,13 @@
     }
 
     /// Starts an attempt. What must not be sent is numbered all the same, and ends as moot.
-    fn send(&mut self, id: RequestId, endpoint: EndpointId, timeout: Duration) {
+    fn send(
+        &mut self,
+        id: RequestId,
+        endpoint: EndpointId,
+        timeout: Duration,
+        write_within: Option<Duration>,
+    ) {
         let Some(open) = self.requests.get_mut(&id) else { return };
         let (now, attempt) = (Instant::now(), AttemptNo(open.tries.len() as u32));
         let address = self.addresses.get(&endpoint).copied();
@@ -428,14 +437,16 @@
             };
             let ended = tokio::select! {
                 biased;
-                _ = &mut cancelled => Ended::bare(Outcome::Cancelled),
-                ended = outbound.attempt(endpoint, address, request, &progress) => ended,
+                _ = &mut cancelled => Ended::bare(progress.cancelled()),
+                ended = outbound.attempt(dispatch, request, &progress) => ended,
                 () = out_of_time => Ended::bare(progress.given_up()),
             };
             let _ = inbox.send(Input::AttemptEnded(id, attempt, ended));
         });
     }
 
+        let write_by = write_within.map(|within| now + within);
+        let dispatch = Dispatch { endpoint, address, decided: now, write_by };
     fn probe(&mut self, endpoint: EndpointId) {
         let Some(&address) = self.addresses.get(&endpoint) else {
             let (outcome, elapsed, report) = (Outcome::ConnectFailed, Duration::ZERO, None);
--- a/src/net/outbound.rs
+++ b/src/net/outbound.rs
@@ -44,6 +44,19 @@
 /// Limit of an attempt's connection where the settings say nothing.
 const CONNECT_UNSTATED: Duration = Duration::from_millis(500);
 
+/// Where an attempt or a probe goes, and what it must keep to.
+#[derive(Clone, Copy)]
+pub struct Dispatch {
+    /// The endpoint.
+    pub endpoint: EndpointId,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// When it was decided: what is told of the endpoint later binds, also before this is first worked on.
+    pub decided: Instant,
+    /// Not to be written later than this, if that is stated.
+    pub write_by: Option<Instant>,
+}
+
 /// How an attempt or a probe ended.
 pub struct Ended {
     /// The outcome.
@@ -128,17 +141,18 @@
     /// never written goes to another connection.
     pub async fn attempt(
         self: &Rc<Self>,
-        endpoint: EndpointId,
-        address: SocketAddr,
+        dispatch: Dispatch,
         mut request: Request<Payload>,
         progress: &Progress,
     ) -> Ended {
-        let began = Instant::now();
+        let Dispatch { endpoint, address, decided, write_by } = dispatch;
+        let too_late = || write_by.is_some_and(|by| Instant::now() >= by);
         let (link, response) = loop {
             let (mut link, fresh) = match self.take_idle(endpoint, address) {
                 Some(link) => (link, false),
-                None => match self.connect(address).await {
+                None => match self.connect(address, write_by).await {
                     Some(link) => (link, true),
+                    None if too_late() => return Ended::bare(Outcome::Moot),
                     None => return Ended::bare(Outcome::ConnectFailed),
                 },
             };
@@ -150,9 +164,13 @@
                 continue;
             }
             // Connecting takes time, and what was told meanwhile binds before anything is written.
-            if self.barred.borrow().get(&endpoint).is_some_and(|at| *at >= began) {
+            if self.barred.borrow().get(&endpoint).is_some_and(|at| *at >= decided) {
                 return Ended::bare(Outcome::ConnectFailed);
             }
+            if too_late() {
+                self.keep(endpoint, link);
+                return Ended::bare(Outcome::Moot);
+            }
             // What passes through is written only with its last piece, which sets this itself.
             let held = matches!(request.body(), Payload::Held(_));
             progress.set(held);
@@ -223,8 +241,9 @@
         let Ok(request) = request.body(Payload::Held(Full::default())) else {
             return Ended::bare(Outcome::Error);
         };
-        let progress = Progress::default();
-        match timeout(PROBE, self.attempt(endpoint, address, request, &progress)).await {
+        let (progress, decided) = (Progress::default(), Instant::now());
+        let dispatch = Dispatch { endpoint, address, decided, write_by: None };
+        match timeout(PROBE, self.attempt(dispatch, request, &progress)).await {
             Ok(mut ended) => {
                 let body = std::mem::take(&mut ended.body);
                 let in_body = std::str::from_utf8(&body).ok().and_then(|text| self.report(text));
@@ -294,7 +313,7 @@
         std::iter::from_fn(|| links.pop()).find(|link| link.address == address && self.usable(link))
     }
 
-    async fn connect(&self, address: SocketAddr) -> Option<Link> {
+    async fn connect(&self, address: SocketAddr, by: Option<Instant>) -> Option<Link> {
         let permit = loop {
             match self.budget.take(Holder::Endpoint) {
                 Some(permit) => break permit,
@@ -303,7 +322,9 @@
             }
         };
         // A machine that is cut off never answers: without a limit of ours the attempt would hang.
-        let stream = timeout(self.connect_timeout, TcpStream::connect(address)).await.ok()?.ok()?;
+        let until = Instant::now() + self.connect_timeout;
+        let until = by.map_or(until, |by| by.min(until));
+        let stream = timeout_at(until, TcpStream::connect(address)).await.ok()?.ok()?;
         stream.set_nodelay(true).ok()?;
         let handshake = http1::Builder::new().max_buf_size(BUFFER_MOST).handshake(TokioIo::new(stream));
         let (sender, connection) = handshake.await.ok()?;
--- a/src/net/progress.rs
+++ b/src/net/progress.rs
@@ -24,6 +24,11 @@
         if self.written.get() { Outcome::TimedOut } else { Outcome::ConnectFailed }
     }
 
+    /// The outcome of being called off: nothing written means not sent.
+    pub fn cancelled(&self) -> Outcome {
+        if self.written.get() { Outcome::Cancelled } else { Outcome::Moot }
+    }
+
     /// Whether it has been written.
     pub fn is_written(&self) -> bool {
         self.written.get()
--- a/src/policy/requests.rs
+++ b/src/policy/requests.rs
@@ -144,6 +144,13 @@
             // Something on the way drops idle connections unseen; a handshake costs less than a lost call.
             out.push(Action::CloseIdle { endpoint: endpoint.info.id });
             endpoint.heard = None;
+        // To a keyed request that may have run, the window closes also on an attempt that still connects.
+        let write_within = match self.settings.classes[pending.class].semantics {
+            Semantics::Keyed { window, .. } => {
+                pending.may_have_run().next().map(|first| (first.sent + window).saturating_sub(now))
+            }
+            _ => None,
+        };
             idle = Duration::ZERO;
         }
         let counted = !pending.passing;
@@ -160,7 +167,7 @@
             counted,
         });
         let timeout = pending.deadline.saturating_sub(now);
-        out.push(Action::Send { request: id, endpoint: endpoint.info.id, timeout });
+        out.push(Action::Send { request: id, endpoint: endpoint.info.id, timeout, write_within });
         let (number, class) = (AttemptNo(pending.attempts.len() as u32 - 1), pending.class);
         let overdue = self.latency[class].overdue(if silent { OVERDUE_SPREADS } else { SILENT_SPREADS });
         if counted && self.latency[class].seen >= LATENCY_FIRST && overdue < timeout {
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -221,7 +221,7 @@
         for action in &actions {
             match action {
                 Action::SetTimer { token, after } => self.timers.push((self.now + *after, *token)),
-                Action::Send { request, endpoint, timeout } => {
+                Action::Send { request, endpoint, timeout, .. } => {
                     let number = self.attempts.entry(*request).or_default();
                     self.out.push((*request, AttemptNo(*number), *endpoint, self.now + *timeout));
                     *number += 1;
--- a/tests/support/node.rs
+++ b/tests/support/node.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code)]
 
 use serde_json::{Value, json};
+use socket2::{Domain, SockRef, Socket, Type};
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
@@ -79,6 +80,12 @@
     Silence,
     /// Serves after so long.
     Late(Duration),
+    /// Writes these bytes, and then nothing until the sidecar closes.
+    WriteAndWait(String),
+    /// Writes these bytes and resets the connection.
+    WriteAndReset(String),
+    /// Writes the first bytes, and the others again and again for as long as it can.
+    Trickle(String, String),
 }
 
 pub fn answer(status: &str, headers: &str, body: &str) -> String {
@@ -102,13 +109,25 @@
 
     pub fn new(script: impl Fn(&Message) -> Do + Send + Sync + 'static) -> Peer {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let address = listener.local_addr().unwrap();
-        let peer =
-            Peer { address, seen: Arc::default(), connections: Arc::default(), closed: Arc::default() };
+        let peer = Peer::unserved(listener.local_addr().unwrap());
+        thread::spawn(peer.server(listener, script));
+        peer
+    }
+
+    fn unserved(address: SocketAddr) -> Peer {
+        Peer { address, seen: Arc::default(), connections: Arc::default(), closed: Arc::default() }
+    }
+
+    /// What serves its connections.
+    fn server<S: Fn(&Message) -> Do + Send + Sync + 'static>(
+        &self,
+        listener: TcpListener,
+        script: S,
+    ) -> impl FnOnce() + Send + 'static + use<S> {
         let (seen, connections, closed) =
-            (peer.seen.clone(), peer.connections.clone(), peer.closed.clone());
+            (self.seen.clone(), self.connections.clone(), self.closed.clone());
         let script = Arc::new(script);
-        thread::spawn(move || {
+        move || {
             for stream in listener.incoming().flatten() {
                 connections.fetch_add(1, Ordering::SeqCst);
                 let (seen, closed, script) = (seen.clone(), closed.clone(), script.clone());
@@ -118,8 +137,28 @@
                     }
                 });
             }
-        });
-        peer
+        }
+    }
+
+    /// One to which connections come up only once it is let: until then its queue of them is full, and the system
+    /// leaves others without an answer. What is given opens it.
+    pub fn late(script: impl Fn(&Message) -> Do + Send + Sync + 'static) -> (Peer, impl FnOnce()) {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+        socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+        socket.listen(0).unwrap();
+        let listener = TcpListener::from(socket);
+        let address = listener.local_addr().unwrap();
+        let mut queued = Vec::new();
+        while let Ok(stream) = TcpStream::connect_timeout(&address, Duration::from_millis(200)) {
+            queued.push(stream);
+        }
+        let peer = Peer::unserved(address);
+        let serve = peer.server(listener, script);
+        let open = move || {
+            drop(queued);
+            thread::spawn(serve);
+        };
+        (peer, open)
     }
 
     /// Requests seen.
@@ -159,6 +198,23 @@
                 rest(&mut reader);
                 return Some(true);
             }
+            Do::WriteAndWait(text) => {
+                writer.write_all(text.as_bytes()).ok()?;
+                rest(&mut reader);
+                return Some(true);
+            }
+            Do::WriteAndReset(text) => {
+                writer.write_all(text.as_bytes()).ok()?;
+                SockRef::from(&writer).set_linger(Some(Duration::ZERO)).ok()?;
+                return Some(false);
+            }
+            Do::Trickle(first, again) => {
+                writer.write_all(first.as_bytes()).ok()?;
+                while writer.write_all(again.as_bytes()).is_ok() {
+                    thread::sleep(Duration::from_millis(50)); // the pace that makes it trickle
+                }
+                return Some(true);
+            }
             Do::Late(wait) => {
                 thread::sleep(wait);
                 writer.write_all(answer("200 OK", "", "late").as_bytes()).ok()?;
@@ -232,6 +288,16 @@
     json!({"rev": rev, "all": all, "targets": targets})
 }
 
+/// Connections to an address that have not come up yet.
+pub fn connecting_to(address: SocketAddr) -> usize {
+    const SYN_SENT: &str = "02";
+    let SocketAddr::V4(address) = address else { panic!("{address} is not IPv4") };
+    let there = format!("{:08X}:{:04X}", u32::from(*address.ip()).swap_bytes(), address.port());
+    let table = std::fs::read_to_string("/proc/net/tcp").unwrap();
+    let rows = table.lines().map(|line| line.split_whitespace().collect::<Vec<_>>());
+    rows.filter(|row| row.get(2) == Some(&there.as_str()) && row.get(3) == Some(&SYN_SENT)).count()
+}
+
 /// An address where nothing listens, which no other call gets. No socket is opened to find it: one that another
 /// thread's child inherits between fork and exec would still listen there when the sidecar wants to.
 pub fn nowhere() -> SocketAddr {
@@ -328,12 +394,17 @@
         Sidecar::launch(&config.to_string(), address, prefix, Some(log))
     }
 
-    fn launch(config: &str, address: SocketAddr, prefix: &str, log_to: Option<Stdio>) -> Sidecar {
+    /// Starts it, and does not wait until it is ready.
+    pub fn spawn(config: &str, address: SocketAddr, prefix: &str, log_to: Option<Stdio>) -> Sidecar {
         let (mut command, file) = command(config, prefix);
         let log = file.with_extension("log");
         let kept = std::fs::File::create(&log).unwrap();
         let child = command.stderr(log_to.unwrap_or(kept.into())).spawn().unwrap();
-        let mut sidecar = Sidecar { child, address, file, log };
+        Sidecar { child, address, file, log }
+    }
+
+    fn launch(config: &str, address: SocketAddr, prefix: &str, log_to: Option<Stdio>) -> Sidecar {
+        let mut sidecar = Sidecar::spawn(config, address, prefix, log_to);
         wait_for("readiness", || {
             let ended = sidecar.child.try_wait().unwrap();
             assert!(ended.is_none(), "it ended with {ended:?} before it was ready: {}", sidecar.log());
@@ -342,6 +413,11 @@
         sidecar
     }
 
+    /// Waits for these words in its log.
+    pub fn says(&self, words: &str) {
+        wait_for(words, || self.log().contains(words));
+    }
+
     /// What it has written to its log so far.
     pub fn log(&self) -> String {
         std::fs::read_to_string(&self.log).unwrap()
@@ -434,6 +510,16 @@
         let _ = self.reader.get_mut().write_all(text.as_bytes());
     }
 
+    /// Its socket.
+    pub fn stream(&mut self) -> &mut TcpStream {
+        self.reader.get_mut()
+    }
+
+    /// Leaves by a reset.
+    pub fn reset(self) {
+        SockRef::from(self.reader.get_ref()).set_linger(Some(Duration::ZERO)).unwrap();
+    }
+
     pub fn receive(&mut self) -> Option<Message> {
         Message::read(&mut self.reader)
     }
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -182,9 +182,11 @@
     let request = RequestId(1);
     let print = |action| print(3, &action, "t/x", &names);
     let timeout = Duration::from_micros(80_500);
-    assert_eq!(print(Action::Send { request, endpoint, timeout }), "try 3 t/x 80.5 10.0.0.1:80");
+    let write_within = None;
+    let send = |timeout| Action::Send { request, endpoint, timeout, write_within };
+    assert_eq!(print(send(timeout)), "try 3 t/x 80.5 10.0.0.1:80");
     let timeout = Duration::ZERO;
-    assert_eq!(print(Action::Send { request, endpoint, timeout }), "try 3 t/x 0.001 10.0.0.1:80");
+    assert_eq!(print(send(timeout)), "try 3 t/x 0.001 10.0.0.1:80");
     assert_eq!(print(Action::Refuse { request, retry_after: None }), "not_now 3 t/x -");
     let retry_after = Some(Duration::from_millis(40));
     assert_eq!(print(Action::Refuse { request, retry_after }), "not_now 3 t/x 40");
