Stop what is not written yet when its request ends, whatever the settings say

Cause, from reading the path of a client that leaves: policy/requests.rs `finish` cancels only where the settings allow cancelling, and that is about attempts that have begun.

The driver owns the attempts: at the end of a request it stops those of which nothing is written, and they end as moot (`409`, not sent), which blames no endpoint. A cancel of the policy's own that meets an unwritten attempt ends so too: nothing ran.

Test: an attempt held connecting by a full queue, with and without cancelling, safe and unsafe.

--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -32,6 +32,17 @@
     sent: Instant,
     /// Dropped to cancel; gone once the attempt has ended.
     cancel: Option<oneshot::Sender<()>>,
+    progress: Rc<Progress>,
+}
+
+impl Try {
+    /// Stops it. It tells its end itself, unless another outcome is already on its way.
+    fn cancel(&mut self) {
+        if let Some(cancel) = &mut self.cancel {
+            let (kept, _) = oneshot::channel();
+            drop(std::mem::replace(cancel, kept));
+        }
+    }
 }
 
 /// A request until it has its final answer and all its attempts have ended.
@@ -44,6 +55,14 @@
     out: usize,
 }
 
+impl Open {
+    /// Stops what has not been written yet: nobody waits for it any more, and to let it begin only now would
+    /// be a send of its own, whatever the settings say of cancelling what has begun.
+    fn stop_unwritten(&mut self) {
+        self.tries.iter_mut().filter(|tried| !tried.progress.is_written()).for_each(Try::cancel);
+    }
+}
+
 /// What the driver works with.
 pub struct Around {
     /// Connections to endpoints.
@@ -219,6 +238,7 @@
     fn gone(&mut self, id: RequestId) {
         let Some(open) = self.requests.get_mut(&id) else { return };
         if open.answer.take().is_some() {
+            open.stop_unwritten();
             debug!(request = open.forward.id(), "its client has gone");
             self.count("client gone");
             self.handle(Event::RequestGone(id));
@@ -365,13 +385,10 @@
                 self.tidy(request);
             }
             Action::Cancel { request, attempt } => {
-                // The attempt itself tells its end, unless another outcome is already on its way.
                 if let Some(open) = self.requests.get_mut(&request)
                     && let Some(tried) = open.tries.get_mut(attempt.0 as usize)
-                    && let Some(cancel) = &mut tried.cancel
                 {
-                    let (kept, _) = oneshot::channel();
-                    drop(std::mem::replace(cancel, kept));
+                    tried.cancel();
                 }
             }
             Action::SetTimer { token, after } => {
@@ -399,8 +416,9 @@
         let address = self.addresses.get(&endpoint).copied();
         let until = open.deadline.min(now + timeout);
         let moot = open.answer.is_none() || open.tries.len() >= self.max_attempts || until <= now;
+        let progress = Rc::new(self.around.outbound.progress());
         let Some(address) = address.filter(|_| !moot) else {
-            open.tries.push(Try { endpoint, sent: now, cancel: None });
+            open.tries.push(Try { endpoint, sent: now, cancel: None, progress });
             self.due.push_back(Event::AttemptEnded(AttemptEnded {
                 request: id,
                 attempt,
@@ -419,15 +437,16 @@
             "sent"
         );
         let (cancel, mut cancelled) = oneshot::channel();
-        open.tries.push(Try { endpoint, sent: now, cancel: Some(cancel) });
+        open.tries.push(Try { endpoint, sent: now, cancel: Some(cancel), progress: progress.clone() });
         open.out += 1;
-        let progress = Rc::new(self.around.outbound.progress());
         let request = open.forward.request(address, until - now, &progress);
         let upload = match &open.forward.body {
             Content::Held(_) => None,
             Content::Passed(upload) => Some(upload.clone()),
         };
         let (outbound, inbox) = (self.around.outbound.clone(), self.around.inbox.clone());
+        let write_by = write_within.map(|within| now + within);
+        let dispatch = Dispatch { endpoint, address, decided: now, write_by };
         spawn_local(async move {
             let out_of_time = async {
                 match upload {
@@ -445,8 +464,6 @@
         });
     }
 
-        let write_by = write_within.map(|within| now + within);
-        let dispatch = Dispatch { endpoint, address, decided: now, write_by };
     fn probe(&mut self, endpoint: EndpointId) {
         let Some(&address) = self.addresses.get(&endpoint) else {
             let (outcome, elapsed, report) = (Outcome::ConnectFailed, Duration::ZERO, None);
@@ -464,6 +481,7 @@
     fn finish(&mut self, id: RequestId, answer: Answer) {
         let Some(open) = self.requests.get_mut(&id) else { return };
         let Some(to) = open.answer.take() else { return };
+        open.stop_unwritten();
         let (name, unusual) = match &answer {
             Answer::Served(_) | Answer::Passing(_) => ("served", false),
             Answer::Refused(_) => ("refused", true),
--- a/tests/endings.rs
+++ b/tests/endings.rs
@@ -42,6 +42,28 @@
     (peer, said, tell)
 }
 
+#[test]
+fn an_attempt_that_still_connects_is_not_written_once_its_client_has_left() {
+    for cancelling in [false, true] {
+        for class in ["quote", "book"] {
+            let (peer, open) = Peer::late(|_| Do::Serve("ok"));
+            let mut config = patient(&[&peer]);
+            config["settings"]["limits"]["cancelling"] = json!(cancelling);
+            let sidecar = Sidecar::start(&config);
+            let mut client = sidecar.client();
+            client.send(&request(class, "left", "60000m"));
+            wait_for("an attempt", || connecting_to(peer.address) == 1);
+            drop(client);
+            sidecar.says("its client has gone");
+            open();
+            assert_eq!(sidecar.ask(class, "stays").status(), 200);
+            wait_for("no connection on its way", || connecting_to(peer.address) == 0);
+            assert_eq!(sidecar.ask(class, "after").status(), 200);
+            assert_eq!(ids(&peer), ["stays", "after"], "cancelling {cancelling}");
+        }
+    }
+}
+
 #[test]
 fn an_attempt_that_still_connects_is_not_written_once_its_endpoint_drains() {
     for state in ["draining", "removed"] {
