See a client leave behind bytes that lie unread, and end connections without a reset

Two causes, both below HTTP, so one handle on the stream (net/stream.rs) mends them:

- hyper looks for the end of a connection under a request in work only while it has read nothing beyond that request (conn.rs, mid_message_detect_eof: "!self.io.read_buf().is_empty()" -> pending).
Behind a stray CRLF, half a next request or a whole one, a client that closed, reset or ended its side was never seen to leave, and its request was sent on, again and again, to its deadline.
The system tells the end of the other side apart from what can be read: a second handle waits for just that (`left`), beside the library.
- Connections were let go with bytes unread, which resets them, and what was not delivered yet goes too.
`close` ends the writing side, reads on until 0.3 s bring nothing, for 2 s at most, and then lets go.
A client that has left or reads nothing is let go at once.

With it: a connection is told of closing from its accept on, not from its task's first turn, and one for which there was no room, not even to say so, is counted, so that the drain waits for its answer too (net/budget.rs `take_anyhow`).

An 8 MB body that nobody wants: its writer met a broken pipe, and now reads its 404 and then the end.

--- a/src/net/budget.rs
+++ b/src/net/budget.rs
@@ -77,11 +77,14 @@
             Holder::Endpoint => self.sockets_fit(),
             Holder::Request => self.requests.get() < self.part(self.requests_most),
         };
-        room.then(|| {
-            let count = self.count(holder);
-            count.set(count.get() + 1);
-            Permit { budget: self.clone(), holder }
-        })
+        room.then(|| self.take_anyhow(holder))
+    }
+
+    /// A permit for what holds its socket already, whether there is room or not.
+    pub fn take_anyhow(self: &Rc<Self>, holder: Holder) -> Permit {
+        let count = self.count(holder);
+        count.set(count.get() + 1);
+        Permit { budget: self.clone(), holder }
     }
 
     /// Parts everything among so many processes; whether they are not as many as before. What is held over
--- a/src/net/inbound.rs
+++ b/src/net/inbound.rs
@@ -7,6 +7,7 @@
 use super::passing::{LARGE_MOST, Pieces, Upload};
 use super::reply::{PassingAnswer, Reply, ReplyBody, Waiting, plain, say_when};
 use super::request::{Wording, drop_hop_headers, hold};
+use super::stream::ClientStream;
 use super::turn::{FIRST_MOST, Turn};
 use gullpulley::RequestId;
 use http_body_util::Full;
@@ -54,6 +55,15 @@
 /// The last answers go out within this.
 const LAST_ANSWERS: Duration = Duration::from_millis(150);
 
+/// How a connection is to be let go.
+#[derive(PartialEq)]
+enum Parting {
+    /// The client may still be writing, or have an answer to read.
+    Civil,
+    /// It has left, or takes nothing of its answer.
+    Abrupt,
+}
+
 /// What all clients' connections share.
 pub struct Inbound {
     wording: Wording,
@@ -194,9 +204,11 @@
     /// Serves a connection; without a permit only to say that there is no room.
     fn admit(self: &Rc<Self>, stream: TcpStream, permit: Option<Permit>) {
         let shed = permit.is_none();
-        let permit = permit.or_else(|| self.budget.take(Holder::Shed));
-        let this = self.clone();
-        spawn_local(async move { this.connection(stream, shed, permit).await });
+        // What has been accepted takes its descriptor, and is waited for at the end, whether there was room or not.
+        let permit = permit.unwrap_or_else(|| self.budget.take_anyhow(Holder::Shed));
+        // Heard from now on, not from when the task first runs: the call to close may come in between.
+        let (this, close) = (self.clone(), self.close.subscribe());
+        spawn_local(async move { this.connection(stream, shed, close, permit).await });
     }
 
     /// A permit for one more client; none where it can only be told that there is no room.
@@ -216,9 +228,25 @@
         }
     }
 
-    async fn connection(self: Rc<Self>, stream: TcpStream, shed: bool, _permit: Option<Permit>) {
-        let _ = stream.set_nodelay(true);
-        let mut close = self.close.subscribe();
+    async fn connection(
+        self: Rc<Self>,
+        stream: TcpStream,
+        shed: bool,
+        close: watch::Receiver<()>,
+        _permit: Permit,
+    ) {
+        let stream = ClientStream::new(stream);
+        if self.talk(&stream, shed, close).await == Parting::Civil {
+            stream.close().await;
+        }
+    }
+
+    async fn talk(
+        self: &Rc<Self>,
+        stream: &ClientStream,
+        shed: bool,
+        mut close: watch::Receiver<()>,
+    ) -> Parting {
         let turn = Rc::new(Turn::new());
         let service = service_fn(|request| self.answer(request, shed, &turn));
         let connection = http1::Builder::new()
@@ -226,15 +254,18 @@
             .header_read_timeout(HEAD_MOST)
             .keep_alive(!shed)
             .max_buf_size(BUFFER_MOST)
-            .serve_connection(TokioIo::new(stream), service);
-        tokio::pin!(connection);
+            .serve_connection(TokioIo::new(stream.clone()), service);
+        let left = stream.left(|| turn.busy.get());
+        tokio::pin!(connection, left);
         // Over the cap there are few places even to say so: silence must not take them.
         let first = if shed { turn.accepted + SHED_FIRST_MOST } else { turn.first_until() };
         let (mut first_until, mut fresh_until) = (Some(first), None);
         loop {
             tokio::select! {
                 biased;
-                _ = connection.as_mut() => return, // an error here is the client's leaving
+                _ = connection.as_mut() => return Parting::Civil, // an error here is the client's leaving
+                // Whoever has left waits for no answer, whatever else it had written.
+                () = left.as_mut() => return Parting::Abrupt,
                 _ = close.changed() => match turn.idle() {
                     _ if turn.busy.get() => turn.last.set(true),
                     // On a new connection the first request is as good as taken: to close it now
@@ -251,7 +282,7 @@
                     first_until = None;
                     // What has come of a head by now is no request.
                     if turn.unasked() {
-                        return;
+                        return Parting::Civil;
                     }
                 }
                 // Its answer did not yet say that it would be the last.
@@ -259,7 +290,7 @@
                     connection.as_mut().graceful_shutdown();
                 },
                 () = reached(turn.stuck_at()) => if turn.stuck_at().is_some_and(|at| at <= Instant::now()) {
-                    return;
+                    return Parting::Abrupt;
                 },
                 () = reached(fresh_until) => {
                     fresh_until = None;
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -6,7 +6,7 @@
 //! `progress`, `passing`: how far an attempt is, bodies that pass through;
 //! `outbound`, `discovery`: connections to endpoints and to discovery;
 //! `message`, `driver`: turns what happens there into the policy's events, and carries out its actions;
-//! `request`, `turn`, `reply`, `inbound`: clients' words, connections and answers;
+//! `stream`, `request`, `turn`, `reply`, `inbound`: clients' words, connections and answers;
 //! `control`: the operators' door.
 
 mod bans;
@@ -26,6 +26,7 @@
 mod progress;
 mod reply;
 mod request;
+mod stream;
 mod turn;
 
 use crate::logging::LogHandle;
--- /dev/null
+++ b/src/net/stream.rs
@@ -0,0 +1,122 @@
+//! A client's connection below HTTP: it is served through one handle, and its end is seen through another.
+
+use std::future::poll_fn;
+use std::io;
+use std::net::Shutdown;
+use std::pin::{Pin, pin};
+use std::rc::Rc;
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::task::yield_now;
+use tokio::time::{Instant, timeout_at};
+
+/// After its end a connection is read on until nothing has come for so long. To close over unread bytes resets it, and
+/// what the system has not yet delivered goes with it: time for that to be sent once more, and read ...
+const LINGER_GAP: Duration = Duration::from_millis(300);
+/// ... and no longer than this in all: it keeps its descriptor meanwhile.
+const LINGER_MOST: Duration = Duration::from_secs(2);
+/// Bytes thrown away at once.
+const SCRATCH: usize = 4096;
+
+/// One handle of a client's connection, which closes with the last of them.
+#[derive(Clone)]
+pub struct ClientStream(Rc<TcpStream>);
+
+impl ClientStream {
+    /// The first handle; what is written goes out at once.
+    pub fn new(stream: TcpStream) -> Self {
+        let _ = stream.set_nodelay(true); // fails only where the client has gone
+        ClientStream(Rc::new(stream))
+    }
+
+    /// Waits until the client has closed or reset it, or ended its side, while `matters` holds. The HTTP library
+    /// would not look as long as it has bytes of a next request.
+    pub async fn left(&self, matters: impl Fn() -> bool) {
+        // Nothing is urgent here, so that only the end of the other side makes this ready.
+        let mut ended = pin!(self.0.ready(Interest::PRIORITY));
+        let mut over = false;
+        poll_fn(|context| {
+            over = over || ended.as_mut().poll(context).is_ready();
+            if over && matters() { Poll::Ready(()) } else { Poll::Pending }
+        })
+        .await;
+    }
+
+    /// Ends the writing side, and reads on until the client ends its own or rests.
+    pub async fn close(self) {
+        let most = Instant::now() + LINGER_MOST;
+        let mut scratch = [0; SCRATCH];
+        let _ = self.end_writing(); // fails where the client has gone, which the next read tells
+        while let Ok(Ok(())) = timeout_at(most.min(Instant::now() + LINGER_GAP), self.0.readable()).await {
+            match self.0.try_read(&mut scratch) {
+                Ok(1..) => yield_now().await, // a flood must not hold up others
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                Ok(0) | Err(_) => return,
+            }
+        }
+    }
+
+    fn end_writing(&self) -> io::Result<()> {
+        socket2::SockRef::from(&*self.0).shutdown(Shutdown::Write)
+    }
+}
+
+impl AsyncRead for ClientStream {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        loop {
+            ready!(self.0.poll_read_ready(context))?;
+            match self.0.try_read_buf(buffer) {
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                read => return Poll::Ready(read.map(drop)),
+            }
+        }
+    }
+}
+
+impl AsyncWrite for ClientStream {
+    fn poll_write(self: Pin<&mut Self>, context: &mut Context<'_>, data: &[u8]) -> Poll<io::Result<usize>> {
+        self.write(context, |stream| stream.try_write(data))
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        data: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        self.write(context, |stream| stream.try_write_vectored(data))
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(())) // nothing is held back here
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(self.end_writing())
+    }
+}
+
+impl ClientStream {
+    fn write(
+        &self,
+        context: &mut Context<'_>,
+        write: impl Fn(&TcpStream) -> io::Result<usize>,
+    ) -> Poll<io::Result<usize>> {
+        loop {
+            ready!(self.0.poll_write_ready(context))?;
+            match write(&self.0) {
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                written => return Poll::Ready(written),
+            }
+        }
+    }
+}
--- a/tests/endings.rs
+++ b/tests/endings.rs
@@ -142,3 +142,179 @@
     EndItsSide,
 }
 
+#[test]
+fn a_client_is_seen_to_leave_whatever_lies_unread_behind_its_request() {
+    let next = request("quote", "never", "60000m");
+    for leave in [Leave::Close, Leave::Reset, Leave::EndItsSide] {
+        for behind in ["", "\r\n", &next[..20], &next] {
+            let peer = Peer::new(|_| Do::Silence);
+            let sidecar = Sidecar::start(&patient(&[&peer]));
+            let mut client = sidecar.client();
+            client.send(&(request("quote", "r1", "60000m") + behind));
+            wait_for("the attempt", || peer.count() == 1);
+            let _half_closed = match leave {
+                Leave::Close => {
+                    drop(client);
+                    None
+                }
+                Leave::Reset => {
+                    client.reset();
+                    None
+                }
+                Leave::EndItsSide => {
+                    client.stream().shutdown(Shutdown::Write).unwrap();
+                    Some(client)
+                }
+            };
+            // The request's own time is twice as long as we wait.
+            wait_for(&format!("the attempt's end after {leave:?} behind {behind:?}"), || {
+                peer.closed() == 1
+            });
+            assert_eq!(ids(&peer), ["r1"]);
+        }
+    }
+}
+
+#[test]
+fn an_answer_to_a_body_that_nobody_reads_reaches_its_client() {
+    let peer = Peer::serving("ok");
+    let sidecar = Sidecar::start(&config(&[&peer]));
+    let faulty =
+        "POST /nothing/x HTTP/1.1\r\nHost: t\r\nX-Request-ID: r1\r\nContent-Length: 8000000\r\n\r\n";
+    let mut client = sidecar.client();
+    client.send(faulty);
+    // It has answered and ended its side by the time the body comes: to close on that would reset.
+    let answer = client.receive().expect("an answer");
+    assert_eq!(answer.status(), 404);
+    let body = vec![b'x'; 8_000_000];
+    client.stream().write_all(&body).expect("the body is read, not reset");
+    assert_eq!(client.stream().read(&mut [0; 16]).expect("the end, no reset"), 0);
+}
+
+#[test]
+fn the_last_answer_at_sigterm_is_not_reset_by_what_its_client_writes_meanwhile() {
+    let (peer, arrived, go) = held(Do::Serve("ok"));
+    let mut sidecar = Sidecar::start(&config(&[&peer]));
+    let mut client = sidecar.client();
+    client.send(&request("book", "r1", "20000m"));
+    arrived.recv().unwrap();
+    // More than is read ahead of its turn: what is left lies unread as the connection is let go.
+    let ahead = request("book", "r2", "20000m").repeat(4000);
+    client.send(&ahead);
+    sidecar.signal("-TERM");
+    wait_for("the drain to begin", || sidecar.ready() != Some(200));
+    go.send(()).unwrap();
+    let answer = client.receive().expect("the answer, whole");
+    assert_eq!((answer.status(), answer.header("connection")), (200, "close"));
+    let read = client.stream().read(&mut [0; 1]);
+    assert!(matches!(read, Ok(0)), "its end, and no reset: {read:?}");
+    drop(client);
+    assert!(sidecar.ended().success());
+    assert_eq!(ids(&peer), ["r1"], "nothing was taken after the shutdown");
+}
+
+#[test]
+fn a_connection_taken_as_the_listener_closes_hears_of_the_end() {
+    // Taken in the last instant, it has to be told like any other: not to keep the drain up by its silence.
+    let peer = Peer::serving("ok");
+    let shared = Shared::new();
+    let config = config(&[&peer]);
+    let (mut old, _) = shared.start(&config);
+    let (new, _) = shared.start(&config);
+    old.says("processes of this sidecar: 2");
+    // Of two that listen the system gives each some; those of the stopped one wait.
+    old.signal("-STOP");
+    let mut clients: Vec<Client> = (0..60).map(|_| new.client()).collect();
+    old.signal("-TERM");
+    old.signal("-CONT");
+    let began = Instant::now();
+    assert!(old.ended().success());
+    // The first request on a new connection may take its 2.5 s in service, but 0.2 s at the end.
+    assert!(began.elapsed() < Duration::from_millis(1800), "{:?}", began.elapsed());
+    let mut ended = 0;
+    for client in &mut clients {
+        client.stream().set_nonblocking(true).unwrap();
+        match client.stream().read(&mut [0; 1]) {
+            Ok(0) => ended += 1,
+            Err(e) if e.kind() == ErrorKind::WouldBlock => {}
+            other => panic!("an end and no reset: {other:?}"),
+        }
+    }
+    assert!(ended > 0, "some waited at the old one");
+}
+
+#[test]
+fn an_answer_of_no_length_that_is_reset_is_no_whole_one() {
+    let cut = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf an an".to_owned();
+    for (class, status, tries) in [("quote", 200, 2), ("book", 502, 1)] {
+        let tried = AtomicUsize::new(0);
+        let cut = cut.clone();
+        let peer = Peer::new(move |_| match tried.fetch_add(1, Ordering::SeqCst) {
+            0 => Do::WriteAndReset(cut.clone()),
+            _ => Do::Serve("whole"),
+        });
+        let sidecar = Sidecar::start(&config(&[&peer]));
+        let answer = sidecar.ask(class, "r1");
+        assert_eq!((answer.status(), peer.count()), (status, tries), "{class}");
+        assert_ne!(answer.body, b"half an an");
+    }
+}
+
+#[test]
+fn an_answer_that_never_ends_is_cut_where_its_client_can_tell() {
+    let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nwhat\r\n";
+    for act in [Do::Trickle(head.to_owned(), "1\r\nx\r\n".to_owned()), Do::WriteAndWait(head.to_owned())] {
+        let peer = Peer::new(move |_| act.clone());
+        let sidecar = Sidecar::start(&config(&[&peer]));
+        let mut client = sidecar.client();
+        let began = Instant::now();
+        client.send(&request("quote", "r1", "1000m"));
+        let mut answer = Vec::new();
+        let mut piece = [0; 1024];
+        while let read @ 1.. = client.stream().read(&mut piece).expect("an end") {
+            answer.extend_from_slice(&piece[..read]);
+            assert!(began.elapsed() < PATIENCE, "it never ends");
+        }
+        let answer = String::from_utf8(answer).unwrap();
+        assert!(answer.starts_with("HTTP/1.1 200") && !answer.ends_with("0\r\n\r\n"), "{answer}");
+        // Its time of 1 s, and 3 s for one that is only slow.
+        assert!(began.elapsed() < Duration::from_secs(8), "{:?}", began.elapsed());
+        wait_for("the attempt's end", || peer.closed() == 1);
+    }
+}
+
+#[test]
+fn signals_while_it_drains_change_nothing() {
+    let (peer, arrived, go) = held(Do::Serve("ok"));
+    let mut config = config(&[&peer]);
+    let mut sidecar = Sidecar::start(&config);
+    let mut client = sidecar.client();
+    client.send(&request("book", "r1", "20000m"));
+    arrived.recv().unwrap();
+    sidecar.signal("-TERM");
+    wait_for("the drain to begin", || sidecar.ready() != Some(200));
+    config["discovery"] = json!(nowhere().to_string());
+    sidecar.reconfigure(&config.to_string());
+    for signal in ["-TERM", "-HUP", "-TERM"] {
+        sidecar.signal(signal);
+    }
+    sidecar.says("SIGHUP: discovery.address is");
+    go.send(()).unwrap();
+    let answer = client.receive().expect("an answer in spite of all");
+    assert_eq!((answer.status(), answer.header("connection")), (200, "close"));
+    assert!(sidecar.ended().success());
+}
+
+#[test]
+fn sigterm_before_the_first_list_is_an_orderly_end() {
+    let peer = Peer::serving("ok");
+    let discovery = Peer::new(|_| Do::Silence);
+    let mut config = config(&[&peer]);
+    config["settings"]["discovery"] = json!("automatic");
+    config["discovery"] = json!(discovery.address.to_string());
+    let address = config["listen"].as_str().unwrap().parse().unwrap();
+    let mut sidecar = Sidecar::spawn(&config.to_string(), address, "", None);
+    wait_for("its call for a list", || discovery.count() == 1);
+    sidecar.signal("-TERM");
+    assert!(sidecar.ended().success());
+}
