Take what waits in the backlog in one go wherever the listener closes

Cause, from reading `serve`: without a successor the listener was dropped after 30 ms in which nothing came, so that a connection that came between the last look and the close was reset. Both ends of a listener now take all that waits and close without a wait in between; the second way of closing is gone.

Ruled out, with tests that held before: two SIGTERMs and a SIGHUP during the drain, SIGTERM before the first list. `DEADLINE_MOST` of 3 s stays: it is the protocol's own figure for SIGKILL.

--- a/src/net/inbound.rs
+++ b/src/net/inbound.rs
@@ -152,11 +152,7 @@
         }
         // A successor may be seen only now. To accept beside it for as long as clients come would end with what is in
         // work when the time is up.
-        if self.succeeded.get() {
-            self.hand_over(listener);
-        } else {
-            drop(listener);
-        }
+        self.close_listener(listener);
         self.close.send_replace(());
         if timeout_at(until, self.all_gone()).await.is_err() {
             let _ = self.inbox.send(Input::GiveUp);
@@ -165,9 +161,9 @@
         info!(ms = asked.elapsed().as_millis() as u64, "drained");
     }
 
-    /// Takes what waits in the backlog and closes the listener in one go: all that comes later goes to the
-    /// process that listens beside this one. A wait in between would let more in, only to be reset.
-    fn hand_over(self: &Rc<Self>, listener: TcpListener) {
+    /// Takes what waits in the backlog and closes the listener in one go: all that comes later is refused, or goes
+    /// to the process that listens beside this one. A wait in between would let more in, only to be reset.
+    fn close_listener(self: &Rc<Self>, listener: TcpListener) {
         let Ok(listener) = listener.into_std() else { return };
         while let Ok((stream, _)) = listener.accept() {
             let taken = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream));
