Cut an answer that never ends where its client can tell

Cause: an answer of no stated length passes on after 0.25 s, and from then on only standing still for 10 s ended it (net/passing.rs ANSWER_STALL). One that trickled on had no end in time, only 32 MiB. Once its client's time is up such an answer now has to come at 32 kB a second of waiting, half of the slowest body, or lag no more than 3 s behind that; else the connection ends before the last chunk. Answers of a stated length, and slow readers, are not touched: only the time for which the endpoint was waited for counts.

--- a/src/net/inbound.rs
+++ b/src/net/inbound.rs
@@ -410,7 +410,8 @@
         if let Some(upload) = passed.filter(|upload| !upload.is_whole()) {
             spawn_local(async move { upload.discard().await });
         }
-        if let Ok(Ok(Answer::Passing(passing))) = answer {
+        if let Ok(Ok(Answer::Passing(mut passing))) = answer {
+            passing.pieces.owed_by(latest);
             let (answer, turn) = (Some(*passing), turn.clone());
             turn.moved.set(Some(Instant::now()));
             turn.turned.notify_one();
--- a/src/net/passing.rs
+++ b/src/net/passing.rs
@@ -23,6 +23,10 @@
 const STUCK_MOST: Duration = Duration::from_secs(5);
 /// An endpoint whose answer stands still for this long is not giving it any more.
 const ANSWER_STALL: Duration = Duration::from_secs(10);
+/// Bytes a second that an answer of no stated length has to come at once its client's time is up, and what it may lag
+/// behind that: half of the slowest body. One that trickles on would never end.
+const ANSWER_PACE: f64 = 32_000.0;
+const ANSWER_LAG: Duration = Duration::from_secs(3);
 
 /// How often and how long what is left of a body is looked for.
 const RETURN_LOOKS: u32 = 50;
@@ -40,6 +44,9 @@
     /// It is longer than any may be.
     #[error("the body is too long")]
     TooLong,
+    /// Its time is up, and it does not come to an end.
+    #[error("the body does not end")]
+    Endless,
     /// It has been passed on before.
     #[error("the body is spent")]
     Spent,
@@ -53,6 +60,12 @@
     stall: Duration,
     /// Set while a piece is waited for, and only then: it is the reader's matter when it asks for one.
     waiting: Option<Pin<Box<Sleep>>>,
+    /// When the reader's time is up; known for an answer.
+    owed_by: Option<Instant>,
+    /// For how long its sender was waited for.
+    waited: Duration,
+    /// Since when it is.
+    waits: Option<Instant>,
 }
 
 impl Pieces {
@@ -67,7 +80,22 @@
     }
 
     fn new(first: Bytes, rest: Incoming, stall: Duration) -> Self {
-        Pieces { first: Some(first).filter(|b| !b.is_empty()), rest, passed: 0, stall, waiting: None }
+        let first = Some(first).filter(|b| !b.is_empty());
+        let (owed_by, waited, waits) = Default::default();
+        Pieces { first, rest, passed: 0, stall, waiting: None, owed_by, waited, waits }
+    }
+
+    /// Says when the reader's time is up.
+    pub fn owed_by(&mut self, at: Instant) {
+        self.owed_by = Some(at);
+    }
+
+    /// When it is plain that it never ends, if it goes on as it does.
+    fn endless_at(&self) -> Option<Instant> {
+        let owed_by = self.owed_by.filter(|_| self.rest.size_hint().exact().is_none())?;
+        let allowed = ANSWER_LAG + Duration::from_secs_f64(self.passed as f64 / ANSWER_PACE);
+        let since = self.waits.unwrap_or_else(Instant::now);
+        Some(owed_by.max(since + allowed.saturating_sub(self.waited)))
     }
 
     /// All of it has been handed on.
@@ -94,12 +122,20 @@
             return Poll::Ready(Some(Ok(Frame::data(first))));
         }
         let Poll::Ready(piece) = Pin::new(&mut self.rest).poll_frame(context) else {
-            let stall = self.stall;
-            let waiting = self.waiting.get_or_insert_with(|| Box::pin(sleep_until(Instant::now() + stall)));
+            self.waits.get_or_insert_with(Instant::now);
+            let endless = self.endless_at();
+            let stalled = Instant::now() + self.stall;
+            let until = endless.map_or(stalled, |at| at.min(stalled));
+            let waiting = self.waiting.get_or_insert_with(|| Box::pin(sleep_until(until)));
             ready!(waiting.as_mut().poll(context));
-            return Poll::Ready(Some(Err(PassError::Stalled)));
+            let over = endless.is_some_and(|at| at <= Instant::now());
+            return Poll::Ready(Some(Err(if over { PassError::Endless } else { PassError::Stalled })));
         };
         self.waiting = None;
+        self.waited += self.waits.take().map(|since| since.elapsed()).unwrap_or_default();
+        if piece.is_some() && self.endless_at().is_some_and(|at| at < Instant::now()) {
+            return Poll::Ready(Some(Err(PassError::Endless)));
+        }
         let Some(piece) = piece else { return Poll::Ready(None) };
         let piece = piece?;
         self.passed += piece.data_ref().map_or(0, |data| data.len() as u64);
