Give a slot back to the window that gave it

Causes, from reading each way in which an attempt's end and its endpoint's listing cross: - policy/limits.rs `learn` gave a call back to the side that the endpoint is listed on by then. Listed anew in another zone with calls out, one window kept a call that had ended, for good, and the other lost one of its own. - policy/requests.rs `on_whole` marked an attempt as counted also where its endpoint had left meanwhile and nothing was counted; listed again before the end, it took another call's slot. Both now go by the attempt's own zone, and by what was counted.

An endpoint removed and listed again under its uid with calls out, in one zone, held before.

--- a/src/policy/limits.rs
+++ b/src/policy/limits.rs
@@ -47,7 +47,15 @@
 
 impl Balancer {
     /// Lets an outcome speak for or against its endpoint.
-    pub(super) fn learn(&mut self, now: Duration, id: EndpointId, class: usize, ended: &AttemptEnded) {
+    /// The side is the one that its window counted it on: by now the endpoint may be listed in another zone.
+    pub(super) fn learn(
+        &mut self,
+        now: Duration,
+        id: EndpointId,
+        side: usize,
+        class: usize,
+        ended: &AttemptEnded,
+    ) {
         let Some(&i) = self.index.get(&id) else { return };
         let warm = self.warmth(now, i) >= 1.0;
         let (elapsed, silent) = (ended.elapsed.as_secs_f64(), self.silent(now));
@@ -59,7 +67,7 @@
             Outcome::TimedOut => !silent,
             outcome => outcome == Outcome::Full,
         };
-        let (part, side) = (self.part(), self.side(i));
+        let part = self.part();
         // One call an endpoint, parted among all balancers. It is the least a window falls to, and the
         // larger a window the less it gains: else what starts first measures idle servers, yields to
         // what starts last and measured crowded ones, and is starved for good.
--- a/src/policy/list.rs
+++ b/src/policy/list.rs
@@ -192,7 +192,14 @@
 
     /// 0 for an endpoint of the own zone, 1 for one of another.
     pub(super) fn side(&self, i: usize) -> usize {
-        usize::from(self.endpoints[i].info.zone != self.settings.zone)
+        self.settings.side(self.endpoints[i].info.zone)
+    }
+}
+
+impl Settings {
+    /// 0 for the own zone, 1 for another.
+    pub(super) fn side(&self, zone: ZoneId) -> usize {
+        usize::from(zone != self.zone)
     }
 }
 
--- a/src/policy/requests.rs
+++ b/src/policy/requests.rs
@@ -92,15 +92,13 @@
     pub(super) fn on_whole(&mut self, now: Duration, id: RequestId, left: Duration, out: &mut Vec<Action>) {
         let Some(pending) = self.requests.get_mut(&id).filter(|p| p.passing) else { return };
         (pending.passing, pending.arrived, pending.deadline) = (false, now, now + left);
-        let mut begun = Vec::new();
         for attempt in pending.attempts.iter_mut().filter(|a| a.fate == Fate::Out && !a.counted) {
-            (attempt.counted, attempt.sent) = (true, now);
-            begun.push(attempt.endpoint);
-        }
-        for i in begun.iter().filter_map(|endpoint| self.index.get(endpoint).copied()) {
-            let side = self.side(i);
+            attempt.sent = now;
+            // One that has left meanwhile holds no calls, and gives none back.
+            let Some(&i) = self.index.get(&attempt.endpoint) else { continue };
+            attempt.counted = true;
             self.endpoints[i].in_flight += 1;
-            self.windows[side].out += 1;
+            self.windows[self.settings.side(attempt.zone)].out += 1;
         }
         self.set_timer(left, Timer::Deadline(id), out);
     }
@@ -144,6 +142,8 @@
             // Something on the way drops idle connections unseen; a handshake costs less than a lost call.
             out.push(Action::CloseIdle { endpoint: endpoint.info.id });
             endpoint.heard = None;
+            idle = Duration::ZERO;
+        }
         // To a keyed request that may have run, the window closes also on an attempt that still connects.
         let write_within = match self.settings.classes[pending.class].semantics {
             Semantics::Keyed { window, .. } => {
@@ -151,8 +151,6 @@
             }
             _ => None,
         };
-            idle = Duration::ZERO;
-        }
         let counted = !pending.passing;
         endpoint.in_flight += u32::from(counted);
         self.windows[side].out += u32::from(counted);
@@ -186,6 +184,7 @@
         attempt.fate = if ended.outcome.never_ran() { Fate::NeverRan } else { Fate::MayHaveRun };
         let class = pending.class;
         let (endpoint, counted, spent) = (attempt.endpoint, attempt.counted, pending.spent);
+        let side = self.settings.side(attempt.zone);
         if ended.outcome == Outcome::Ok && idle >= self.reaped_after {
             self.stale -= STALE_REFUTED;
         }
@@ -201,7 +200,7 @@
             self.note_silence(now, silent);
         }
         if counted {
-            self.learn(now, endpoint, class, &ended);
+            self.learn(now, endpoint, side, class, &ended);
         } else if let Some(&i) = self.index.get(&endpoint)
             && ended.outcome == Outcome::ConnectFailed
             && !spent
