Ask a failing discovery again within what a change may take to be known

Cause: after failures a pushed watch waited up to 4 s times 1.5 (net/discovery.rs BACKOFF_DOUBLES), an asked one up to 12 s (policy/list.rs, 0.5 s doubled four times, times 1.5, and times two during a hot restart). A change counts as told 6 s after discovery had it and could be reached, whatever call failed before. Both now wait 1.125 s at most, spread from half to one and a half: a call begun just before the return may take its 3 s, and the next one is begun 4.1 s after it. Of thousands of callers so many ask a returning discovery in each second as there are, once; before the return each asks about every 0.75 s.

3 s of silence, 1 s for a connection, 3 s for a head add up past 6 s when one call of the chain is lost. As long as no call has failed there is no crowd that would explain a wait: such a call is given up after 1.5 s, later ones after 3 s as before, so that a crowd's callers do not lose their places again and again.

Ruled out, with a test that held before: a version that is lower after a restart or a move of discovery; a watch takes whatever comes. `rev` is compared for a fetch alone, which no policy asks for. A call in flight to the old address ends with the move (its task is aborted before it can tell anything).

--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -27,16 +27,21 @@
 
 /// A connection to discovery that is not up after this long has failed.
 const CONNECT: Duration = Duration::from_secs(1);
-/// A call not answered after this long has failed: discovery itself gives up well before.
+/// A call not answered after this long has failed. Discovery answers one call after another, and a crowd of
+/// callers waits: to give up sooner, again and again, would keep it busy with what nobody waits for.
 const ANSWER: Duration = Duration::from_secs(3);
+/// As long as no call has failed there is no crowd: one that is not answered by then has been lost, and of the 6 s in
+/// which a silent watch's news has to be known there must be time for another.
+const ANSWER_AT_FIRST: Duration = Duration::from_millis(1500);
 /// A watch brings at least an empty line every 2 s: one silent for this long is dead, as that of a
 /// machine cut off is, which nothing else would ever tell. News counts as told after 6 s: what is left
 /// of them has to do for two calls, as the first may fail.
 const SILENCE: Duration = Duration::from_secs(3);
-/// First wait before a watch that the node keeps up itself is tried again; doubles with each failure.
+/// First wait before a watch that the node keeps up itself is tried again; doubles with each failure up to the most,
+/// and is spread from half to one and a half. Once discovery can be reached, a change is to be known within 6 s:
+/// of these a call made just before may take `ANSWER`, and the call that is answered needs what is left.
 const BACKOFF: Duration = Duration::from_millis(250);
-/// Doublings of that wait.
-const BACKOFF_DOUBLES: u32 = 4;
+const BACKOFF_MOST: Duration = Duration::from_millis(750);
 
 /// News of the list in the module's terms, and where the endpoints are.
 pub struct News {
@@ -80,6 +85,8 @@
     names: Names,
     ids: RefCell<EndpointNames>,
     rev: Cell<u64>,
+    /// Calls and watches that have failed since one was last heard.
+    failures: Cell<u32>,
     draws: RefCell<Pcg32>,
     /// What has come of it since the start.
     heard: watch::Sender<Heard>,
@@ -99,7 +106,7 @@
         report: impl Fn(News) + 'static,
     ) -> Rc<Self> {
         let draws = RefCell::new(Pcg32::seed_from_u64(seed));
-        let (ids, rev) = Default::default();
+        let (ids, rev, failures) = Default::default();
         let address = Cell::new(address);
         let heard = watch::Sender::new(Heard::Nothing);
         Rc::new(Discovery {
@@ -108,6 +115,7 @@
             names,
             ids,
             rev,
+            failures,
             draws,
             heard,
             failing: RefCell::default(),
@@ -156,6 +164,7 @@
                 Call::Move(address) => {
                     if self.address.replace(address) != address {
                         info!(%address, "discovery: now at {address}");
+                        self.failures.set(0); // those were of the old one
                         // The old one says nothing more. No failure: what is being followed goes on there.
                         watch = watch.take().map(|_| this.watch());
                     }
@@ -190,16 +199,11 @@
 
     /// Where lists are pushed, a watch must always be up: the module never asks for one.
     async fn keep_watch(&self) {
-        let mut failures = 0;
         loop {
-            let before = self.rev.get();
             let over = self.follow().await;
+            let doubled = BACKOFF.saturating_mul(1 << self.failures.get().min(8)).min(BACKOFF_MOST);
             self.failed(&over.to_string());
-            // A watch that fell silent says nothing against calls, and of the 6 s half have passed.
-            let well = self.rev.get() != before || matches!(over, Over::Silent);
-            failures = if well { 0 } else { failures + 1 };
             let jitter = 0.5 + f64::from(self.draws.borrow_mut().next_u32()) / f64::from(u32::MAX);
-            let doubled = BACKOFF * (1 << failures.min(BACKOFF_DOUBLES));
             tokio::time::sleep(doubled.mul_f64(jitter)).await;
         }
     }
@@ -221,6 +225,7 @@
                 Ok(Some(Err(e))) => return Over::Broken(format!("the watch broke: {e}")),
                 Ok(Some(Ok(frame))) => frame,
             };
+            self.failures.set(0);
             let piece = frame.data_ref().map_or(&[][..], |data| data);
             // To skip a change would leave the list wrong for good: the watch begins again instead.
             match lists.take(piece) {
@@ -253,7 +258,8 @@
             .header(header::HOST, address.to_string())
             .body(Empty::<Bytes>::new())
             .map_err(|e| e.to_string())?;
-        let answer = timeout(ANSWER, sender.send_request(request)).await;
+        let patience = if self.failures.get() == 0 { ANSWER_AT_FIRST } else { ANSWER };
+        let answer = timeout(patience, sender.send_request(request)).await;
         let response = answer.map_err(|_| "no answer in time".to_owned())?.map_err(|e| e.to_string())?;
         match response.status() {
             StatusCode::OK => Ok((response, guard)),
@@ -284,6 +290,7 @@
     }
 
     fn failed(&self, reason: &str) {
+        self.failures.set(self.failures.get().saturating_add(1));
         // Said once for each reason until a list comes; the driver counts the others.
         if self.failing.replace(Some(reason.to_owned())).is_none_or(|before| before != reason) {
             warn!(address = %self.address.get(), "discovery: {reason}");
--- a/src/policy/list.rs
+++ b/src/policy/list.rs
@@ -15,8 +15,10 @@
 const PART_LEAST: f64 = 4.0;
 /// Step from one balancer's place on the ring to the next one's: the golden ratio spaces any run evenly.
 const PLACE_STEP: f64 = 0.618_033_988_75;
-/// First wait before discovery is asked again after a failure; doubles up to a fifth of a minute.
+/// Seconds before discovery is asked again after a failure, and after further ones, spread from half to one and a
+/// half: a change is to be known 6 s after discovery can be reached, and a call that fails may take half of that.
 const ASK_BACKOFF: f64 = 0.5;
+const ASK_BACKOFF_MOST: f64 = 0.75;
 
 pub(super) struct Endpoint {
     pub(super) info: EndpointInfo,
@@ -44,11 +46,10 @@
         match news {
             Membership::Failed => {
                 if ask {
-                    // Jittered and doubling, so that instances refused together do not return together.
-                    let doubled =
-                        ASK_BACKOFF * self.processes * f64::from(1u32 << self.ask_failures.min(4));
-                    let wait = doubled * (0.5 + self.draws.uniform());
-                    self.ask_failures += 1;
+                    // Jittered, so that instances refused together do not return together.
+                    let most = if self.asked_in_vain { ASK_BACKOFF_MOST } else { ASK_BACKOFF };
+                    let wait = most * (0.5 + self.draws.uniform());
+                    self.asked_in_vain = true;
                     self.set_timer(Duration::from_secs_f64(wait), Timer::Ask, out);
                 }
                 return;
@@ -67,7 +68,7 @@
             let wait = Duration::from_secs_f64(self.draws.uniform() * most);
             self.set_timer(wait, Timer::Ask, out);
         } else {
-            self.ask_failures = 0;
+            self.asked_in_vain = false;
         }
         if !std::mem::replace(&mut self.started, true) {
             let size = (WINDOW_START * self.part()).max(1.0);
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -69,7 +69,8 @@
     /// How far silence goes with connections that lay idle, and from how long on.
     stale: f64,
     reaped_after: Duration,
-    ask_failures: u32,
+    /// The last call to discovery failed.
+    asked_in_vain: bool,
     started: bool,
 }
 
@@ -106,7 +107,7 @@
             late_share: 0.0,
             stale: 0.0,
             reaped_after: Duration::MAX,
-            ask_failures: 0,
+            asked_in_vain: false,
             started: false,
         })
     }
--- a/tests/node_list.rs
+++ b/tests/node_list.rs
@@ -176,6 +176,59 @@
     }
 }
 
+/// When each call came at a discovery that does this with it.
+fn calls_at(mode: &str, act: Do, calls: usize) -> Vec<std::time::Instant> {
+    let came = std::sync::Arc::<std::sync::Mutex<Vec<std::time::Instant>>>::default();
+    let noted = came.clone();
+    let discovery = Peer::new(move |_| {
+        noted.lock().unwrap().push(std::time::Instant::now());
+        act.clone()
+    });
+    let peer = Peer::serving("ok");
+    let mut config = config(&[&peer]);
+    config["discovery"] = json!(discovery.address.to_string());
+    config["settings"]["discovery"] = json!(mode);
+    let _sidecar = Sidecar::start(&config);
+    wait_for("calls", || came.lock().unwrap().len() >= calls);
+    let came = came.lock().unwrap().clone();
+    came
+}
+
+#[test]
+fn however_often_discovery_fails_it_is_asked_again_within_what_a_change_may_take() {
+    for mode in ["subscribe", "automatic"] {
+        let came = calls_at(mode, Do::WriteAndClose(answer("503 Busy", "", "")), 9);
+        for pair in came.windows(2).skip(4) {
+            // 1.125 s at most, and what a slow machine takes; waits that doubled on were 2 to 12 s.
+            let gap = pair[1] - pair[0];
+            assert!(gap < std::time::Duration::from_millis(1900), "{mode}: {gap:?}");
+        }
+    }
+}
+
+#[test]
+fn a_first_call_that_is_lost_leaves_time_for_another() {
+    for mode in ["subscribe", "automatic"] {
+        let came = calls_at(mode, Do::Silence, 2);
+        let gap = came[1] - came[0];
+        assert!(gap < std::time::Duration::from_millis(2800), "{mode}: {gap:?}");
+    }
+}
+
+#[test]
+fn a_discovery_that_counts_from_the_start_again_is_followed() {
+    for mode in ["subscribe", "automatic"] {
+        let (old, new) = (Peer::serving("old"), Peer::serving("new"));
+        // The sidecar knows version 7.
+        let discovery = Discovery::new(list(2, true, &[target("s-new", new.address, "up")]));
+        let sidecar = following(&old, &discovery, mode);
+        wait_for("its list", || sidecar.ask("quote", "r").body == b"new");
+        assert_eq!(discovery.calls()[0], "/api/targets?watch=1&after=7");
+        discovery.say(&list(3, false, &[target("s-new", new.address, "removed")]).to_string());
+        sidecar.says("s-new is gone");
+    }
+}
+
 #[test]
 fn a_silent_watch_is_given_up_while_there_is_time_for_two_calls() {
     let peer = Peer::serving("ok");
