Test idle clients in all descriptors while discovery is down, with its return

Suspect: clients that say nothing take every descriptor, and discovery, endpoints, the readiness answer or the operators' listener find none. Ruled out as built: RESERVE (48), the door's own 26 and five eighths for clients hold. The test: 300 clients that come again as often as they are let go, 160 descriptors held by the kernel too, discovery away and then back: its list is known within 6 s, the door and /-/ready answer, a request is served by the new endpoint, no accept failed.

--- a/tests/node_limits.rs
+++ b/tests/node_limits.rs
@@ -4,6 +4,10 @@
 mod support;
 
 use serde_json::json;
+use std::io::{ErrorKind, Read};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 use support::*;
@@ -50,6 +54,71 @@
     assert!(sidecar.child.try_wait().unwrap().is_none());
 }
 
+/// Clients that say nothing, and come again as often as they are let go, until dropped.
+struct Crowd {
+    over: Arc<AtomicBool>,
+    comers: Vec<thread::JoinHandle<()>>,
+}
+
+impl Crowd {
+    fn around(address: SocketAddr, size: usize) -> Crowd {
+        let over = Arc::new(AtomicBool::new(false));
+        let comer = |_| {
+            let over = over.clone();
+            thread::spawn(move || {
+                while !over.load(Ordering::SeqCst) {
+                    let Some(mut client) = Client::connect(address) else { continue };
+                    let _ = client.stream().set_read_timeout(Some(Duration::from_millis(100)));
+                    while !over.load(Ordering::SeqCst)
+                        && matches!(client.stream().read(&mut [0; 1]), Err(e) if e.kind() == ErrorKind::WouldBlock)
+                    {
+                    }
+                }
+            })
+        };
+        let comers = (0..size).map(comer).collect();
+        Crowd { over, comers }
+    }
+}
+
+impl Drop for Crowd {
+    fn drop(&mut self) {
+        self.over.store(true, Ordering::SeqCst);
+        self.comers.drain(..).for_each(|comer| comer.join().unwrap());
+    }
+}
+
+#[test]
+fn idle_clients_in_all_descriptors_keep_out_neither_discovery_nor_endpoints_nor_operators() {
+    for mode in ["subscribe", "automatic"] {
+        let (old, new) = (Peer::serving("old"), Peer::serving("new"));
+        let (discovery, door) = (nowhere(), nowhere()); // down as yet
+        let mut config = config(&[&old]);
+        config["limits"]["sockets"] = json!(160);
+        config["discovery"] = json!(discovery.to_string());
+        config["control"] = json!(door.to_string());
+        config["settings"]["discovery"] = json!(mode);
+        let shared = Shared::new();
+        // The kernel holds it to the same figure: going over would show as errors.
+        let sidecar =
+            Sidecar::start_with(&config, &format!("ulimit -n 160; export TMPDIR={};", shared.0.display()));
+        let crowd = Crowd::around(sidecar.address, 300);
+        wait_for("its places to be taken", || sidecar.descriptors() >= 70);
+        let moved = [target("s-0", old.address, "removed"), target("s-new", new.address, "up")];
+        let discovery = Discovery::back_at(discovery, list(8, false, &moved));
+        let back = Instant::now();
+        wait_for("a watch", || !discovery.calls().is_empty());
+        sidecar.says("s-0 is gone");
+        assert!(back.elapsed() < Duration::from_secs(6), "{mode}: {:?}", back.elapsed());
+        assert_eq!(call(door, "GET", "/v1/readyz").status(), 200);
+        assert_eq!(sidecar.ready(), Some(200));
+        wait_for("room for a request", || sidecar.ask("quote", "r").body == b"new");
+        assert!(sidecar.descriptors() <= 160);
+        assert!(!sidecar.log().contains("accept:"), "{}", sidecar.log());
+        drop(crowd);
+    }
+}
+
 #[test]
 fn idle_clients_make_room_for_new_ones() {
     let peer = Peer::serving("ok");
--- a/tests/support/node.rs
+++ b/tests/support/node.rs
@@ -240,7 +240,15 @@
 
     /// Takes so long for that.
     pub fn slow(first: Value, takes: Duration) -> Discovery {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        Discovery::serving(TcpListener::bind("127.0.0.1:0").unwrap(), first, takes)
+    }
+
+    /// Is back, at this address.
+    pub fn back_at(address: SocketAddr, first: Value) -> Discovery {
+        Discovery::serving(TcpListener::bind(address).unwrap(), first, Duration::ZERO)
+    }
+
+    fn serving(listener: TcpListener, first: Value, takes: Duration) -> Discovery {
         let (calls, newest) = (Arc::<Mutex<Vec<String>>>::default(), Arc::<Mutex<_>>::default());
         let discovery = Discovery {
             address: listener.local_addr().unwrap(),
