Start without the last list where it can't be read

Cause: `known` is deserialized with the settings (config/router.rs `parse`), so that a last list cut short, of another form or null ended the start with code 2: a restart that is never ready. It is no setting. Where it alone is at fault the sidecar starts with no endpoint, says file, line, key and what is wrong, and asks discovery for a whole list. `check` still calls it a fault, and a file with other faults ends the start as before, with all of them.

Test: three that can't be read, an empty one, one of another deployment, pushed and asked: ready within 10 s and serving by what discovery tells. Before: "ended with 2 ... known.targets[0].uid: invalid type".

--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -53,6 +53,8 @@
     pub memory_mb: usize,
     /// The endpoint list as last held; may be old.
     pub known: List,
+    /// What is wrong with that list, where it can't be read: it is then empty.
+    pub unread: Vec<Fault>,
     /// The module's settings.
     pub settings: Settings,
     /// Names on the wire of what the module knows by number.
--- a/src/config/operator.rs
+++ b/src/config/operator.rs
@@ -410,6 +410,7 @@
         sockets: once.whole("process.sockets") as usize,
         memory_mb: once.whole("process.memory_mib") as usize,
         known: known(),
+        unread: Vec::new(),
         settings,
         names: Names {
             classes: named(classes),
--- a/src/config/router.rs
+++ b/src/config/router.rs
@@ -54,10 +54,25 @@
     match parse(text, vars) {
         Ok(config) => Ok(config),
         Err((key, problem)) if key.is_empty() => Err(Fault::new(file, "", problem, "").into()),
-        Err(first) => Err(all(file, text, vars, first)),
+        Err(first) => {
+            let error = all(file, text, vars, first);
+            // The last list is no setting: a sidecar that can't read it learns what there is from discovery.
+            let of_list = |fault: &Fault| fault.key.split(['.', '[']).next() == Some("known");
+            match without_list(text, vars).filter(|_| error.0.iter().all(of_list)) {
+                Some(config) => Ok(Config { unread: error.0, ..config }),
+                None => Err(error),
+            }
+        }
     }
 }
 
+/// The same without what it holds of a last list, where that is all that is at fault.
+fn without_list(text: &str, vars: &Vars) -> Option<Config> {
+    let mut value: Value = serde_json::from_str(text).ok()?;
+    value.as_object_mut()?.remove("known");
+    parse(&value.to_string(), vars).ok()
+}
+
 /// Every fault, by mending one after another.
 fn all(file: &str, text: &str, vars: &Vars, first: (String, String)) -> ConfigError {
     let mut faults = Vec::new();
@@ -182,6 +197,7 @@
         sockets: file.limits.sockets,
         memory_mb: file.limits.memory_mb as usize,
         known: file.known,
+        unread: Vec::new(),
         settings,
         names,
         log: file.log,
--- a/src/main.rs
+++ b/src/main.rs
@@ -8,7 +8,7 @@
 use clap::{Args, CommandFactory, Parser, Subcommand, ValueEnum};
 use clap_complete::Shell;
 use door::DoorError;
-use gullpulley::config::{Config, Vars, keys};
+use gullpulley::config::{Config, ConfigError, Vars, keys};
 use logging::Logging;
 use std::fmt::Display;
 use std::io::{self, Write};
@@ -16,6 +16,7 @@
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use tokio::task::LocalSet;
+use tracing::warn;
 
 /// The process failed while it ran, or the door answered no.
 const FAILED: u8 = 1;
@@ -243,6 +244,9 @@
     config.log.level = args.log_level.clone().unwrap_or(config.log.level);
     config.log.json = args.log_format.map_or(config.log.json, |format| format == Format::Json);
     let log = Logging::start(&config.log).map_err(|e| Ended(AT_FAULT, e.to_string()))?;
+    for fault in &config.unread {
+        warn!("{fault}; no endpoint is known until discovery tells");
+    }
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| Ended(FAILED, e.to_string()))?;
     let served = LocalSet::new().block_on(&runtime, net::run(config, file, log.handle()));
@@ -256,6 +260,9 @@
     let mut faults = Vec::new();
     for (file, config) in read {
         match config {
+            Ok(config) if !config.unread.is_empty() => {
+                faults.push(ConfigError(config.unread).to_string());
+            }
             Ok(_) => say(io::stdout(), &format_args!("{}: right", file.display())),
             Err(error) => faults.push(error.to_string()),
         }
--- a/tests/node_list.rs
+++ b/tests/node_list.rs
@@ -215,6 +215,39 @@
     }
 }
 
+#[test]
+fn whatever_the_list_known_at_the_start_is_a_sidecar_is_ready_and_follows_discovery() {
+    let away = json!({"uid": "x", "endpoint": nowhere().to_string(), "az": "elsewhere", "model": "other",
+                      "pod_group": 9, "state": "up", "capacity_hint": 1.0, "boot_ms": 0});
+    for (known, told) in [
+        (
+            json!({"rev": 3, "all": true, "targets": [{"uid": 5}]}),
+            Some("known.targets[0].uid: invalid type"),
+        ),
+        (json!("gone"), Some("known: invalid type")),
+        (json!(null), Some("known: invalid type")),
+        (list(0, true, &[]), None),
+        (list(90, true, &[away]), None),
+    ] {
+        for mode in ["subscribe", "automatic"] {
+            let new = Peer::serving("new");
+            let discovery = Discovery::new(list(8, true, &[target("s-new", new.address, "up")]));
+            let mut config = config(&[]);
+            config["known"] = known.clone();
+            config["discovery"] = json!(discovery.address.to_string());
+            config["settings"]["discovery"] = json!(mode);
+            let began = std::time::Instant::now();
+            let sidecar = Sidecar::start(&config);
+            assert!(began.elapsed() < std::time::Duration::from_secs(10), "{:?}", began.elapsed());
+            wait_for("what discovery tells", || sidecar.ask("quote", "r").body == b"new");
+            if let Some(told) = told {
+                let log = sidecar.log();
+                assert!(log.contains(told) && log.contains("until discovery tells"), "{log}");
+            }
+        }
+    }
+}
+
 #[test]
 fn a_discovery_that_counts_from_the_start_again_is_followed() {
     for mode in ["subscribe", "automatic"] {
