--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -6,9 +6,9 @@
 use super::clock::Clock;
 use super::counters::Counters;
 use super::discovery::{Call, Discovery, News};
-use super::message::{Answer, Arrival, Content, Forward, Inbox, Input};
+use super::message::{Answer, Arrival, Content, Inbox, Input};
+use super::open::{Open, Try};
 use super::outbound::{Dispatch, Ended, Outbound};
-use super::progress::Progress;
 use gullpulley::{
     Action, AttemptEnded, AttemptNo, Balancer, EndpointId, EndpointState, Event, Membership, Outcome,
     RequestId, TimerToken,
@@ -27,42 +27,6 @@
 /// Unusual outcomes are summed up in the log this often.
 const SUMMARY: Duration = Duration::from_secs(10);
 
-struct Try {
-    endpoint: EndpointId,
-    sent: Instant,
-    /// Dropped to cancel; gone once the attempt has ended.
-    cancel: Option<oneshot::Sender<()>>,
-    progress: Rc<Progress>,
-}
-
-impl Try {
-    /// Stops it. It tells its end itself, unless another outcome is already on its way.
-    fn cancel(&mut self) {
-        if let Some(cancel) = &mut self.cancel {
-            let (kept, _) = oneshot::channel();
-            drop(std::mem::replace(cancel, kept));
-        }
-    }
-}
-
-/// A request until it has its final answer and all its attempts have ended.
-struct Open {
-    forward: Forward,
-    deadline: Instant,
-    /// Gone once the request is finished: so there is never a second final answer.
-    answer: Option<oneshot::Sender<Answer>>,
-    tries: Vec<Try>,
-    out: usize,
-}
-
-impl Open {
-    /// Stops what has not been written yet: nobody waits for it any more, and to let it begin only now would
-    /// be a send of its own, whatever the settings say of cancelling what has begun.
-    fn stop_unwritten(&mut self) {
-        self.tries.iter_mut().filter(|tried| !tried.progress.is_written()).for_each(Try::cancel);
-    }
-}
-
 /// What the driver works with.
 pub struct Around {
     /// Connections to endpoints.
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -5,7 +5,7 @@
 //! counts, orders, other processes;
 //! `progress`, `passing`: how far an attempt is, bodies that pass through;
 //! `outbound`, `discovery`: connections to endpoints and to discovery;
-//! `message`, `driver`: turns what happens there into the policy's events, and carries out its actions;
+//! `message`, `open`, `driver`: turns what happens there into the policy's events, and carries out its actions;
 //! `stream`, `request`, `turn`, `reply`, `inbound`: clients' words, connections and answers;
 //! `control`: the operators' door.
 
@@ -20,6 +20,7 @@
 mod inbound;
 mod keeping;
 mod message;
+mod open;
 mod outbound;
 mod overlap;
 mod passing;
