--- /dev/null
+++ b/src/net/overlap/tests.rs
@@ -0,0 +1,24 @@
+//! Tests of what only this module can see.
+
+use super::*;
+
+#[test]
+fn a_locked_mark_is_a_living_process_and_any_other_is_swept_away() {
+    let directory = std::env::temp_dir().join(format!("gullpulley-overlap-{}", std::process::id()));
+    fs::create_dir_all(&directory).unwrap();
+    let overlap = Overlap::join(&directory, "n/0").unwrap();
+    assert_eq!(overlap.others(), 0, "its own mark is no other");
+    let living = File::create(directory.join("process-n_0-living")).unwrap();
+    living.lock().unwrap();
+    let dead = directory.join("process-n_0-dead");
+    File::create(&dead).unwrap();
+    let elsewhere = directory.join("process-n_01-x");
+    File::create(&elsewhere).unwrap();
+    assert_eq!(overlap.others(), 1);
+    assert!(!dead.exists() && elsewhere.exists(), "only this sidecar's dead are swept");
+    drop(living);
+    assert_eq!(overlap.others(), 0);
+    drop(overlap);
+    assert!(!directory.join(format!("process-n_0-{}", std::process::id())).exists());
+    fs::remove_dir_all(&directory).unwrap();
+}
