--- a/tests/node_list.rs
+++ b/tests/node_list.rs
@@ -190,8 +190,8 @@
     config["settings"]["discovery"] = json!(mode);
     let _sidecar = Sidecar::start(&config);
     wait_for("calls", || came.lock().unwrap().len() >= calls);
-    let came = came.lock().unwrap().clone();
-    came
+    let noted = came.lock().unwrap();
+    noted.clone()
 }
 
 #[test]
