Let go at once of an answered connection where clients' places are few

Cause: reading on after the end kept the connection's permit for up to 0.3 s, so that a crowd which is told to go and stays took the places of those that ask. Where no more than an eighth of the places is left there is no reading on, and where room is wanted what is being read on ends; not at the drain, whose call to close is the same signal.

--- a/src/net/inbound.rs
+++ b/src/net/inbound.rs
@@ -228,20 +228,31 @@
         self: Rc<Self>,
         stream: TcpStream,
         shed: bool,
-        close: watch::Receiver<()>,
+        mut close: watch::Receiver<()>,
         _permit: Permit,
     ) {
         let stream = ClientStream::new(stream);
-        if self.talk(&stream, shed, close).await == Parting::Civil {
-            stream.close().await;
+        let parting = self.talk(&stream, shed, &mut close).await;
+        // Who has been answered must not keep a place that others want: there it is let go at once.
+        if parting == Parting::Civil && !self.budget.crowded() {
+            tokio::select! {
+                () = stream.close() => {}
+                () = self.room_wanted(&mut close) => {}
+            }
         }
     }
 
+    /// Waits until connections are to make room, and not only to end.
+    async fn room_wanted(&self, close: &mut watch::Receiver<()>) {
+        // The sender lives as long as this does.
+        while close.changed().await.is_ok() && self.draining.get() {}
+    }
+
     async fn talk(
         self: &Rc<Self>,
         stream: &ClientStream,
         shed: bool,
-        mut close: watch::Receiver<()>,
+        close: &mut watch::Receiver<()>,
     ) -> Parting {
         let turn = Rc::new(Turn::new());
         let service = service_fn(|request| self.answer(request, shed, &turn));
