--- a/src/policy/list.rs
+++ b/src/policy/list.rs
@@ -15,8 +15,9 @@
 const PART_LEAST: f64 = 4.0;
 /// Step from one balancer's place on the ring to the next one's: the golden ratio spaces any run evenly.
 const PLACE_STEP: f64 = 0.618_033_988_75;
-/// Seconds before discovery is asked again after a failure, and after further ones, spread from half to one and a
-/// half: a change is to be known 6 s after discovery can be reached, and a call that fails may take half of that.
+/// Seconds before discovery is asked again after a failure, and after further ones, spread from half to one
+/// and a half: a change is to be known 6 s after discovery can be reached, and a call that fails may take
+/// half of that.
 const ASK_BACKOFF: f64 = 0.5;
 const ASK_BACKOFF_MOST: f64 = 0.75;
 
