Give every call to discovery its 3 s again, and wait up to 1.5 s after failures

The cut is gone, the most after failures is 1 s times 1.5 (0.75 s before): 3 s, 1.5 s and 1.5 s for the call that is answered still make 6. Open again, and said so: silence and then a lost call can take over 6 s.

--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -30,9 +30,6 @@
 /// A call not answered after this long has failed. Discovery answers one call after another, and a crowd of
 /// callers waits: to give up sooner, again and again, would keep it busy with what nobody waits for.
 const ANSWER: Duration = Duration::from_secs(3);
-/// As long as no call has failed there is no crowd: one that is not answered by then has been lost, and of the 6 s in
-/// which a silent watch's news has to be known there must be time for another.
-const ANSWER_AT_FIRST: Duration = Duration::from_millis(1500);
 /// A watch brings at least an empty line every 2 s: one silent for this long is dead, as that of a
 /// machine cut off is, which nothing else would ever tell. News counts as told after 6 s: what is left
 /// of them has to do for two calls, as the first may fail.
@@ -41,7 +38,7 @@
 /// and is spread from half to one and a half. Once discovery can be reached, a change is to be known within 6 s:
 /// of these a call made just before may take `ANSWER`, and the call that is answered needs what is left.
 const BACKOFF: Duration = Duration::from_millis(250);
-const BACKOFF_MOST: Duration = Duration::from_millis(750);
+const BACKOFF_MOST: Duration = Duration::from_secs(1);
 
 /// News of the list in the module's terms, and where the endpoints are.
 pub struct News {
@@ -258,8 +255,7 @@
             .header(header::HOST, address.to_string())
             .body(Empty::<Bytes>::new())
             .map_err(|e| e.to_string())?;
-        let patience = if self.failures.get() == 0 { ANSWER_AT_FIRST } else { ANSWER };
-        let answer = timeout(patience, sender.send_request(request)).await;
+        let answer = timeout(ANSWER, sender.send_request(request)).await;
         let response = answer.map_err(|_| "no answer in time".to_owned())?.map_err(|e| e.to_string())?;
         match response.status() {
             StatusCode::OK => Ok((response, guard)),
--- a/src/policy/list.rs
+++ b/src/policy/list.rs
@@ -19,7 +19,7 @@
 /// and a half: a change is to be known 6 s after discovery can be reached, and a call that fails may take
 /// half of that.
 const ASK_BACKOFF: f64 = 0.5;
-const ASK_BACKOFF_MOST: f64 = 0.75;
+const ASK_BACKOFF_MOST: f64 = 1.0;
 
 pub(super) struct Endpoint {
     pub(super) info: EndpointInfo,
