Count an attempt that is cancelled at its deadline as timed out

Cause: at a request's deadline two timers come due, the module's, which fails the request and cancels its attempt, and that of the attempt's own task. Which of them the runtime wakes first depends on when they were set. Where the module's came first the attempt ended as cancelled, and the endpoint's silence was not noted: connections that had been idle since before it stayed, each good for one more lost request. Change: a cancel at or after the attempt's time is its time running out (driver.rs, send).

--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -286,7 +286,7 @@
         let (whole, entries) = match &news.membership {
             Membership::Full(entries) | Membership::Cached(entries) => (true, entries),
             Membership::Delta(entries) => (false, entries),
-            Membership::Failed => {
+            Membership::Failed { .. } => {
                 self.count("discovery failed");
                 return self.handle(Event::Membership(news.membership));
             }
@@ -411,6 +411,7 @@
         let (outbound, inbox) = (self.around.outbound.clone(), self.around.inbox.clone());
         let write_by = write_within.map(|within| now + within);
         let dispatch = Dispatch { endpoint, address, decided: now, write_by };
+        let may_time_out = upload.is_none();
         spawn_local(async move {
             let out_of_time = async {
                 match upload {
@@ -420,7 +421,11 @@
             };
             let ended = tokio::select! {
                 biased;
-                _ = &mut cancelled => Ended::bare(progress.cancelled()),
+                // The module's timer for the deadline may wake the thread before this task's.
+                _ = &mut cancelled => {
+                    let late = may_time_out && Instant::now() >= until;
+                    Ended::bare(if late { progress.given_up() } else { progress.cancelled() })
+                }
                 ended = outbound.attempt(dispatch, request, &progress) => ended,
                 () = out_of_time => Ended::bare(progress.given_up()),
             };
