Ask discovery in a turn of one's own, so that hundreds never crowd each other out

A call that waits over 2 s is answered 503, and is worked on in its turn all the same. At the return itself discovery stood idle for a second: all sat in calls made during the outage, which end in 503 also after it, and then all came at once. Ruled out: first answers (36 entries, 2 s of work for all fronts), news to watches (0.2 s a step), dead callers. Wrong guesses, played in a model of the queue: periods of 4 and 4.5 s, waits that grow with failures, an early call on evidence of a stale list: all collapse again. At fault: `ASK_BACKOFF*` and the first call within an eighth of `ask_within` (policy/list.rs), `BACKOFF*`.

Change. policy/asking.rs: a process draws one turn at its start and asks then, and each 5.5 s after, whatever fails: N processes never make more than N calls in 5.5 s, and a change is known 6 s after the return where the answer takes half a second. Only the first call after a watch was lost comes sooner, spread over what is left of the 6 s. No count of failures, no doubling. The news of a failure says for how long nothing was heard.

--- a/src/adapter/main.rs
+++ b/src/adapter/main.rs
@@ -127,7 +127,7 @@
                         .ok_or_else(|| error("bank", format!("no table {bank} was sent")))
                 };
                 let news = match mode {
-                    ListMode::Failed => Membership::Failed,
+                    ListMode::Failed => Membership::Failed { unheard: Duration::ZERO },
                     ListMode::Changes => Membership::Delta(listed(&self.tables)?),
                     ListMode::Full => Membership::Full(listed(&self.tables)?),
                     ListMode::Cached => Membership::Cached(listed(&self.tables)?),
--- a/src/api.rs
+++ b/src/api.rs
@@ -348,7 +348,10 @@
     /// Changed entries only.
     Delta(Vec<EndpointInfo>),
     /// A call to discovery failed or the subscription broke; the list stays.
-    Failed,
+    Failed {
+        /// How long the watch that broke had brought nothing; zero where that is not known.
+        unheard: Duration,
+    },
 }
 
 /// Something that happened.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -34,4 +34,4 @@
 
 pub use api::*;
 pub use names::EndpointNames;
-pub use policy::Balancer;
+pub use policy::{Asking, Balancer};
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -3,15 +3,13 @@
 use super::guard::Guard;
 use gullpulley::config::{LIST_MOST, List, ListReader, Names, State};
 use gullpulley::{
-    CellId, Discovery as Mode, EndpointId, EndpointInfo, EndpointNames, EndpointState, KindId, Membership,
-    ZoneId,
+    Asking, CellId, Discovery as Mode, EndpointId, EndpointInfo, EndpointNames, EndpointState, KindId,
+    Membership, ZoneId,
 };
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::body::{Bytes, Incoming};
 use hyper::{Request, Response, StatusCode, header};
 use hyper_util::rt::TokioIo;
-use rand_core::{RngCore, SeedableRng};
-use rand_pcg::Pcg32;
 use std::cell::{Cell, RefCell};
 use std::collections::HashSet;
 use std::net::SocketAddr;
@@ -34,12 +32,6 @@
 /// machine cut off is, which nothing else would ever tell. News counts as told after 6 s: what is left
 /// of them has to do for two calls, as the first may fail.
 const SILENCE: Duration = Duration::from_secs(3);
-/// First wait before a watch that the node keeps up itself is tried again; doubles with each failure up to the most,
-/// and is spread from half to one and a half. Once discovery can be reached, a change is to be known within 6 s:
-/// of these a call made just before may take `ANSWER`, and the call that is answered needs what is left.
-const BACKOFF: Duration = Duration::from_millis(250);
-const BACKOFF_MOST: Duration = Duration::from_secs(1);
-
 /// News of the list in the module's terms, and where the endpoints are.
 pub struct News {
     /// For the module.
@@ -82,9 +74,11 @@
     names: Names,
     ids: RefCell<EndpointNames>,
     rev: Cell<u64>,
-    /// Calls and watches that have failed since one was last heard.
-    failures: Cell<u32>,
-    draws: RefCell<Pcg32>,
+    /// When a watch last brought anything.
+    heard_at: Cell<Instant>,
+    /// When it is asked, where lists are pushed; elsewhere the module says so.
+    asking: RefCell<Asking>,
+    began: Instant,
     /// What has come of it since the start.
     heard: watch::Sender<Heard>,
     /// Why it fails, since the last list.
@@ -102,8 +96,9 @@
         seed: u64,
         report: impl Fn(News) + 'static,
     ) -> Rc<Self> {
-        let draws = RefCell::new(Pcg32::seed_from_u64(seed));
-        let (ids, rev, failures) = Default::default();
+        let began = Instant::now();
+        let asking = RefCell::new(Asking::new(mode, Duration::MAX, seed, Duration::ZERO));
+        let (ids, rev) = Default::default();
         let address = Cell::new(address);
         let heard = watch::Sender::new(Heard::Nothing);
         Rc::new(Discovery {
@@ -112,8 +107,9 @@
             names,
             ids,
             rev,
-            failures,
-            draws,
+            heard_at: Cell::new(began),
+            asking,
+            began,
             heard,
             failing: RefCell::default(),
             report: Box::new(report),
@@ -161,7 +157,6 @@
                 Call::Move(address) => {
                     if self.address.replace(address) != address {
                         info!(%address, "discovery: now at {address}");
-                        self.failures.set(0); // those were of the old one
                         // The old one says nothing more. No failure: what is being followed goes on there.
                         watch = watch.take().map(|_| this.watch());
                     }
@@ -172,7 +167,7 @@
                             // It may be older than what the watch has brought since.
                             Ok(list) if list.rev < this.rev.get() => this.tell(unchanged()),
                             Ok(list) => this.take(list),
-                            Err(reason) => this.failed(&reason),
+                            Err(reason) => drop(this.failed(&reason)),
                         }
                     });
                 }
@@ -198,10 +193,9 @@
     async fn keep_watch(&self) {
         loop {
             let over = self.follow().await;
-            let doubled = BACKOFF.saturating_mul(1 << self.failures.get().min(8)).min(BACKOFF_MOST);
-            self.failed(&over.to_string());
-            let jitter = 0.5 + f64::from(self.draws.borrow_mut().next_u32()) / f64::from(u32::MAX);
-            tokio::time::sleep(doubled.mul_f64(jitter)).await;
+            let unheard = self.failed(&over.to_string());
+            let wait = self.asking.borrow_mut().failed(self.began.elapsed(), unheard);
+            tokio::time::sleep(wait).await;
         }
     }
 
@@ -222,7 +216,7 @@
                 Ok(Some(Err(e))) => return Over::Broken(format!("the watch broke: {e}")),
                 Ok(Some(Ok(frame))) => frame,
             };
-            self.failures.set(0);
+            self.heard_at.set(Instant::now());
             let piece = frame.data_ref().map_or(&[][..], |data| data);
             // To skip a change would leave the list wrong for good: the watch begins again instead.
             match lists.take(piece) {
@@ -285,8 +279,9 @@
         self.tell(news);
     }
 
-    fn failed(&self, reason: &str) {
-        self.failures.set(self.failures.get().saturating_add(1));
+    /// Tells that a call or watch has failed; for how long nothing had been heard.
+    fn failed(&self, reason: &str) -> Duration {
+        let unheard = self.heard_at.get().elapsed();
         // Said once for each reason until a list comes; the driver counts the others.
         if self.failing.replace(Some(reason.to_owned())).is_none_or(|before| before != reason) {
             warn!(address = %self.address.get(), "discovery: {reason}");
@@ -298,7 +293,8 @@
             }
             first
         });
-        self.tell(News { membership: Membership::Failed, addresses: Vec::new() });
+        self.tell(News { membership: Membership::Failed { unheard }, addresses: Vec::new() });
+        unheard
     }
 
     fn tell(&self, news: News) {
--- /dev/null
+++ b/src/policy/asking.rs
@@ -0,0 +1,106 @@
+//! When a process that has no watch asks discovery: one of hundreds that do so at the same instant, at a
+//! start, as discovery returns, as watches fall silent. Made time, no I/O; where lists are asked for the
+//! balancer follows it, where an agent beside the process pushes them the sockets' side does.
+//!
+//! Discovery takes callers in turn, and one that it sends away for having waited too long has used up its
+//! turn all the same. N processes that each ask every p seconds keep it busy for good once N / p calls a
+//! second are more than it can take: all of them are sent away, and all come again. So each process has a
+//! turn of its own, drawn once: it asks then, and again so much later, whatever fails. All together never
+//! ask more than N calls in [`TURN`], which discovery must be able to take where it is to tell all of them
+//! in time.
+
+use crate::Discovery;
+use crate::stats::Draws;
+use std::time::Duration;
+
+/// A change counts as told so long after discovery had it and could be reached (the operators' term).
+pub(super) const TOLD: Duration = Duration::from_secs(6);
+/// From one turn to the next: what that term leaves when the answer takes half a second.
+const TURN: Duration = Duration::from_millis(5500);
+/// What an answer takes in a crowd: a call made so long before its process must know is early enough.
+const CROWD: Duration = Duration::from_millis(2250);
+/// Waits before the first call after a watch was lost are spread over this at least, also where time is
+/// short.
+const SPREAD_LEAST: Duration = Duration::from_millis(250);
+/// An agent beside the process serves no crowd: it is asked again after this, spread from half to one and a
+/// half.
+const BESIDE: Duration = Duration::from_millis(500);
+
+/// What was heard of discovery.
+#[derive(Clone, Copy)]
+enum Word {
+    /// Nothing since the start of the process.
+    Never,
+    /// A watch is up.
+    Current,
+    /// Nothing since then.
+    Lost(Duration),
+}
+
+/// When one process asks discovery for a watch.
+pub struct Asking {
+    mode: Discovery,
+    draws: Draws,
+    /// One of its turns, and how long it is to the next.
+    turn: Duration,
+    period: Duration,
+    word: Word,
+}
+
+impl Asking {
+    /// A process that starts at `now` with no watch; its turn is drawn from the seed. `ask_within` is the
+    /// settings'.
+    pub fn new(mode: Discovery, ask_within: Duration, seed: u64, now: Duration) -> Self {
+        let mut draws = Draws::new(seed);
+        let period = TURN.min(ask_within).max(SPREAD_LEAST);
+        let turn = now + period.mul_f64(draws.uniform());
+        Asking { mode, draws, turn, period, word: Word::Never }
+    }
+
+    /// How long to wait before the first call.
+    pub fn first(&self, now: Duration) -> Duration {
+        match self.mode {
+            Discovery::Push => Duration::ZERO,
+            Discovery::Ask => self.until_turn(now),
+        }
+    }
+
+    /// Discovery has spoken: a watch is up.
+    pub fn heard(&mut self) {
+        self.word = Word::Current;
+    }
+
+    /// A call failed, or the watch is over, on which nothing had come for `unheard`: how long to wait
+    /// before the next.
+    pub fn failed(&mut self, now: Duration, unheard: Duration) -> Duration {
+        let before = self.word;
+        self.word = match before {
+            // What it has counts as known late, however young the process is.
+            Word::Never => Word::Lost(now.saturating_sub(TOLD)),
+            Word::Current => Word::Lost(now.saturating_sub(unheard)),
+            Word::Lost(at) => Word::Lost(at),
+        };
+        match (self.mode, before) {
+            (Discovery::Push, _) => BESIDE.mul_f64(0.5 + self.draws.uniform()),
+            // All watches may have ended at once: spread over what is left until a change may count as told.
+            (Discovery::Ask, Word::Current) => {
+                let left = TOLD.saturating_sub(unheard + CROWD).max(SPREAD_LEAST);
+                left.mul_f64(self.draws.uniform())
+            }
+            (Discovery::Ask, _) => self.until_turn(now),
+        }
+    }
+
+    /// Whether a change that was never heard of may count as told by now.
+    pub fn overdue(&self, now: Duration) -> bool {
+        matches!(self.word, Word::Lost(at) if now >= at + TOLD)
+    }
+
+    fn until_turn(&self, now: Duration) -> Duration {
+        if now < self.turn {
+            return self.turn - now;
+        }
+        let past = (now - self.turn).as_nanos() % self.period.as_nanos();
+        self.period - Duration::from_nanos(past as u64) // less than a period
+    }
+}
--- a/src/policy/list.rs
+++ b/src/policy/list.rs
@@ -15,12 +15,6 @@
 const PART_LEAST: f64 = 4.0;
 /// Step from one balancer's place on the ring to the next one's: the golden ratio spaces any run evenly.
 const PLACE_STEP: f64 = 0.618_033_988_75;
-/// Seconds before discovery is asked again after a failure, and after further ones, spread from half to one
-/// and a half: a change is to be known 6 s after discovery can be reached, and a call that fails may take
-/// half of that.
-const ASK_BACKOFF: f64 = 0.5;
-const ASK_BACKOFF_MOST: f64 = 1.0;
-
 pub(super) struct Endpoint {
     pub(super) info: EndpointInfo,
     /// The operators have taken it out.
@@ -43,15 +37,11 @@
 
 impl Balancer {
     pub(super) fn on_membership(&mut self, now: Duration, news: Membership, out: &mut Vec<Action>) {
-        let ask = self.settings.discovery == Discovery::Ask;
         match news {
-            Membership::Failed => {
-                if ask {
-                    // Jittered, so that instances refused together do not return together.
-                    let most = if self.asked_in_vain { ASK_BACKOFF_MOST } else { ASK_BACKOFF };
-                    let wait = most * (0.5 + self.draws.uniform());
-                    self.asked_in_vain = true;
-                    self.set_timer(Duration::from_secs_f64(wait), Timer::Ask, out);
+            Membership::Failed { unheard } => {
+                let wait = self.asking.failed(now, unheard);
+                if self.settings.discovery == Discovery::Ask {
+                    self.set_timer(wait, Timer::Ask, out);
                 }
                 return;
             }
@@ -63,13 +53,10 @@
                 self.update_endpoints(now, entries);
             }
         }
-        if ask && !self.started {
-            // All instances may start at once; discovery answers them one after another.
-            let most = self.settings.rules.ask_within.as_secs_f64() / 8.0;
-            let wait = Duration::from_secs_f64(self.draws.uniform() * most);
-            self.set_timer(wait, Timer::Ask, out);
-        } else {
-            self.asked_in_vain = false;
+        if self.started {
+            self.asking.heard();
+        } else if self.settings.discovery == Discovery::Ask {
+            self.set_timer(self.asking.first(now), Timer::Ask, out);
         }
         if !std::mem::replace(&mut self.started, true) {
             let size = (WINDOW_START * self.part()).max(1.0);
--- /dev/null
+++ b/tests/asking.rs
@@ -0,0 +1,206 @@
+//! A whole fleet that asks one discovery, on a made clock: real balancers, and a queue as it was measured. Each call
+//! takes its turn in it, also one that was sent away for having waited too long; news to open watches does as well.
+
+use gullpulley::*;
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::time::Duration;
+
+/// Discovery, in seconds of its own work.
+#[derive(Clone, Copy)]
+struct Queue {
+    /// What the calls of all processes take together.
+    all_calls: f64,
+    /// What news to all watches takes, each time.
+    news: f64,
+    /// A call that waits longer is sent away.
+    patience: f64,
+}
+
+/// The measured one: seed 4 of the operators' fullest day.
+const CROWDED: Queue = Queue { all_calls: 5.9, news: 0.2, patience: 2.0 };
+/// One with room: what it takes on the operators' other days.
+const ROOMY: Queue = Queue { all_calls: 3.1, news: 0.2, patience: 3.0 };
+
+const START: f64 = 100.0;
+const DOWN: f64 = START + 2.3;
+const BACK: f64 = DOWN + 8.0;
+const END: f64 = BACK + 14.0;
+
+#[derive(Clone, Copy, PartialEq)]
+enum Due {
+    Timer(usize, u64),
+    Answer(usize, bool),
+    Down,
+    News,
+}
+
+#[derive(Default)]
+struct Played {
+    /// Seconds from the return until each process knew, sorted; those that never did are missing.
+    known: Vec<f64>,
+    calls: Vec<f64>,
+    failed_after_return: usize,
+}
+
+impl Played {
+    fn worst(&self) -> f64 {
+        self.known.last().copied().unwrap_or(f64::INFINITY)
+    }
+
+    /// The most calls that began within so many seconds.
+    fn most_within(&self, seconds: f64) -> usize {
+        (0..self.calls.len())
+            .map(|i| self.calls[i..].partition_point(|c| *c < self.calls[i] + seconds))
+            .max()
+            .unwrap_or(0)
+    }
+}
+
+/// Starts so many processes at once, takes discovery down for 8 s, and sees who knows what when it is back.
+fn play(processes: usize, queue: Queue, seed: u64) -> Played {
+    let at = Duration::from_secs_f64;
+    let settings =
+        Settings { discovery: Discovery::Ask, balancers: processes as u32, ..Settings::default() };
+    let mut balancers: Vec<Balancer> = Vec::new();
+    let mut due: BinaryHeap<Reverse<(Duration, u64)>> = BinaryHeap::new();
+    let mut what: Vec<Due> = Vec::new();
+    let plan = |due: &mut BinaryHeap<_>, when: f64, entry: Due, what: &mut Vec<Due>| {
+        due.push(Reverse((at(when), what.len() as u64)));
+        what.push(entry);
+    };
+    let mut actions = Vec::new();
+    let mut told = Vec::new();
+    for i in 0..processes {
+        let balancer = Balancer::new(settings.clone(), seed * 10_000 + i as u64, at(START)).unwrap();
+        balancers.push(balancer);
+        told.push((i, START, Membership::Cached((1..=8).map(EndpointInfo::ready).collect())));
+    }
+    plan(&mut due, DOWN, Due::Down, &mut what);
+    (1..5).for_each(|n| plan(&mut due, BACK + 1.5 * f64::from(n), Due::News, &mut what));
+    let (mut free_at, mut watching, mut known) = (START, vec![false; processes], vec![None; processes]);
+    let mut played = Played::default();
+    loop {
+        for (i, now, news) in std::mem::take(&mut told) {
+            balancers[i].handle(at(now), Event::Membership(news), &mut actions);
+            for action in actions.drain(..) {
+                if let Action::SetTimer { token, after } = action {
+                    plan(&mut due, now + after.as_secs_f64(), Due::Timer(i, token.0), &mut what);
+                }
+            }
+        }
+        let Some(Reverse((now, number))) = due.pop() else { break };
+        let now = now.as_secs_f64();
+        if now > END {
+            break;
+        }
+        let down = (DOWN..BACK).contains(&now);
+        match what[number as usize] {
+            Due::Timer(i, token) => {
+                balancers[i].handle(at(now), Event::Timer(TimerToken(token)), &mut actions);
+                if actions.drain(..).any(|action| action == Action::Watch(true)) {
+                    played.calls.push(now);
+                    let (waits, done) =
+                        ((free_at - now).max(0.0), free_at.max(now) + queue.all_calls / processes as f64);
+                    let cut_off = now < DOWN && done > DOWN;
+                    let served = !down && !cut_off && waits <= queue.patience;
+                    if !down {
+                        free_at = done; // also what is sent away is worked on in its turn
+                    }
+                    let answered = if served { done } else { now + queue.patience };
+                    plan(&mut due, answered, Due::Answer(i, served), &mut what);
+                }
+            }
+            Due::Answer(i, true) => {
+                watching[i] = true;
+                if now >= BACK {
+                    known[i].get_or_insert(now - BACK);
+                }
+                told.push((i, now, Membership::Delta(vec![])));
+            }
+            Due::Answer(i, false) => {
+                played.failed_after_return += usize::from(now > BACK + queue.patience);
+                told.push((i, now, Membership::Failed { unheard: Duration::ZERO }));
+            }
+            Due::Down => {
+                free_at = now;
+                let broken = (0..processes).filter(|&i| std::mem::take(&mut watching[i]));
+                told.extend(
+                    broken.map(|i| (i, now, Membership::Failed { unheard: Duration::from_secs(1) })),
+                );
+            }
+            Due::News => {
+                let part = watching.iter().filter(|w| **w).count() as f64 / processes as f64;
+                free_at = free_at.max(now) + queue.news * part;
+            }
+        }
+    }
+    played.known = known.into_iter().flatten().collect();
+    played.known.sort_by(f64::total_cmp);
+    played
+}
+
+#[test]
+fn after_an_outage_all_processes_hear_of_changes_and_none_crowds_the_others_out() {
+    for processes in [10, 100, 350, 1000] {
+        for (name, queue, worst) in [("with room", ROOMY, 6.0), ("crowded", CROWDED, 8.0)] {
+            for seed in 0..3 {
+                let played = play(processes, queue, seed);
+                let known = &played.known;
+                let p99 = known.get(known.len() * 99 / 100).copied().unwrap_or(f64::INFINITY);
+                println!(
+                    "{processes} processes, {name}, seed {seed}: {} know; p99 {p99:.2} s, worst {:.2} s after the \
+                     return; {} calls failed after it",
+                    known.len(),
+                    played.worst(),
+                    played.failed_after_return
+                );
+                assert_eq!(known.len(), processes, "{name}: all come to know");
+                assert!(played.worst() <= worst, "{name}, {processes} processes: {:.2} s", played.worst());
+                assert!(
+                    played.failed_after_return * 10 <= processes,
+                    "{name}: {}",
+                    played.failed_after_return
+                );
+            }
+        }
+    }
+}
+
+#[test]
+fn all_processes_together_ask_no_more_often_than_discovery_must_bear() {
+    for processes in [10, 350] {
+        // For ever down: no answer ever comes.
+        let queue = Queue { all_calls: 1e6, news: 0.0, patience: 2.0 };
+        let played = play(processes, queue, 7);
+        let most = played.most_within(5.4);
+        // One each, and one more of each whose watch had been up: here of one, as no second call is served.
+        assert!(most <= processes + 1, "{most} calls of {processes} processes within 5.4 s");
+    }
+}
+
+#[test]
+fn whatever_failed_before_a_change_is_known_in_time_once_discovery_can_be_reached() {
+    let second = |n: f64| Duration::from_secs_f64(n);
+    for (lost_after, answers_after) in [(0.0, 0.4), (2.0, 0.4), (3.0, 0.4)] {
+        for seed in 0..40 {
+            let settings = Settings { discovery: Discovery::Ask, ..Settings::default() };
+            let mut asking = Asking::new(settings.discovery, settings.rules.ask_within, seed, second(50.0));
+            let mut now = second(50.0) + asking.first(second(50.0));
+            assert!(now < second(56.0), "the first call");
+            let back = second(60.0 + 0.5 * seed as f64);
+            let known = loop {
+                if now >= back {
+                    break now + second(answers_after);
+                }
+                let lost = now + second(lost_after);
+                now = lost + asking.failed(lost, Duration::ZERO);
+            };
+            let took = known - back;
+            assert!(
+                took < second(6.0),
+                "{took:?} after the return, where a call is lost after {lost_after} s"
+            );
+        }
+    }
+}
