Read a list that comes entry by entry in time that grows with its length

Cause: wherever a piece or a line ended in a brace, `ListReader::take` read all that it had from the start (`config/list.rs`). A discovery that writes an entry at a time, or whose pieces end in braces, made that the square of the list, on the thread that serves.

Change: each byte is looked at once for the end of a list, and what is whole is read once. A list that was broken off and another one begun in it is still found as the next one's line ends; what is read for that in vain is bounded by 8 times the text and 64 KiB.

--- a/src/config/list.rs
+++ b/src/config/list.rs
@@ -72,38 +72,92 @@
     TooLong,
 }
 
+/// Bytes that may be read in vain for each that there is, and so many beside: enough to find at once that a list was
+/// broken off and another one has begun in it, and not the square of a long one of which each entry ends a line.
+const VAIN_TIMES: usize = 8;
+const VAIN_FREE: usize = 64 << 10;
+
 /// Puts lists together that come one behind the other in pieces, each laid out in one line or in many.
 #[derive(Default)]
 pub struct ListReader {
     text: Vec<u8>,
+    scan: Scan,
+    /// Bytes read in vain since the last whole list.
+    vain: usize,
 }
 
 impl ListReader {
     /// Takes a piece, and gives the lists that are whole with it. After a fault nothing more can be read.
     pub fn take(&mut self, piece: &[u8]) -> Result<Vec<List>, ListFault> {
         self.text.extend_from_slice(piece);
-        let mut lists = Vec::new();
-        // A list ends where a line does, or a piece. To look at each piece of a long one would cost its square.
-        if piece.split(|&byte| byte == b'\n').any(|line| line.trim_ascii_end().ends_with(b"}")) {
-            let mut stream = serde_json::Deserializer::from_slice(&self.text).into_iter();
-            for list in stream.by_ref() {
-                match list {
-                    Ok(list) => lists.push(list),
-                    Err(e) if e.is_eof() => break,
-                    Err(e) => return Err(e.into()),
-                }
-            }
-            let read = stream.byte_offset();
-            self.text.drain(..read);
+        let (mut lists, mut read) = (Vec::new(), 0);
+        while let Some(end) = self.scan.next_end(&self.text) {
+            lists.push(serde_json::from_slice(&self.text[read..end])?);
+            (read, self.vain) = (end, 0);
         }
         if !self.is_amid() {
-            self.text.clear();
+            read = self.text.len(); // blank
+        }
+        self.text.drain(..read);
+        self.scan.at -= read;
+        // One that was broken off ends only by its fault, which shows once the next one has come.
+        let size = self.text.len();
+        if std::mem::take(&mut self.scan.suspect) && self.vain <= VAIN_TIMES * size + VAIN_FREE {
+            self.vain += size;
+            if let Err(e) = serde_json::from_slice::<List>(&self.text)
+                && !e.is_eof()
+            {
+                return Err(e.into());
+            }
         }
-        if self.text.len() > LIST_MOST { Err(ListFault::TooLong) } else { Ok(lists) }
+        if size > LIST_MOST { Err(ListFault::TooLong) } else { Ok(lists) }
     }
 
     /// A list has begun and not ended.
     pub fn is_amid(&self) -> bool {
-        !self.text.trim_ascii().is_empty()
+        self.scan.depth > 0
+    }
+}
+
+/// How far a text was looked through for the ends of lists, each byte once.
+#[derive(Default)]
+struct Scan {
+    at: usize,
+    depth: usize,
+    quoted: bool,
+    escaped: bool,
+    /// The last that was no blank is a closing brace.
+    closed: bool,
+    /// A line has ended as a list does, or in a name, and the list has not.
+    suspect: bool,
+}
+
+impl Scan {
+    /// Looks on, up to the next end of a list. What stands between lists and is not blank ends one that is none.
+    fn next_end(&mut self, text: &[u8]) -> Option<usize> {
+        while let Some(&byte) = text.get(self.at) {
+            self.at += 1;
+            self.suspect |= byte == b'\n' && self.depth > 0 && (self.closed || self.quoted);
+            self.closed = byte == b'}' || self.closed && byte.is_ascii_whitespace();
+            if self.quoted {
+                self.quoted = self.escaped || byte != b'"';
+                self.escaped = !self.escaped && byte == b'\\';
+                continue;
+            }
+            match byte {
+                b'{' | b'[' => self.depth += 1,
+                b'}' | b']' => {
+                    self.depth = self.depth.saturating_sub(1);
+                    if self.depth == 0 {
+                        self.suspect = false;
+                        return Some(self.at);
+                    }
+                }
+                _ if self.depth > 0 => self.quoted = byte == b'"',
+                _ if byte.is_ascii_whitespace() => {}
+                _ => return Some(self.at),
+            }
+        }
+        None
     }
 }
--- a/tests/lists.rs
+++ b/tests/lists.rs
@@ -3,6 +3,7 @@
 use gullpulley::config::{LIST_MOST, List, ListFault, ListReader};
 use proptest::prelude::*;
 use serde_json::{Value, json};
+use std::time::Instant;
 
 fn list(rev: u64, targets: usize) -> Value {
     let target = |n: usize| {
@@ -50,6 +51,28 @@
     }
 }
 
+/// Has a text read in pieces that end as entries do; how many lists came.
+fn read_in_entries(reader: &mut ListReader, text: &str) -> usize {
+    text.split_inclusive('}').map(|piece| reader.take(piece.as_bytes()).unwrap().len()).sum()
+}
+
+#[test]
+fn a_list_that_comes_entry_by_entry_costs_what_it_holds() {
+    for break_behind in ["", "\n"] {
+        let [few, many] = [128, 1024].map(|targets| {
+            let text = list(9, targets).to_string().replace("},{", &format!("}}{break_behind},{{"));
+            let time = |_| {
+                let began = Instant::now();
+                assert_eq!(read_in_entries(&mut ListReader::default(), &text), 1);
+                began.elapsed().as_secs_f64()
+            };
+            (0..5).map(time).fold(f64::MAX, f64::min)
+        });
+        // Eight times as long: by its square it cost 69 times as much.
+        assert!(many <= few * 24.0, "{:.1} times", many / few);
+    }
+}
+
 #[test]
 fn what_is_no_list_and_what_never_becomes_one_are_faults() {
     let half = list(9, 1).to_string();
@@ -62,6 +85,13 @@
         let fault = ListReader::default().take(text.as_bytes());
         assert!(matches!(fault, Err(ListFault::Malformed(_))), "{text}: {fault:?}");
     }
+    // Also where the half was long, and came in as many pieces as it has entries.
+    let long = list(9, 1024).to_string();
+    let half = &long[..long.len() / 2];
+    let mut reader = ListReader::default();
+    assert_eq!(read_in_entries(&mut reader, half), 0);
+    let fault = reader.take(format!("\n{}\n", list(10, 0)).as_bytes());
+    assert!(matches!(fault, Err(ListFault::Malformed(_))), "{fault:?}");
     let mut reader = ListReader::default();
     assert!(reader.take(half.as_bytes()).unwrap().is_empty() && reader.is_amid());
     assert!(matches!(reader.take(&vec![b' '; LIST_MOST]), Err(ListFault::TooLong)));
