Hold a thousand endpoints and a thousand balancers, and let no list cost its square

Cause: for a whole list the driver looked at every entry for every address that it knew, and each endpoint barred looked at all that were (`net/driver.rs` `list`, `net/outbound.rs` `bar`): 1,024 endpoints gone at once are about a million steps of each, read, not timed. Each endpoint that drains had a line of the log of its own, and 1,024 lines are all that may wait: such a list pushed others out.

`node_list.rs`: one process with 1,024 endpoints, as one of 1,024 and alone with 256 descriptors, by the known list, a watch and an indented whole list.

--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -14,7 +14,7 @@
     RequestId, TimerToken,
 };
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap, VecDeque};
+use std::collections::{BinaryHeap, HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -26,6 +26,9 @@
 
 /// Unusual outcomes are summed up in the log this often.
 const SUMMARY: Duration = Duration::from_secs(10);
+/// Endpoints of one list that are told of in the log each in a line of its own; more share one, as however many a
+/// list names, it must not push other lines out.
+const OWN_LINES: usize = 16;
 
 /// What the driver works with.
 pub struct Around {
@@ -291,26 +294,30 @@
                 return self.handle(Event::Membership(news.membership));
             }
         };
+        let mut left: [Vec<String>; 2] = Default::default();
         for entry in entries.iter().filter(|entry| entry.state != EndpointState::Ready) {
             // Nothing new goes there.
             self.around.outbound.bar(entry.id);
-            let state = if entry.state == EndpointState::Gone { "gone" } else { "draining" };
-            let uid = self.around.discovery.uid(entry.id);
-            info!(endpoint = uid, "list: {uid} is {state}");
-            if entry.state == EndpointState::Gone {
+            let gone = entry.state == EndpointState::Gone;
+            left[usize::from(gone)].push(self.around.discovery.uid(entry.id));
+            if gone {
                 self.addresses.remove(&entry.id);
             }
         }
         if whole {
             let outbound = &self.around.outbound;
+            let named: HashSet<EndpointId> = entries.iter().map(|entry| entry.id).collect();
             self.addresses.retain(|id, _| {
-                let listed = entries.iter().any(|entry| entry.id == *id);
+                let listed = named.contains(id);
                 if !listed {
                     outbound.bar(*id);
                 }
                 listed
             });
         }
+        for (uids, state) in left.iter().zip(["draining", "gone"]) {
+            tell_left(uids, state);
+        }
         self.handle(Event::Membership(news.membership));
     }
 
@@ -476,6 +483,16 @@
     }
 }
 
+/// Says in the log which endpoints a list takes out.
+fn tell_left(uids: &[String], state: &str) {
+    if uids.len() > OWN_LINES {
+        return info!(endpoints = uids.join(" "), "list: {} are {state}", uids.len());
+    }
+    for uid in uids {
+        info!(endpoint = uid, "list: {uid} is {state}");
+    }
+}
+
 fn outcome_name(outcome: Outcome) -> &'static str {
     match outcome {
         Outcome::Ok => "ok",
--- a/src/net/outbound.rs
+++ b/src/net/outbound.rs
@@ -257,10 +257,7 @@
     /// Lets nothing go to an endpoint any more that is not written yet.
     pub fn bar(&self, endpoint: EndpointId) {
         self.close_idle(endpoint);
-        let now = Instant::now();
-        let mut barred = self.barred.borrow_mut();
-        barred.retain(|_, at| now.duration_since(*at) < BAR_KEPT);
-        barred.insert(endpoint, now);
+        self.barred.borrow_mut().insert(endpoint, Instant::now());
     }
 
     /// Closes idle connections to an endpoint.
@@ -290,7 +287,7 @@
         idle.get_mut(&id).map(|links| links.remove(0)).is_some()
     }
 
-    /// Closes, from time to time, what has been idle for too long or was closed by the endpoint.
+    /// Closes, from time to time, what has been idle for too long or was closed by the endpoint, and forgets old bars.
     pub async fn sweep(self: Rc<Self>) {
         loop {
             tokio::time::sleep(SWEEP).await;
@@ -298,6 +295,8 @@
                 links.retain(|link| self.usable(link));
                 !links.is_empty()
             });
+            // Here and not at each bar: a list may bar all endpoints at once, and to look at all for each costs its square.
+            self.barred.borrow_mut().retain(|_, at| at.elapsed() < BAR_KEPT);
         }
     }
 
--- a/tests/node_list.rs
+++ b/tests/node_list.rs
@@ -277,3 +277,62 @@
     assert!(silent < std::time::Duration::from_millis(4200), "{silent:?}");
     assert_eq!(sidecar.ask("quote", "r").status(), 200);
 }
+
+#[test]
+fn a_thousand_endpoints_are_served_and_drained_by_the_known_list_a_watch_and_a_whole_list() {
+    const MANY: usize = 1024;
+    const SOCKETS: usize = 256;
+    // As one of a thousand processes it uses a part of them; alone all, with far fewer descriptors than endpoints.
+    for (balancers, me, requests) in [(MANY, MANY - 1, 60), (1, 0, 400)] {
+        let peers = ["a", "b", "c", "d"].map(Peer::serving);
+        let entries = |which: &dyn Fn(usize) -> bool, state: &str| {
+            let named = (0..MANY).filter(|n| which(*n));
+            named.map(|n| target(&format!("s-{n}"), peers[n % 4].address, state)).collect::<Vec<_>>()
+        };
+        let discovery = Discovery::new(list(8, false, &[]));
+        let mut config = config(&[]);
+        config["known"] = list(7, true, &entries(&|_| true, "up"));
+        config["discovery"] = json!(discovery.address.to_string());
+        config["limits"]["sockets"] = json!(SOCKETS);
+        config["settings"]["balancers"] = json!(balancers);
+        config["settings"]["me"] = json!(me);
+        let shared = Shared::new();
+        let (sidecar, door) = shared.start(&config);
+        let mut client = sidecar.client();
+        let mut asked = 0;
+        let mut serves = |peers_used: &[usize]| {
+            let before: Vec<usize> = peers.iter().map(Peer::count).collect();
+            for _ in 0..requests {
+                asked += 1;
+                discovery.say(""); // the watch lives, however slow the machine
+                assert_eq!(client.ask("book", &format!("r{asked}")).status(), 200);
+            }
+            for (n, peer) in peers.iter().enumerate() {
+                let used = peers_used.contains(&n);
+                assert!(used || peer.count() == before[n], "{balancers}: nothing new at {n}");
+            }
+            assert!(sidecar.descriptors() <= SOCKETS, "{} descriptors", sidecar.descriptors());
+        };
+        let listed = |members: u64, unavailable: u64| {
+            wait_for("the list", || {
+                discovery.say("");
+                (figure(door, "members"), figure(door, "members_unavailable")) == (members, unavailable)
+            });
+        };
+        listed(1024, 0);
+        serves(&[0, 1, 2, 3]);
+        // By a watch: half of them drain.
+        discovery.say(&list(9, false, &entries(&|n| n % 4 < 2, "draining")).to_string());
+        listed(1024, 512);
+        sidecar.says("list: 512 are draining");
+        serves(&[2, 3]);
+        // By a whole list: what it does not name is gone, though it still answers.
+        discovery.say(&format!("{:#}", list(10, true, &entries(&|n| n % 4 == 3, "up"))));
+        listed(256, 0);
+        serves(&[3]);
+        // And all are back.
+        discovery.say(&list(11, true, &entries(&|_| true, "up")).to_string());
+        listed(1024, 0);
+        serves(&[0, 1, 2, 3]);
+    }
+}
--- a/tests/slow_start.rs
+++ b/tests/slow_start.rs
@@ -205,7 +205,7 @@
 fn rule_4_holds_for_the_sum_of_a_fleet_with_uneven_traffic() {
     for (site, rate) in [(NEAR, 60.0), (FAR, 400.0)] {
         for scene in [Scene::Calm, Scene::Restart, Scene::Burst, Scene::Release] {
-            for balancers in [2, 20, 30, 300] {
+            for balancers in [2, 20, 30, 300, 1024] {
                 let (beyond, got) = beyond(site, scene, balancers, rate, 7);
                 let what = format!("{scene:?}, {rate} a second, {balancers} balancers");
                 assert!(beyond <= 0.0, "{what}: {beyond:.1} too many of {got}");
