Hold by tests that the drain waits for those told "no room", and what a dead idle connection does

- The drain: all places and all 24 of those only told so are held, eight more connections with half a head wait in the backlog, and in one turn the listener closes and the others leave.
Each of the eight has its 503.
- A dead idle connection: nine orders of its end and the next request, the endpoint being the test's own thread, with one attempt a request: served on a new connection, or nowhere where nobody waits; once read, an unsafe request has failed and is not sent again.
Fails where a broken connection counts as one that never came up.
- A request that the library hands back unsent: the sidecar is stopped, and going on it sends by its clock before it looks at its sockets, with a hundred other things to do in between.
Fails where the unsent request counts as broken.

No fault was found. `Sidecar::stop` waits until the process stands.

--- a/tests/endings.rs
+++ b/tests/endings.rs
@@ -6,11 +6,11 @@
 
 use serde_json::{Value, json};
 use std::io::{ErrorKind, Read, Write};
-use std::net::Shutdown;
+use std::net::{Shutdown, TcpListener};
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::mpsc::{Receiver, Sender, channel};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use support::*;
 
 /// Times so long that nothing here ends by them, and a log that tells of each request.
@@ -134,8 +134,8 @@
     assert_eq!(ids(&second), ["after"]);
 }
 
-/// How a client leaves.
-#[derive(Clone, Copy, Debug)]
+/// How one side of a connection leaves.
+#[derive(Clone, Copy, Debug, PartialEq)]
 enum Leave {
     Close,
     Reset,
@@ -221,6 +221,191 @@
     assert!(ended > 0, "some waited at the old one");
 }
 
+/// The next connection that comes; an endpoint is a test's own thread, where nothing happens but what stands there.
+fn accept(listener: &TcpListener) -> Client {
+    listener.set_nonblocking(true).unwrap();
+    let mut taken = None;
+    wait_for("a connection", || {
+        taken = listener.accept().ok();
+        taken.is_some()
+    });
+    let (stream, _) = taken.unwrap();
+    stream.set_nonblocking(false).unwrap();
+    Client::over(stream)
+}
+
+/// Whether anything has come on a connection that is not read yet.
+fn has_come(connection: &mut Client) -> bool {
+    connection.stream().set_nonblocking(true).unwrap();
+    let peeked = connection.stream().peek(&mut [0; 1]);
+    connection.stream().set_nonblocking(false).unwrap();
+    peeked.is_ok()
+}
+
+/// What becomes of an idle connection to an endpoint in the moment of the next request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Idle {
+    /// Closed or reset, and then the request comes.
+    Ended(Leave),
+    /// The request comes, and then it is closed or reset.
+    EndedBehind(Leave),
+    /// The answer before and the end come together, and the request waits for that answer.
+    EndedWithAnswer(Leave),
+    /// Closed, and then the request comes and its client leaves.
+    EndedAndNobodyWaits,
+    /// It has brought the request, and is then closed or reset.
+    EndedOnceRead(Leave),
+}
+
+#[test]
+fn a_request_on_an_idle_connection_that_ends_goes_on_a_new_one_or_nowhere_and_never_twice() {
+    use Idle::*;
+    let whole = answer("200 OK", "", "ok");
+    for idle in [
+        Ended(Leave::Close),
+        Ended(Leave::Reset),
+        EndedBehind(Leave::Close),
+        EndedBehind(Leave::Reset),
+        EndedWithAnswer(Leave::Close),
+        EndedWithAnswer(Leave::Reset),
+        EndedAndNobodyWaits,
+        EndedOnceRead(Leave::Close),
+        EndedOnceRead(Leave::Reset),
+    ] {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let mut config = patient(&[]);
+        config["known"] = list(7, true, &[target("s-0", address, "up")]);
+        // What can't go on at once on another connection has failed for good.
+        config["settings"]["limits"]["maxAttempts"] = json!(1);
+        let sidecar = Sidecar::start(&config);
+        let take = || {
+            let mut connection = accept(&listener);
+            let id = connection.receive().expect("a request").header("x-request-id").to_owned();
+            (connection, id)
+        };
+        let end = |connection: Client, how| match how {
+            Leave::Reset => connection.reset(),
+            _ => drop(connection),
+        };
+        let mut client = sidecar.client();
+        client.send(&request("book", "r1", "60000m"));
+        let (mut first, id) = take();
+        assert_eq!(id, "r1");
+        if !matches!(idle, EndedWithAnswer(_)) {
+            first.send(&whole);
+            assert_eq!(client.receive().expect("an answer").status(), 200);
+        }
+        let next = request("book", "r2", "60000m");
+        if !matches!(idle, EndedOnceRead(_)) {
+            sidecar.stop(); // what follows it finds at once
+        }
+        match idle {
+            Ended(how) => {
+                end(first, how);
+                client.send(&next);
+            }
+            EndedBehind(how) => {
+                client.send(&next);
+                end(first, how);
+            }
+            EndedWithAnswer(how) => {
+                client.send(&next);
+                first.send(&whole);
+                end(first, how);
+            }
+            EndedAndNobodyWaits => {
+                drop(first);
+                client.send(&next);
+                client.stream().shutdown(Shutdown::Write).unwrap();
+            }
+            EndedOnceRead(how) => {
+                client.send(&next);
+                assert_eq!(first.receive().expect("the next request").header("x-request-id"), "r2");
+                end(first, how);
+            }
+        }
+        sidecar.signal("-CONT");
+        let mut last = "r2";
+        match idle {
+            EndedOnceRead(_) => {
+                // It may have run: it has failed, and goes nowhere again.
+                assert_eq!(client.receive().expect("an answer").status(), 502, "{idle:?}");
+                last = "r3";
+            }
+            EndedAndNobodyWaits => {
+                assert!(client.receive().is_none());
+                last = "r3";
+            }
+            EndedWithAnswer(Leave::Reset) => {
+                // A reset may overtake the answer before it; the request behind has to be served all the same.
+                assert!(matches!(client.receive().expect("an answer").status(), 200 | 502));
+            }
+            EndedWithAnswer(_) => assert_eq!(client.receive().expect("an answer").status(), 200),
+            _ => {}
+        }
+        if last == "r3" {
+            client = sidecar.client();
+            client.send(&request("book", "r3", "60000m"));
+        }
+        // The next that comes to the endpoint at all is the one that is owed an answer.
+        let (mut connection, id) = take();
+        assert_eq!(id, last, "{idle:?}");
+        connection.send(&whole);
+        let answer = client.receive().expect("an answer");
+        assert_eq!((answer.status(), &answer.body[..]), (200, &b"ok"[..]), "{idle:?}");
+    }
+}
+
+#[test]
+fn a_request_handed_back_unsent_by_an_idle_connection_goes_on_a_new_one() {
+    let mut ways = vec![Leave::Close, Leave::Reset];
+    for _ in 0..20 {
+        let Some(&how) = ways.last() else { return };
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let mut config = patient(&[]);
+        // Cold: the second request is held until its endpoint is warm, and then sent by the sidecar's own clock.
+        let mut cold = target("s-0", address, "up");
+        let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
+        cold["boot_ms"] = json!(now.as_millis() as u64);
+        config["known"] = list(7, true, &[cold]);
+        config["settings"]["rules"]["warmWithinMs"] = json!(2000.0);
+        config["settings"]["limits"]["maxAttempts"] = json!(1);
+        let sidecar = Sidecar::start(&config);
+        let mut client = sidecar.client();
+        client.send(&request("book", "r1", "60000m"));
+        let mut connection = accept(&listener);
+        assert_eq!(connection.receive().expect("a request").header("x-request-id"), "r1");
+        connection.send(&answer("200 OK", "", "ok"));
+        assert_eq!(client.receive().expect("an answer").status(), 200);
+        client.send(&request("book", "r2", "60000m"));
+        // More to do at once than it does between two looks at its sockets: after 2.5 s each silent one is let go.
+        let began = Instant::now();
+        let silent: Vec<Client> = (0..100).map(|_| sidecar.client()).collect();
+        wait_for("all to be taken", || sidecar.descriptors() > 110);
+        sidecar.stop();
+        let stopped = Instant::now();
+        if has_come(&mut connection) || began.elapsed() > Duration::from_secs(2) {
+            continue; // it had the time to send the second one, or to let some go
+        }
+        match how {
+            Leave::Reset => connection.reset(),
+            _ => drop(connection),
+        }
+        wait_for("their time to be over", || stopped.elapsed() > Duration::from_millis(2700));
+        // Going on it looks at its clock first: the request is on its way before the connection's end is seen.
+        sidecar.signal("-CONT");
+        let mut connection = accept(&listener);
+        assert_eq!(connection.receive().expect("a request").header("x-request-id"), "r2", "{how:?}");
+        connection.send(&answer("200 OK", "", "ok"));
+        assert_eq!(client.receive().expect("an answer").status(), 200, "{how:?}");
+        drop(silent);
+        ways.pop();
+    }
+    panic!("the machine never was quick enough");
+}
+
 #[test]
 fn an_answer_of_no_length_that_is_reset_is_no_whole_one() {
     let cut = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf an an".to_owned();
--- a/tests/node_limits.rs
+++ b/tests/node_limits.rs
@@ -364,3 +364,56 @@
     assert!(start.elapsed() < Duration::from_millis(1800), "answered after {:?}", start.elapsed());
     drop(silent);
 }
+
+#[test]
+fn connections_told_that_there_is_no_room_have_their_answer_before_the_end() {
+    const PLACES: usize = 10; // five eighths of 64 descriptors less 48
+    const SHED: usize = 24;
+    const OWED: usize = 8;
+    let peer = Peer::serving("ok");
+    let mut config = config(&[&peer]);
+    config["limits"]["sockets"] = json!(64);
+    for _ in 0..20 {
+        let mut sidecar = Sidecar::start(&config);
+        let before = sidecar.descriptors();
+        let mut silent: Vec<Client> = (0..PLACES).map(|_| sidecar.client()).collect();
+        // Also without the first request's connection, which may still have been open.
+        wait_for("the places to be taken", || sidecar.descriptors() + 1 >= before + PLACES);
+        sidecar.stop();
+        silent.extend((0..SHED).map(|_| sidecar.client()));
+        // For these there is no place even to be told so: they are taken as the listener closes.
+        let mut owed: Vec<Client> = (0..OWED).map(|_| sidecar.client()).collect();
+        let whole = request("quote", "r1", "20000m");
+        let (half, rest) = whole.split_at(20);
+        owed.iter_mut().for_each(|client| client.send(half));
+        sidecar.signal("-TERM");
+        let asked = Instant::now();
+        sidecar.signal("-CONT");
+        // After 0.2 s the first of the silent ones would have been let go, and others taken in their places.
+        let too_late = || asked.elapsed() > Duration::from_millis(200);
+        wait_for("all places to be taken", || {
+            too_late() || sidecar.descriptors() + 1 >= before + PLACES + SHED
+        });
+        sidecar.stop();
+        let mut in_time = !too_late();
+        wait_for("the listener's time to be over", || asked.elapsed() > Duration::from_millis(700));
+        // In one turn the listener closes and all others leave. Only those are left that there was no place for.
+        silent.into_iter().for_each(Client::reset);
+        let went_on = Instant::now();
+        sidecar.signal("-CONT");
+        if in_time {
+            wait_for("the others to have left", || sidecar.descriptors() <= before + OWED);
+        }
+        owed.iter_mut().for_each(|client| client.send(rest));
+        // After 0.5 s a head that is not whole is not waited for.
+        in_time &= went_on.elapsed() < Duration::from_millis(400);
+        let answers: Vec<_> = owed.iter_mut().map(Client::receive).collect();
+        assert!(sidecar.ended().success());
+        if in_time {
+            let status = |answer: &Option<Message>| answer.as_ref().map(Message::status);
+            assert!(answers.iter().all(|answer| status(answer) == Some(503)), "{answers:?}");
+            return;
+        }
+    }
+    panic!("the machine never was quick enough");
+}
--- a/tests/support/node.rs
+++ b/tests/support/node.rs
@@ -457,6 +457,13 @@
         assert!(kill.unwrap().success());
     }
 
+    /// Stops it: until it goes on, whatever comes waits for it in the system.
+    pub fn stop(&self) {
+        self.signal("-STOP");
+        let stat = format!("/proc/{}/stat", self.child.id());
+        wait_for("its stop", || std::fs::read_to_string(&stat).unwrap().contains(") T "));
+    }
+
     /// How it ended.
     pub fn ended(&mut self) -> ExitStatus {
         let mut status = None;
@@ -509,9 +516,13 @@
 
 impl Client {
     pub fn connect(address: SocketAddr) -> Option<Client> {
-        let stream = TcpStream::connect(address).ok()?;
-        stream.set_read_timeout(Some(PATIENCE)).ok()?;
-        Some(Client { reader: BufReader::new(stream) })
+        TcpStream::connect(address).ok().map(Client::over)
+    }
+
+    /// Either side of a connection that is there.
+    pub fn over(stream: TcpStream) -> Client {
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        Client { reader: BufReader::new(stream) }
     }
 
     pub fn send(&mut self, text: &str) {
