--- a/tests/endings.rs
+++ b/tests/endings.rs
@@ -253,6 +253,8 @@
     EndedWithAnswer(Leave),
     /// Closed, and then the request comes and its client leaves.
     EndedAndNobodyWaits,
+    /// Something comes on it that nobody asked for, and then the request: half a line, or a second answer.
+    Spoke(&'static str),
     /// It has brought the request, and is then closed or reset.
     EndedOnceRead(Leave),
 }
@@ -269,6 +271,8 @@
         EndedWithAnswer(Leave::Close),
         EndedWithAnswer(Leave::Reset),
         EndedAndNobodyWaits,
+        Spoke("HTTP/1.1 20"),
+        Spoke("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong"),
         EndedOnceRead(Leave::Close),
         EndedOnceRead(Leave::Reset),
     ] {
@@ -314,6 +318,10 @@
                 first.send(&whole);
                 end(first, how);
             }
+            Spoke(what) => {
+                first.send(what);
+                client.send(&next);
+            }
             EndedAndNobodyWaits => {
                 drop(first);
                 client.send(&next);
@@ -407,19 +415,25 @@
 }
 
 #[test]
-fn an_answer_of_no_length_that_is_reset_is_no_whole_one() {
-    let cut = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf an an".to_owned();
-    for (class, status, tries) in [("quote", 200, 2), ("book", 502, 1)] {
-        let tried = AtomicUsize::new(0);
-        let cut = cut.clone();
-        let peer = Peer::new(move |_| match tried.fetch_add(1, Ordering::SeqCst) {
-            0 => Do::WriteAndReset(cut.clone()),
-            _ => Do::Serve("whole"),
-        });
-        let sidecar = Sidecar::start(&config(&[&peer]));
-        let answer = sidecar.ask(class, "r1");
-        assert_eq!((answer.status(), peer.count()), (status, tries), "{class}");
-        assert_ne!(answer.body, b"half an an");
+fn a_reset_under_a_request_that_has_begun_is_no_end_of_its_answer() {
+    // Nothing yet, half a line, half an answer, and one of no length: there a reset is no end.
+    for cut in [
+        "",
+        "HTTP/1.1 20",
+        "HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\nhalf an an",
+        "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf an an",
+    ] {
+        for (class, status, tries) in [("quote", 200, 2), ("book", 502, 1)] {
+            let tried = AtomicUsize::new(0);
+            let peer = Peer::new(move |_| match tried.fetch_add(1, Ordering::SeqCst) {
+                0 => Do::WriteAndReset(cut.to_owned()),
+                _ => Do::Serve("whole"),
+            });
+            let sidecar = Sidecar::start(&config(&[&peer]));
+            let answer = sidecar.ask(class, "r1");
+            assert_eq!((answer.status(), peer.count()), (status, tries), "{class}: {cut}");
+            assert_ne!(answer.body, b"half an an");
+        }
     }
 }
 
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -52,6 +52,36 @@
     assert_eq!(peer.connections.load(Ordering::SeqCst), 1, "the connection is kept and used again");
 }
 
+#[test]
+fn messages_in_every_form_and_byte_by_byte_are_read_whole() {
+    let answers = [
+        "HTTP/1.1 200 OK\r\ncontent-length:  5  \r\n\r\nwhole",
+        "HTTP/1.1 200\r\nTransfer-Encoding: chunked\r\n\r\n2;ext=\"a\"\r\nwh\r\n03\r\nole\r\n0\r\nX-T: 1\r\n\r\n",
+        "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole",
+    ];
+    let plain = request("book", "NAME", "10000m");
+    let chunked = plain.replace("Content-Length: 4", "Transfer-Encoding: chunked");
+    let chunked =
+        chunked.replace("\r\n\r\nbody", "\r\n\r\n1\r\nb\r\n3;ext=1\r\nody\r\n0\r\nX-T: 1\r\n\r\n");
+    let requests = [plain.replace("X-Request-ID: ", "x-request-id:"), format!("\r\n{plain}"), chunked];
+    for whole in answers {
+        let peer = Peer::new(move |_| Do::Dribble(whole.to_owned()));
+        let sidecar = Sidecar::start(&config(&[&peer]));
+        let mut client = sidecar.client();
+        client.stream().set_nodelay(true).unwrap();
+        for (n, text) in requests.iter().enumerate() {
+            for byte in text.replace("NAME", &format!("r{n}")).chars() {
+                client.send(&byte.to_string());
+            }
+            let answer = client.receive().expect("an answer");
+            assert_eq!((answer.status(), &answer.body[..]), (200, &b"whole"[..]), "{text} {whole}");
+            let seen = peer.seen.lock().unwrap().last().cloned().unwrap();
+            assert_eq!((seen.header("x-request-id"), &seen.body[..]), (&*format!("r{n}"), &b"body"[..]));
+        }
+        assert_eq!(peer.connections.load(Ordering::SeqCst), 1, "the connection is kept: {whole}");
+    }
+}
+
 #[test]
 fn an_unsafe_request_that_may_have_run_is_never_sent_again() {
     let torn = "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf".to_owned();
--- a/tests/node_limits.rs
+++ b/tests/node_limits.rs
@@ -232,6 +232,34 @@
     assert!(answered >= 8, "{answered}");
 }
 
+#[test]
+fn what_comes_as_a_resting_connection_is_shut_is_answered_or_never_sent_on() {
+    let whole = request("book", "r1", "20000m");
+    // How much comes in the moment of the shutdown, all or half or nothing, and the rest after it.
+    for now in [whole.len(), 60, 0] {
+        let peer = Peer::serving("ok");
+        let mut sidecar = Sidecar::start(&config(&[&peer]));
+        let mut client = sidecar.client();
+        assert_eq!(client.ask("book", "r0").status(), 200);
+        sidecar.stop();
+        sidecar.signal("-TERM");
+        client.send(&whole[..now]);
+        sidecar.signal("-CONT");
+        if now == 0 {
+            assert!(client.receive().is_none(), "it is shut, and read on for a while");
+        }
+        client.send(&whole[now..]);
+        let answer =
+            client.receive().map(|answer| (answer.status(), answer.header("connection").to_owned()));
+        assert!(answer.as_ref().is_none_or(|answer| *answer == (200, "close".to_owned())), "{answer:?}");
+        assert!(sidecar.ended().success());
+        let sent =
+            peer.seen.lock().unwrap().iter().filter(|seen| seen.header("x-request-id") == "r1").count();
+        assert_eq!(sent, usize::from(answer.is_some()), "{now}: sent on where it is answered");
+        assert!(answer.is_none() || now > 0);
+    }
+}
+
 #[test]
 fn what_waits_in_the_backlog_at_sigterm_is_answered() {
     let peer = Peer::serving("ok");
--- a/tests/node_list.rs
+++ b/tests/node_list.rs
@@ -4,7 +4,10 @@
 mod support;
 
 use serde_json::json;
+use socket2::SockRef;
+use std::net::Shutdown;
 use std::thread;
+use std::time::{Duration, Instant};
 use support::*;
 
 /// A sidecar that starts with the first peer and follows this discovery.
@@ -77,6 +80,61 @@
     }
 }
 
+/// How a watch is lost.
+#[derive(Clone, Copy, Debug)]
+enum Lost {
+    /// After it has been alive for longer than it may be silent.
+    Silent,
+    Reset,
+    Ended,
+}
+
+/// An endpoint begins to drain just as the watch is lost, and the next one's first answer tells of it: by a change, or
+/// by a whole list without it. It stays up, and would answer.
+fn drains_as_a_watch_is_lost(lost: Lost, mode: &str, whole: bool) {
+    let (old, new) = (Peer::serving("old"), Peer::serving("new"));
+    let discovery = Discovery::new(list(8, false, &[]));
+    let sidecar = following(&old, &discovery, mode);
+    wait_for("the first watch", || discovery.calls().len() == 1);
+    assert_eq!(sidecar.ask("book", "r1").body, b"old");
+    let mut told = vec![target("s-new", new.address, "up")];
+    if !whole {
+        told.push(target("s-0", old.address, "draining"));
+    }
+    discovery.answers(list(9, whole, &told));
+    let began = Instant::now();
+    while matches!(lost, Lost::Silent) && began.elapsed() < Duration::from_secs(4) {
+        discovery.say("");
+        thread::sleep(Duration::from_millis(500)); // the pace of its empty lines
+    }
+    let watch = discovery.let_go();
+    let lost_at = Instant::now();
+    match lost {
+        Lost::Silent => std::mem::forget(watch),
+        Lost::Reset => SockRef::from(&watch).set_linger(Some(Duration::ZERO)).unwrap(),
+        Lost::Ended => watch.shutdown(Shutdown::Both).unwrap(),
+    }
+    wait_for("the idle connection's end", || old.closed() == 1);
+    assert!(lost_at.elapsed() < Duration::from_secs(6), "{lost:?}, {mode}: {:?}", lost_at.elapsed());
+    for n in 0..5 {
+        assert_eq!(sidecar.ask("book", &format!("s{n}")).body, b"new");
+    }
+    assert_eq!(old.count(), 1, "{lost:?}, {mode}, whole {whole}");
+}
+
+#[test]
+fn however_a_watch_is_lost_what_drains_then_is_known_within_six_seconds() {
+    thread::scope(|scope| {
+        for lost in [Lost::Silent, Lost::Reset, Lost::Ended] {
+            for mode in ["subscribe", "automatic"] {
+                for whole in [true, false] {
+                    scope.spawn(move || drains_as_a_watch_is_lost(lost, mode, whole));
+                }
+            }
+        }
+    });
+}
+
 #[test]
 fn a_watch_with_what_is_no_list_or_only_half_of_one_begins_again() {
     // Empty lines behind half a list: the watch is alive, and will never tell anything.
@@ -122,7 +180,7 @@
 fn where_lists_are_pushed_a_new_process_serves_by_what_the_agent_has_now() {
     let (old, new) = (Peer::serving("old"), Peer::serving("new"));
     let replaced = list(90, true, &[target("s-new", new.address, "up")]);
-    let discovery = Discovery::slow(replaced, std::time::Duration::from_millis(200));
+    let discovery = Discovery::slow(replaced, Duration::from_millis(200));
     let sidecar = following(&old, &discovery, "automatic");
     for n in 0..10 {
         assert_eq!(sidecar.ask("book", &format!("r{n}")).body, b"new");
@@ -137,7 +195,7 @@
     let _sidecar = following(&peer, &discovery, "subscribe");
     wait_for("the first watch", || discovery.calls().len() == 1);
     for _ in 0..14 {
-        thread::sleep(std::time::Duration::from_millis(500));
+        thread::sleep(Duration::from_millis(500));
         discovery.say("");
     }
     assert_eq!(discovery.calls().len(), 1);
@@ -164,11 +222,11 @@
         assert_eq!(sidecar.ask("book", "r2").body, b"old", "a malformed file changes nothing");
         config["discovery"] = json!(moved.address.to_string());
         sidecar.reconfigure(&config.to_string());
-        let start = std::time::Instant::now();
+        let start = Instant::now();
         sidecar.signal("-HUP");
         wait_for("a watch at the new address", || moved.calls().len() == 1);
         wait_for("its news", || sidecar.ask("quote", "r3").body == b"new");
-        assert!(start.elapsed() < std::time::Duration::from_secs(4), "{:?}", start.elapsed());
+        assert!(start.elapsed() < Duration::from_secs(4), "{:?}", start.elapsed());
         assert_eq!(was.calls().len(), 1, "the old one is not asked again");
         assert!(sidecar.child.try_wait().unwrap().is_none());
         sidecar.signal("-TERM");
@@ -193,8 +251,8 @@
                 "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{:x}\r\n{replaced}\n\r\n",
                 replaced.len() + 1
             );
-            let back = std::time::Instant::now() + std::time::Duration::from_millis(down_ms);
-            let discovery = Peer::new(move |_| match (std::time::Instant::now() < back, refused) {
+            let back = Instant::now() + Duration::from_millis(down_ms);
+            let discovery = Peer::new(move |_| match (Instant::now() < back, refused) {
                 (true, true) => Do::WriteAndClose(answer("503 Busy", "", "")),
                 (true, false) => Do::Silence,
                 (false, _) => Do::WriteAndWait(watch.clone()),
@@ -202,14 +260,12 @@
             let mut config = config(&[&old]);
             config["discovery"] = json!(discovery.address.to_string());
             config["settings"]["discovery"] = json!(mode);
+            config["settings"]["rules"]["askWithinMs"] = json!(10_000.0);
             let sidecar = Sidecar::start(&config);
             while sidecar.ask("quote", "r").body != b"new" {
                 let late = back.elapsed();
-                assert!(
-                    late < std::time::Duration::from_millis(6000),
-                    "{mode}, refused {refused}: {late:?}"
-                );
-                thread::sleep(std::time::Duration::from_millis(20));
+                assert!(late < Duration::from_millis(6000), "{mode}, refused {refused}: {late:?}");
+                thread::sleep(Duration::from_millis(20));
             }
         })
     });
@@ -237,9 +293,9 @@
             config["known"] = known.clone();
             config["discovery"] = json!(discovery.address.to_string());
             config["settings"]["discovery"] = json!(mode);
-            let began = std::time::Instant::now();
+            let began = Instant::now();
             let sidecar = Sidecar::start(&config);
-            assert!(began.elapsed() < std::time::Duration::from_secs(10), "{:?}", began.elapsed());
+            assert!(began.elapsed() < Duration::from_secs(10), "{:?}", began.elapsed());
             wait_for("what discovery tells", || sidecar.ask("quote", "r").body == b"new");
             if let Some(told) = told {
                 let log = sidecar.log();
@@ -269,12 +325,12 @@
     let discovery = Discovery::new(list(8, false, &[]));
     let sidecar = following(&peer, &discovery, "subscribe");
     wait_for("the first watch", || discovery.calls().len() == 1);
-    let start = std::time::Instant::now();
+    let start = Instant::now();
     wait_for("a second watch", || discovery.calls().len() == 2);
     // News counts as told after 6 s. Lines are due every 2 s, and the module waits 0.25 s at least.
     let silent = start.elapsed();
-    assert!(silent > std::time::Duration::from_secs(3), "{silent:?}: a late line is no silence");
-    assert!(silent < std::time::Duration::from_millis(4200), "{silent:?}");
+    assert!(silent > Duration::from_secs(3), "{silent:?}: a late line is no silence");
+    assert!(silent < Duration::from_millis(4200), "{silent:?}");
     assert_eq!(sidecar.ask("quote", "r").status(), 200);
 }
 
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -146,3 +146,49 @@
         assert!(many.2 <= few.2 * 5.0, "a decision: {:.1} times", many.2 / few.2);
     }
 }
+
+#[test]
+fn whatever_becomes_of_its_attempts_no_balancer_turns_away_all_for_four_seconds() {
+    for (outcome, elapsed) in [
+        (Outcome::Ok, 900), // late, each of them
+        (Outcome::Error, 900),
+        (Outcome::Error, 5),
+        (Outcome::Full, 5),
+        (Outcome::ConnectFailed, 1),
+        (Outcome::Reset, 300),
+        (Outcome::TimedOut, 1900),
+    ] {
+        for (balancers, cold) in [(30, false), (30, true), (1024, false), (1024, true)] {
+            let settings = Settings { balancers, ..Settings::default() };
+            let started = cold.then_some(ms(100_000));
+            let list = endpoints(16).into_iter().map(|info| EndpointInfo { started, ..info }).collect();
+            let mut d = Driver::new(settings, list);
+            let (mut due, mut last, mut longest) = (Vec::new(), d.now, Duration::ZERO);
+            // Twenty requests a second for half a minute.
+            for _ in 0..600 {
+                d.request(ms(2000));
+                for _ in 0..5 {
+                    d.advance(ms(10));
+                    // What has gone out since, by whatever event, ends in its time.
+                    for (id, attempt, ..) in d.out.clone() {
+                        if !due.iter().any(|(_, known, n)| (*known, *n) == (id, attempt)) {
+                            due.push((d.now + ms(elapsed), id, attempt));
+                            longest = longest.max(d.now - last);
+                            last = d.now;
+                        }
+                    }
+                    let over = due.extract_if(.., |(at, ..)| *at <= d.now).collect::<Vec<_>>();
+                    for (_, id, attempt) in over {
+                        if d.out.iter().any(|o| (o.0, o.1) == (id, attempt)) {
+                            d.end(id, outcome, ms(elapsed));
+                        }
+                    }
+                }
+            }
+            longest = longest.max(d.now - last);
+            let what = format!("{outcome:?} after {elapsed} ms, {balancers} balancers, cold {cold}");
+            println!("{what}: {longest:?}");
+            assert!(longest < Duration::from_secs(4), "{what}: no attempt for {longest:?}");
+        }
+    }
+}
--- a/tests/support/node.rs
+++ b/tests/support/node.rs
@@ -72,6 +72,8 @@
     Serve(&'static str),
     /// Writes these bytes and keeps the connection.
     Write(String),
+    /// Writes these bytes, each by itself, and keeps the connection.
+    Dribble(String),
     /// Writes these bytes and closes.
     WriteAndClose(String),
     /// Serves, then closes its side and waits for the sidecar to close the other.
@@ -184,6 +186,10 @@
         match act {
             Do::Serve(body) => writer.write_all(answer("200 OK", "", body).as_bytes()).ok()?,
             Do::Write(text) => writer.write_all(text.as_bytes()).ok()?,
+            Do::Dribble(text) => {
+                writer.set_nodelay(true).ok()?;
+                text.bytes().try_for_each(|byte| writer.write_all(&[byte])).ok()?;
+            }
             Do::WriteAndClose(text) => {
                 writer.write_all(text.as_bytes()).ok()?;
                 return Some(false);
@@ -229,6 +235,7 @@
     pub address: SocketAddr,
     /// Targets of the calls that came.
     pub calls: Arc<Mutex<Vec<String>>>,
+    first: Arc<Mutex<Value>>,
     newest: Arc<Mutex<Option<TcpStream>>>,
 }
 
@@ -250,9 +257,11 @@
 
     fn serving(listener: TcpListener, first: Value, takes: Duration) -> Discovery {
         let (calls, newest) = (Arc::<Mutex<Vec<String>>>::default(), Arc::<Mutex<_>>::default());
+        let first = Arc::new(Mutex::new(first));
         let discovery = Discovery {
             address: listener.local_addr().unwrap(),
             calls: calls.clone(),
+            first: first.clone(),
             newest: newest.clone(),
         };
         thread::spawn(move || {
@@ -262,10 +271,9 @@
                 thread::sleep(takes);
                 let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
                 let _ = stream.write_all(head.as_bytes());
-                write_line(&mut stream, &first.to_string());
-                *newest.lock().unwrap() = stream.try_clone().ok();
+                write_line(&mut stream, &first.lock().unwrap().to_string());
+                open.extend(newest.lock().unwrap().replace(stream));
                 calls.lock().unwrap().push(message.target().to_owned());
-                open.push(stream);
             }
         });
         discovery
@@ -277,6 +285,17 @@
         write_line(self.newest.lock().unwrap().as_mut().unwrap(), line);
     }
 
+    /// Answers each later watch with this line first.
+    pub fn answers(&self, first: Value) {
+        *self.first.lock().unwrap() = first;
+    }
+
+    /// Takes the newest watch out of its hands.
+    pub fn let_go(&self) -> TcpStream {
+        wait_for("a watch", || self.newest.lock().unwrap().is_some());
+        self.newest.lock().unwrap().take().unwrap()
+    }
+
     pub fn calls(&self) -> Vec<String> {
         self.calls.lock().unwrap().clone()
     }
