--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -26,8 +26,7 @@
 
 /// Unusual outcomes are summed up in the log this often.
 const SUMMARY: Duration = Duration::from_secs(10);
-/// Endpoints of one list that are told of in the log each in a line of its own; more share one, as however many a
-/// list names, it must not push other lines out.
+/// Endpoints that one list takes out in a line of the log each; more share one, or they would push other lines out.
 const OWN_LINES: usize = 16;
 
 /// What the driver works with.
@@ -234,7 +233,7 @@
             self.around.outbound.close_unheard(endpoint, sent);
         }
         if rejected {
-            // A fault of the request's own says nothing of the endpoint, and to send it again would spend what honest requests need.
+            // The request's own fault says nothing of the endpoint; sent again it would spend what honest ones need.
             outcome = Outcome::Cancelled;
             self.finish(id, Answer::Rejected);
         } else if outcome == Outcome::Ok {
@@ -295,8 +294,8 @@
             }
         };
         let mut left: [Vec<String>; 2] = Default::default();
+        // Nothing new goes to these.
         for entry in entries.iter().filter(|entry| entry.state != EndpointState::Ready) {
-            // Nothing new goes there.
             self.around.outbound.bar(entry.id);
             let gone = entry.state == EndpointState::Gone;
             left[usize::from(gone)].push(self.around.discovery.uid(entry.id));
@@ -315,9 +314,7 @@
                 listed
             });
         }
-        for (uids, state) in left.iter().zip(["draining", "gone"]) {
-            tell_left(uids, state);
-        }
+        left.iter().zip(["draining", "gone"]).for_each(|(uids, state)| tell_left(uids, state));
         self.handle(Event::Membership(news.membership));
     }
 
--- a/src/net/outbound.rs
+++ b/src/net/outbound.rs
@@ -287,7 +287,7 @@
         idle.get_mut(&id).map(|links| links.remove(0)).is_some()
     }
 
-    /// Closes, from time to time, what has been idle for too long or was closed by the endpoint, and forgets old bars.
+    /// Closes, from time to time, what has idled for too long or was closed by the endpoint, and forgets old bars.
     pub async fn sweep(self: Rc<Self>) {
         loop {
             tokio::time::sleep(SWEEP).await;
@@ -295,7 +295,7 @@
                 links.retain(|link| self.usable(link));
                 !links.is_empty()
             });
-            // Here and not at each bar: a list may bar all endpoints at once, and to look at all for each costs its square.
+            // Not at each bar: a list may bar all endpoints at once, and to look at all for each costs the square.
             self.barred.borrow_mut().retain(|_, at| at.elapsed() < BAR_KEPT);
         }
     }
