Lab: discovery's calls and news share one queue, and each copy's tellings are kept

The desk is a file of its own with one queue. New keys of [discovery]: per_call, abandoned, while_down, told_after; unless stated experiments behave as before, but for two points: the desk costs nothing until the deployment stands, and work that has begun is finished though its caller leaves amid it. News now waits as long as it takes.

Each copy asks at an address of its own, so that the lab knows when a change was written to which copy; told-within and told-within-p99 bound it. For sent-to-draining a drain counts as told told_after after discovery had it and could be reached, or once written to the copy that sends. At 0 s, as in all experiments so far, that is the drain itself as it was; only a drain while discovery is down now counts from the return, as nobody can be told before. Requests carry the copy's number in x-lab-copy.

--- a/lab/src/check.rs
+++ b/lab/src/check.rs
@@ -5,6 +5,7 @@
 use crate::ledger::Breach;
 use crate::load::{End, Record};
 use crate::run::Run;
+use crate::telling::{self, Telling};
 use hdrhistogram::Histogram;
 use serde::Serialize;
 
@@ -74,6 +75,8 @@
         That::LeftZoneWithin => left(run, check),
         That::ReturnedWithin => returned(run, check),
         That::HoldersOfADuty => doors::holders(&run.samples),
+        That::ToldWithin => telling::within(told(run, check), 1.0),
+        That::ToldWithinP99 => telling::within(told(run, check), 0.99),
         That::Figure => doors::figure(&run.samples, check),
         That::P99Ms => {
             let taking = latencies(records());
@@ -144,6 +147,19 @@
     })
 }
 
+/// The tellings that a check is about: of changes from its time on, to copies of its zone.
+fn told<'a>(run: &'a Run, check: &'a Check) -> impl Iterator<Item = &'a Telling> {
+    let copies = run.experiment.copies();
+    let zone = move |telling: &Telling| copies.get(telling.copy).map(|copy| copy.zone);
+    run.tellings.iter().filter(move |telling| {
+        check.from.is_none_or(|from| telling.had >= from.as_secs_f64())
+            && check.until.is_none_or(|until| telling.had < until.as_secs_f64())
+            && check.zone.as_ref().is_none_or(|name| {
+                zone(telling).is_some_and(|zone| run.experiment.zone[zone].name == *name)
+            })
+    })
+}
+
 /// The worth served in time, of the worth asked for: the operators' formula.
 pub fn served<'a>(experiment: &Experiment, records: impl Iterator<Item = &'a Record>) -> Option<f64> {
     let (mut served, mut asked) = (0.0, 0.0);
--- a/lab/src/check/tests.rs
+++ b/lab/src/check/tests.rs
@@ -34,7 +34,17 @@
     let records = (0..480).map(record).collect();
     let (breaches, faults, relay_adds) =
         (vec![Breach::PushedOver { endpoint: "b/x-0".into() }], vec![], Duration::ZERO);
-    Run { experiment, records, breaches, attempts: 480, crashes: 0, faults, samples: vec![], relay_adds }
+    Run {
+        experiment,
+        records,
+        breaches,
+        attempts: 480,
+        crashes: 0,
+        faults,
+        samples: vec![],
+        tellings: vec![],
+        relay_adds,
+    }
 }
 
 fn check(that: That) -> Check {
--- a/lab/src/copies.rs
+++ b/lab/src/copies.rs
@@ -74,6 +74,8 @@
 pub struct Copy {
     /// Its name.
     pub name: String,
+    /// Its number among all copies of the experiment.
+    pub number: usize,
     /// Its zone's number.
     pub zone: usize,
     /// The tier that it sends to.
@@ -113,7 +115,7 @@
 impl Copy {
     /// One that has not been started; its configuration is in its folder as `copy.toml`.
     pub fn new(
-        described: &DescribedCopy,
+        (number, described): (usize, &DescribedCopy),
         [clients, door, discovery]: [SocketAddr; 3],
         [binary, folder]: [&Path; 2],
         warded: bool,
@@ -121,6 +123,7 @@
     ) -> Arc<Self> {
         Arc::new(Copy {
             name: described.name.clone(),
+            number,
             zone: described.zone,
             tier: described.tier,
             clients,
--- a/lab/src/deployment/addresses.rs
+++ b/lab/src/deployment/addresses.rs
@@ -15,7 +15,7 @@
 pub(super) const ENDPOINT: usize = 200;
 pub(super) const CLIENTS: usize = 201;
 pub(super) const DOOR: usize = 202;
-const DISCOVERY: usize = 203;
+pub(super) const DISCOVERY: usize = 203;
 pub(super) const ECHO: usize = 204;
 pub(super) const FLEET: usize = 205;
 pub(super) const KNOWN: usize = 206;
@@ -37,9 +37,4 @@
         let ip = Ipv4Addr::new(127, self.process[0], self.process[1], 1 + sort as u8);
         SocketAddr::from((ip, self.base + number as u16))
     }
-
-    /// Where the copies of a zone that send to a tier ask for the list.
-    pub(super) fn discovery(&self, zone: usize, tier: usize, zones: usize) -> SocketAddr {
-        self.at(DISCOVERY, tier * zones + zone)
-    }
 }
--- a/lab/src/deployment/faults.rs
+++ b/lab/src/deployment/faults.rs
@@ -9,7 +9,7 @@
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::task::JoinSet;
-use tokio::time::{Instant, sleep};
+use tokio::time::sleep;
 
 impl Deployment {
     /// Lets a fault begin.
@@ -37,11 +37,13 @@
                 self.end(beside.chain(zone), Signal::SIGKILL).await;
                 self.tell(&struck, "removed", false).await;
             }
-            What::DiscoveryMissing => self.tell(&self.struck(fault), "removed", false).await,
+            What::DiscoveryMissing => {
+                self.tell(&self.struck(fault), "removed", false).await;
+            }
             What::Drain => {
                 let struck = self.struck(fault);
-                self.tell(&struck, "draining", false).await;
-                struck.iter().for_each(|e| e.change(|c| c.draining = Some(Instant::now())));
+                let rev = self.tell(&struck, "draining", false).await;
+                struck.iter().for_each(|e| e.change(|c| c.draining = rev));
             }
             _ => {}
         }
@@ -66,7 +68,9 @@
                 self.start(self.in_lost(fault)).await?;
                 self.tell(&struck, "up", true).await;
             }
-            What::DiscoveryMissing => self.tell(&self.struck(fault), "up", false).await,
+            What::DiscoveryMissing => {
+                self.tell(&self.struck(fault), "up", false).await;
+            }
             What::Drain => {
                 let struck = self.struck(fault);
                 struck.iter().for_each(|e| e.change(|c| c.draining = None));
@@ -84,7 +88,10 @@
             What::DiskFull => self.order(fault, if on { "full on" } else { "full off" }),
             What::DiskFailing => self.order(fault, if on { "failing on" } else { "failing off" }),
             What::DiskSlow => self.order(fault, &format!("slow {}", if on { fault.by as u64 } else { 0 })),
-            What::DiscoveryDown => self.table.send_modify(|table| table.down = on),
+            What::DiscoveryDown => self.table.send_modify(|table| {
+                (table.down, table.downs) = (on, table.downs + u64::from(on));
+                self.tellings.turn(on);
+            }),
             What::DiscoveryTorn => self.table.send_modify(|table| table.torn = on),
             What::DiscoverySilent => self.table.send_modify(|table| table.silenced += u64::from(on)),
             What::DiscoveryStale => self.table.send_modify(|table| {
@@ -122,22 +129,29 @@
         }
     }
 
-    /// Changes the list for some endpoints, once discovery tells it.
-    async fn tell(&self, of: &[Arc<Endpoint>], state: &'static str, boot: bool) {
-        if of.is_empty() {
-            return;
-        }
+    /// Changes the list for some endpoints, once discovery tells it; the version that it has then.
+    async fn tell(&self, of: &[Arc<Endpoint>], state: &'static str, boot: bool) -> Option<u64> {
+        let first = of.first()?;
+        let what = match of.len() {
+            1 => format!("{state} {}", first.name),
+            many => format!("{state} {} and {} more", first.name, many - 1),
+        };
         sleep(self.experiment.discovery.late).await;
         let boot_ms = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64;
+        let mut rev = 0;
         self.table.send_modify(|table| {
             table.rev += 1;
+            rev = table.rev;
             for entry in table.entries.iter_mut().filter(|entry| of.iter().any(|e| e.name == entry.uid)) {
                 (entry.state, entry.rev) = (state, table.rev);
                 if boot {
                     entry.boot_ms = boot_ms;
                 }
             }
+            // Before anybody can be told of it.
+            self.tellings.had(rev, what, of.iter().map(|endpoint| endpoint.tier()).collect(), table.down);
         });
+        Some(rev)
     }
 
     async fn end(&self, copies: impl IntoIterator<Item = Arc<Copy>>, how: Signal) {
--- a/lab/src/deployment/mod.rs
+++ b/lab/src/deployment/mod.rs
@@ -5,7 +5,7 @@
 mod faults;
 
 use crate::copies::{Copy, CopyError, Keeper, front};
-use crate::discovery::{self, Caller, Desk, Entry, Table};
+use crate::discovery::{self, Behind, Caller, Desk, Entry, Table};
 use crate::endpoint::{Endpoint, World, mean_work};
 use crate::experiment::{DescribedCopy, Experiment};
 use crate::ledger::Ledger;
@@ -13,7 +13,8 @@
 use crate::network::relay::{self, Place};
 use crate::network::{self, Network};
 use crate::schedule::TraceError;
-use addresses::{Addresses, CLIENTS, DOOR, ECHO, ENDPOINT, FLEET, KNOWN, PORTS};
+use crate::telling::Tellings;
+use addresses::{Addresses, CLIENTS, DISCOVERY, DOOR, ECHO, ENDPOINT, FLEET, KNOWN, PORTS};
 use configuration::configuration;
 use std::io;
 use std::net::SocketAddr;
@@ -64,6 +65,8 @@
     pub ledger: Arc<Ledger>,
     /// What each copy said to others in datagrams; empty where its configuration has no `fleet`.
     pub said: Vec<Arc<Sent>>,
+    /// When copies were told of changes.
+    pub tellings: Arc<Tellings>,
     /// What a relay adds to a round trip at the median, measured before the load.
     pub relay_adds: Duration,
     experiment: Arc<Experiment>,
@@ -89,6 +92,8 @@
         let zones = experiment.zone.len();
         let network = Network::new(zones, |from, to| experiment.delay(from, to));
         let ledger = Arc::new(Ledger::default());
+        let tiers = described_copies.iter().map(|copy| copy.tier).collect();
+        let tellings = Arc::new(Tellings::new(experiment.discovery.told_after, tiers));
         let world = Arc::new(World {
             seed: experiment.seed,
             classes: experiment.class.clone(),
@@ -96,6 +101,7 @@
             mean_work: mean_work(&experiment.class),
             drain_grace: DRAIN_GRACE,
             ledger: ledger.clone(),
+            tellings: tellings.clone(),
             keys: Default::default(),
             calls: Default::default(),
         });
@@ -143,13 +149,12 @@
             endpoints.push(endpoint);
         }
         let table = Arc::new(watch::Sender::new(Table { rev: 1, entries, ..Table::default() }));
-        let desk = Arc::new(Desk::new(&experiment.discovery));
-        for tier in 0..experiment.tiers().len() {
-            for zone in 0..zones {
-                let listener = bind("discovery", addresses.discovery(zone, tier, zones)).await?;
-                let caller = Caller { zone, tier };
-                tasks.spawn(discovery::serve(listener, caller, table.subscribe(), desk.clone()));
-            }
+        let desk = Arc::new(Desk::new(&experiment.discovery, table.subscribe()));
+        for copy in &copies {
+            let listener = bind("discovery", copy.discovery).await?;
+            let caller = Caller { copy: copy.number, zone: copy.zone, tier: copy.tier };
+            let (table, desk, tellings) = (table.subscribe(), desk.clone(), tellings.clone());
+            tasks.spawn(discovery::serve(listener, caller, Behind { table, desk, tellings }));
         }
         let measured = relay::overhead(addresses.at(ECHO, 0), addresses.at(ECHO, 1), TRIPS).await;
         let relay_adds = measured.map_err(|e| DeploymentError::Io("a relay".to_owned(), e))?;
@@ -159,6 +164,7 @@
             endpoints,
             ledger,
             said,
+            tellings,
             relay_adds,
             experiment,
             network,
@@ -166,6 +172,7 @@
             _tasks: tasks,
         };
         deployment.start_copies().await?;
+        desk.open();
         Ok(deployment)
     }
 
@@ -213,7 +220,7 @@
     let mut copies = Vec::new();
     for (number, copy) in described.iter().enumerate() {
         let here = folder.join(&copy.name);
-        let discovery = addresses.discovery(copy.zone, copy.tier, experiment.zone.len());
+        let discovery = addresses.at(DISCOVERY, number);
         let places = [addresses.at(CLIENTS, number), addresses.at(DOOR, number), discovery];
         let mut table = configuration(experiment, &described, copy, places);
         if experiment.copy.contains_key("state") {
@@ -225,7 +232,13 @@
         std::fs::create_dir_all(&here)
             .and_then(|()| std::fs::write(here.join("copy.toml"), text))
             .map_err(|e| DeploymentError::Io(here.display().to_string(), e))?;
-        copies.push(Copy::new(copy, places, [program, &here], experiment.warded(copy), keeper.clone()));
+        copies.push(Copy::new(
+            (number, copy),
+            places,
+            [program, &here],
+            experiment.warded(copy),
+            keeper.clone(),
+        ));
     }
     Ok(copies)
 }
--- a/lab/src/discovery.rs
+++ b/lab/src/discovery.rs
@@ -1,7 +1,11 @@
-//! Discovery: the whole list, or a watch on its changes, told late, torn, or down. One address per zone and tier, each
-//! with the endpoints of that tier at the addresses of that zone's relays; behind them one desk that takes callers in
-//! turn.
+//! Discovery: the whole list, or a watch on its changes, told late, torn, or down. One address per copy, each with the
+//! endpoints of its tier at the addresses of its zone's relays; behind them one [`Desk`] that takes callers in turn.
 
+mod desk;
+
+pub use desk::Desk;
+
+use crate::telling::Tellings;
 use http_body_util::channel::Channel;
 use http_body_util::combinators::BoxBody;
 use http_body_util::{BodyExt, Full};
@@ -17,9 +21,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::sync::{Mutex, watch};
+use tokio::sync::watch;
 use tokio::task::yield_now;
-use tokio::time::{sleep, timeout};
+use tokio::time::timeout;
 
 /// A watch on which nothing changes brings an empty line this often.
 const EMPTY_LINE: Duration = Duration::from_secs(2);
@@ -54,6 +58,8 @@
     pub entries: Vec<Entry>,
     /// Nobody answers.
     pub down: bool,
+    /// How often it has gone down.
+    pub downs: u64,
     /// What is told breaks off in the middle.
     pub torn: bool,
     /// How often all watches that were open then have fallen silent, for good.
@@ -65,42 +71,23 @@
 /// Who asks.
 #[derive(Clone, Copy, Debug)]
 pub struct Caller {
+    /// The copy's number.
+    pub copy: usize,
     /// The zone that it is in.
     pub zone: usize,
     /// The tier that it sends to.
     pub tier: usize,
 }
 
-/// Where callers wait for their turn.
-pub struct Desk {
-    turn: Mutex<()>,
-    per_line: Duration,
-    patience: Duration,
-    indented: bool,
-    pieces: usize,
-}
-
-impl Desk {
-    /// One that works as an experiment says.
-    pub fn new(described: &crate::experiment::Discovery) -> Self {
-        let crate::experiment::Discovery { per_line, patience, indented, pieces, .. } = *described;
-        Desk { turn: Mutex::new(()), per_line, patience, indented, pieces }
-    }
-
-    /// A list in the words that callers get.
-    fn lay_out(&self, list: &Value) -> String {
-        if self.indented { format!("{list:#}") } else { list.to_string() }
-    }
-
-    /// Waits for a caller's turn and for so many lines to be told; false where that took too long.
-    async fn tell(&self, lines: usize) -> bool {
-        if self.per_line.is_zero() {
-            return true;
-        }
-        let Ok(_turn) = timeout(self.patience, self.turn.lock()).await else { return false };
-        sleep(self.per_line * lines as u32).await;
-        true
-    }
+/// What stands behind all addresses.
+#[derive(Clone)]
+pub struct Behind {
+    /// The list.
+    pub table: watch::Receiver<Table>,
+    /// Where callers wait for their turn.
+    pub desk: Arc<Desk>,
+    /// Who was told what.
+    pub tellings: Arc<Tellings>,
 }
 
 impl Table {
@@ -110,7 +97,7 @@
     }
 
     /// The entries that changed after a version, as discovery words them to a caller, and how many they are.
-    fn after(&self, rev: u64, Caller { zone, tier }: Caller) -> (Value, usize) {
+    fn after(&self, rev: u64, Caller { zone, tier, .. }: Caller) -> (Value, usize) {
         let (all, (now, entries)) = (rev == 0, self.seen(zone));
         let told = entries.iter().filter(|entry| entry.tier == tier && entry.rev > rev);
         let targets: Vec<Value> = told
@@ -128,16 +115,15 @@
 
 type Body = BoxBody<Bytes, io::Error>;
 
-/// Serves the list to one zone and tier until the world is taken down.
-pub async fn serve(listener: TcpListener, caller: Caller, table: watch::Receiver<Table>, desk: Arc<Desk>) {
-    let table = Arc::new(table);
+/// Serves the list to one copy until the world is taken down.
+pub async fn serve(listener: TcpListener, caller: Caller, behind: Behind) {
     loop {
         let Ok((stream, _)) = listener.accept().await else { continue };
-        let (table, desk) = (table.clone(), desk.clone());
+        let behind = behind.clone();
         tokio::spawn(async move {
             let service = service_fn(|request| {
-                let (table, desk) = ((*table).clone(), desk.clone());
-                async move { Ok::<_, io::Error>(answer(&request, caller, table, desk).await) }
+                let behind = behind.clone();
+                async move { Ok::<_, io::Error>(answer(&request, caller, behind).await) }
             });
             // An error here is a caller's leaving, or an answer that breaks off.
             let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
@@ -145,29 +131,30 @@
     }
 }
 
-async fn answer(
-    request: &Request<Incoming>,
-    caller: Caller,
-    table: watch::Receiver<Table>,
-    desk: Arc<Desk>,
-) -> Response<Body> {
+async fn answer(request: &Request<Incoming>, caller: Caller, behind: Behind) -> Response<Body> {
     let query = request.uri().query().unwrap_or_default();
     let value = |name: &str| query.split('&').find_map(|pair| pair.strip_prefix(name)?.strip_prefix('='));
     let watch = value("watch") == Some("1");
     let after = value("after").and_then(|rev| rev.parse().ok()).filter(|_| watch).unwrap_or(0);
-    let lines = table.borrow().after(after, caller).1;
-    if table.borrow().down || !desk.tell(lines).await {
+    let count = behind.table.borrow().after(after, caller).1;
+    if !behind.desk.call(count).await {
         let mut reply = Response::new(Full::default().map_err(io::Error::other).boxed());
         *reply.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
         return reply;
     }
     let (lines, body) = Channel::<Bytes, io::Error>::new(16);
     if watch {
-        tokio::spawn(follow(lines, after, caller, table, desk));
+        tokio::spawn(follow(lines, after, caller, behind));
     } else {
-        let list = desk.lay_out(&table.borrow().after(0, caller).0);
-        let torn = table.borrow().torn;
-        tokio::spawn(async move { say(lines, list, desk.pieces, torn).await });
+        let (list, rev, torn) = {
+            let now = behind.table.borrow();
+            (behind.desk.lay_out(&now.after(0, caller).0), now.seen(caller.zone).0, now.torn)
+        };
+        tokio::spawn(async move {
+            if say(lines, list, behind.desk.pieces, torn).await.is_some() {
+                behind.tellings.written(caller.copy, rev);
+            }
+        });
     }
     Response::new(body.boxed())
 }
@@ -195,13 +182,8 @@
     Some(lines)
 }
 
-async fn follow(
-    mut lines: Lines,
-    mut told: u64,
-    caller: Caller,
-    mut table: watch::Receiver<Table>,
-    desk: Arc<Desk>,
-) {
+async fn follow(mut lines: Lines, mut told: u64, caller: Caller, behind: Behind) {
+    let Behind { mut table, desk, tellings } = behind;
     let mut first = true;
     let silenced = table.borrow().silenced;
     loop {
@@ -224,7 +206,7 @@
         let (text, torn) = match line {
             Some((rev, (list, count), torn)) => {
                 // The call itself has had its turn.
-                if !first && !desk.tell(count).await {
+                if !first && !desk.news(count).await {
                     return;
                 }
                 told = rev;
@@ -240,5 +222,6 @@
             Some(lines) => lines,
             None => return, // the caller has left, or heard half
         };
+        tellings.written(caller.copy, told);
     }
 }
--- a/lab/src/endpoint.rs
+++ b/lab/src/endpoint.rs
@@ -4,10 +4,11 @@
 
 use crate::copies::Copy;
 use crate::experiment::{Class, Described, Group, Kind, Repeats, Spread, Tier};
-use crate::http::NoAnswer;
+use crate::http::{COPY, NoAnswer};
 use crate::ledger::{Breach, Ledger};
 use crate::load::ANSWER_SLACK;
 use crate::seeds::{Part, draws};
+use crate::telling::Tellings;
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Bytes, Incoming};
 use hyper::server::conn::http1;
@@ -63,8 +64,8 @@
     pub failing: f64,
     /// It never answers.
     pub silent: bool,
-    /// Listed as draining, since the list said so.
-    pub draining: Option<Instant>,
+    /// Listed as draining, since this version of the list.
+    pub draining: Option<u64>,
     /// When its process started; none for one that was there before the run.
     pub started: Option<Instant>,
 }
@@ -121,6 +122,8 @@
     pub drain_grace: Duration,
     /// What they saw.
     pub ledger: Arc<Ledger>,
+    /// From when on a drain counts as told to a copy.
+    pub tellings: Arc<Tellings>,
     /// Known keys.
     pub keys: Keys,
     /// Calls between tiers so far: each has an id of its own.
@@ -157,6 +160,11 @@
         })
     }
 
+    /// The number of the tier that it belongs to.
+    pub fn tier(&self) -> usize {
+        self.kind.tier
+    }
+
     /// What a fault has made of it.
     pub fn condition(&self) -> Condition {
         *self.condition.lock().unwrap_or_else(PoisonError::into_inner)
@@ -215,8 +223,10 @@
         let number = id.rsplit('-').next().and_then(|number| number.parse().ok()).unwrap_or(0);
         self.world.ledger.attempt();
         let condition = self.condition();
-        if condition.draining.is_some_and(|told| told.elapsed() > self.world.drain_grace) {
-            self.world.ledger.breach(Breach::Draining { endpoint: self.name.clone() });
+        let copy = header(COPY).parse().ok();
+        let told = condition.draining.and_then(|rev| self.world.tellings.counts(rev, copy));
+        if told.is_some_and(|told| told + self.world.drain_grace < Instant::now()) {
+            self.world.ledger.breach(Breach::Draining { endpoint: self.name.clone(), copy });
         }
         let warmth = self.warmth(&condition);
         if self.falls(warmth) {
@@ -275,7 +285,8 @@
     async fn call(&self, behind: &Copy, class: &Class, number: u64, until: Instant) -> bool {
         let id = format!("t{}-{number}", self.world.calls.fetch_add(1, Ordering::Relaxed));
         let left = until.saturating_duration_since(Instant::now());
-        let request = class.request(&id, &id, left).body(Full::new(Bytes::new()));
+        let request =
+            class.request(&id, &id, left).header(COPY, behind.number).body(Full::new(Bytes::new()));
         let Ok(request) = request else { return false };
         let sent = Instant::now();
         match timeout_at(until + ANSWER_SLACK, behind.pool.ask(request)).await {
--- a/lab/src/experiment/faults.rs
+++ b/lab/src/experiment/faults.rs
@@ -112,6 +112,12 @@
         matches!(self.what, What::PowerCut | What::DiskFull | What::DiskFailing | What::DiskSlow)
     }
 
+    /// Whether it changes the list.
+    pub fn of_list(&self) -> bool {
+        let changes = [What::PowerCut, What::ZoneLost, What::Gone, What::Drain, What::DiscoveryMissing];
+        changes.contains(&self.what)
+    }
+
     /// Whether `by` is a part of all.
     pub fn by_part(&self) -> bool {
         let parts = [What::Loss, What::Duplicate, What::Reorder, What::Resets, What::Failing];
@@ -210,6 +216,10 @@
     ReturnedWithin,
     /// The most copies that held the same duty at one time, as far as their doors prove it.
     HoldersOfADuty,
+    /// Seconds after which the last copy was told of a change that discovery had and could be reached with.
+    ToldWithin,
+    /// The same for 99 in 100 tellings of a change to a copy.
+    ToldWithinP99,
     /// A figure that copies gave at their doors.
     Figure,
 }
--- a/lab/src/experiment/fits.rs
+++ b/lab/src/experiment/fits.rs
@@ -1,6 +1,6 @@
 //! Whether an experiment's parts go together: every name that one uses of another is looked up.
 
-use super::{Check, Experiment, Fault, That, What};
+use super::{Abandoned, Check, Experiment, Fault, That, What};
 
 impl Experiment {
     /// Whether its parts go together.
@@ -22,6 +22,14 @@
             }
         }
         self.tiers_fit()?;
+        let discovery = &self.discovery;
+        let costs = !(discovery.per_call.is_zero() && discovery.per_line.is_zero());
+        if discovery.abandoned == Abandoned::Served && !costs {
+            return wrong("discovery: `abandoned` work takes per_call or per_line".to_owned());
+        }
+        if costs && discovery.patience.is_zero() {
+            return wrong("discovery: a patience of 0 sends every call away".to_owned());
+        }
         if let Some(name) = self.link.iter().flat_map(|link| &link.between).find(|name| !zone(name)) {
             return wrong(format!("link: there is no zone `{name}`"));
         }
@@ -44,6 +52,11 @@
                     "check[{number}]: name a zone that a fault strikes, and ends where it must return"
                 ));
             }
+            if matches!(check.that, That::ToldWithin | That::ToldWithinP99)
+                && !self.fault.iter().any(Fault::of_list)
+            {
+                return wrong(format!("check[{number}]: no fault changes the list"));
+            }
             if let Some(name) = check.zone.as_ref().filter(|name| !zone(name)) {
                 return wrong(format!("check[{number}]: there is no zone `{name}`"));
             }
--- a/lab/src/experiment/mod.rs
+++ b/lab/src/experiment/mod.rs
@@ -7,8 +7,8 @@
 
 pub use faults::{Check, Fault, Over, That, What};
 pub use world::{
-    Arrivals, Burst, Class, Described, DescribedCopy, Discovery, Group, Kind, Link, Load, Repeats, Spread,
-    Step, Tenant, Tier, Zone,
+    Abandoned, Arrivals, Burst, Class, Described, DescribedCopy, Discovery, Group, Kind, Link, Load,
+    Repeats, Spread, Step, Tenant, Tier, WhileDown, Zone,
 };
 
 use serde::{Deserialize, Serialize};
--- a/lab/src/experiment/world.rs
+++ b/lab/src/experiment/world.rs
@@ -283,9 +283,22 @@
     /// What it takes to tell a line of the list. It does so for one caller after the other; 0 for no time at all.
     #[serde(default, with = "humantime_serde")]
     pub per_line: Duration,
+    /// What it takes to take a call, besides the lines that it is told; in the same queue.
+    #[serde(default, with = "humantime_serde")]
+    pub per_call: Duration,
     /// A call that has waited for its turn for so long is answered with 503.
     #[serde(default = "second", with = "humantime_serde")]
     pub patience: Duration,
+    /// What becomes of a call's work once it was answered with 503 or its caller left.
+    #[serde(default)]
+    pub abandoned: Abandoned,
+    /// How calls end while discovery is down.
+    #[serde(default)]
+    pub while_down: WhileDown,
+    /// For rule 3 a change counts as told to a copy so long after discovery had it and could be reached, or once it was
+    /// written to it, whichever is earlier.
+    #[serde(default, with = "humantime_serde")]
+    pub told_after: Duration,
     /// Lists come in many lines rather than one.
     #[serde(default)]
     pub indented: bool,
@@ -294,12 +307,38 @@
     pub pieces: usize,
 }
 
+/// What becomes of work that nobody waits for any more.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Abandoned {
+    /// It is done in its turn all the same.
+    Served,
+    /// It leaves the queue, unless it has begun.
+    #[default]
+    Dropped,
+}
+
+/// How calls end while discovery is down.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum WhileDown {
+    /// With 503 at once.
+    #[default]
+    Refused,
+    /// With 503 after the patience, also where discovery has returned by then.
+    Waits,
+}
+
 impl Default for Discovery {
     fn default() -> Self {
         Discovery {
             late: Duration::ZERO,
             per_line: Duration::ZERO,
+            per_call: Duration::ZERO,
             patience: second(),
+            abandoned: Abandoned::default(),
+            while_down: WhileDown::default(),
+            told_after: Duration::ZERO,
             indented: false,
             pieces: 0,
         }
--- a/lab/src/http.rs
+++ b/lab/src/http.rs
@@ -16,6 +16,9 @@
 /// No answer is longer.
 const ANSWER_MOST: usize = 4 << 20;
 
+/// Which copy the lab sent a request to, by its number: copies pass it on, and the endpoint sees whose request it is.
+pub const COPY: &str = "x-lab-copy";
+
 /// An answer.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Answer {
--- a/lab/src/ledger.rs
+++ b/lab/src/ledger.rs
@@ -17,6 +17,8 @@
     Draining {
         /// The endpoint.
         endpoint: String,
+        /// The number of the copy that sent it, where the request says so.
+        copy: Option<usize>,
     },
     /// A copy beside an endpoint took a call, lived, and gave no answer in time.
     Unanswered {
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -4,7 +4,7 @@
 //! [`experiment`] says what there is and what goes wrong; [`schedule`] draws from its seed what clients send;
 //! [`deployment`] sets up [`endpoint`]s behind the relays of the [`network`], [`discovery`] and [`copies`]; [`run`]
 //! lets [`load`] and faults loose on it; [`check`] says what held, [`report`] shows it, [`compare`] tells two variants apart. The [`ledger`] holds what the
-//! endpoints saw.
+//! endpoints saw, [`telling`] when each copy heard of a change.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
@@ -25,3 +25,4 @@
 pub mod run;
 pub mod schedule;
 pub mod seeds;
+pub mod telling;
--- a/lab/src/load.rs
+++ b/lab/src/load.rs
@@ -3,7 +3,7 @@
 
 use crate::copies::Copy;
 use crate::experiment::Experiment;
-use crate::http::{Answer, NoAnswer};
+use crate::http::{Answer, COPY, NoAnswer};
 use crate::schedule::Planned;
 use crate::seeds::{Part, draws};
 use http_body_util::Full;
@@ -141,7 +141,7 @@
         let class = &self.experiment.class[planned.class];
         let left = until.saturating_duration_since(Instant::now());
         let (id, key) = (format!("q{number}-{}", planned.number), format!("k{}", planned.number));
-        let mut request = class.request(&id, &key, left);
+        let mut request = class.request(&id, &key, left).header(COPY, copy.number);
         if number > 1 {
             request = request.header("x-retried", "1");
         }
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -7,6 +7,7 @@
 use gullpulley_lab::experiment::Experiment;
 use gullpulley_lab::report::{self, plays::Plays};
 use gullpulley_lab::run::{Run, Second, run};
+use gullpulley_lab::telling;
 use std::path::{Path, PathBuf};
 use std::process::{Command as Process, ExitCode};
 use std::sync::Arc;
@@ -274,6 +275,7 @@
 /// Prints what must hold; the exit code that follows.
 fn conclude(run: &Run) -> u8 {
     println!();
+    told(run);
     let verdicts = verdicts(run);
     for verdict in &verdicts {
         let figure = verdict.figure.map_or_else(|| "none".to_owned(), |figure| format!("{figure:.3}"));
@@ -287,6 +289,22 @@
     if verdicts.iter().all(|verdict| verdict.holds) { 0 } else { BROKEN }
 }
 
+/// Prints within which time copies were told of changes of the list.
+fn told(run: &Run) {
+    let within = |part: f64| telling::within(run.tellings.iter(), part);
+    let slowest = run.tellings.iter().max_by(|a, b| a.after.total_cmp(&b.after));
+    let (Some(p99), Some(worst), Some(slowest)) = (within(0.99), within(1.0), slowest) else { return };
+    let never = run.tellings.iter().filter(|telling| !telling.written).count();
+    let copies = run.experiment.copies();
+    let copy = copies.get(slowest.copy).map_or("?", |copy| copy.name.as_str());
+    println!(
+        "told    {} times of a change: p99 {p99:.2} s, worst {worst:.2} s ({copy}: {} at {:.1} s), {never} not by the end",
+        run.tellings.len(),
+        slowest.change,
+        slowest.had
+    );
+}
+
 /// Builds the project's own program.
 fn build() -> Result<PathBuf, String> {
     let built = Process::new("cargo").args(["build", "--release", "--quiet"]).current_dir(PROJECT).status();
--- a/lab/src/report/mod.rs
+++ b/lab/src/report/mod.rs
@@ -72,6 +72,7 @@
         .chain(verdicts(run).into_iter().map(|verdict| json!({"check": verdict})))
         .chain(run.breaches.iter().map(|breach| json!({"breach": breach})))
         .chain(run.samples.iter().map(|sample| json!({"door": sample})))
+        .chain(run.tellings.iter().map(|telling| json!({"telling": telling})))
         .chain(run.records.iter().map(|record| json!({"request": record})));
     for line in all {
         writeln!(lines, "{line}").map_err(io_at(&file))?;
@@ -92,6 +93,7 @@
         crashes: 0,
         faults: Vec::new(),
         samples: Vec::new(),
+        tellings: Vec::new(),
         relay_adds: Duration::ZERO,
     };
     let (classes, zones) = (run.experiment.class.len(), run.experiment.zone.len());
@@ -112,6 +114,7 @@
         run.faults.extend(read(take("fault")).map_err(|e| wrong(&e))?);
         run.breaches.extend(read(take("breach")).map_err(|e| wrong(&e))?);
         run.samples.extend(read(take("door")).map_err(|e| wrong(&e))?);
+        run.tellings.extend(read(take("telling")).map_err(|e| wrong(&e))?);
         if let Some(record) = read::<crate::load::Record>(take("request")).map_err(|e| wrong(&e))? {
             if record.class >= classes || record.zone >= zones {
                 return Err(wrong(&"a class or zone that the experiment does not have"));
--- a/lab/src/run.rs
+++ b/lab/src/run.rs
@@ -7,6 +7,7 @@
 use crate::ledger::Breach;
 use crate::load::{Clients, End, Record};
 use crate::schedule::schedule;
+use crate::telling::Telling;
 use serde::{Deserialize, Serialize};
 use std::path::Path;
 use std::sync::Arc;
@@ -68,6 +69,8 @@
     pub faults: Vec<Struck>,
     /// What copies said at their doors.
     pub samples: Vec<Sample>,
+    /// When copies were told of changes of the list.
+    pub tellings: Vec<Telling>,
     /// What a relay adds to a round trip at the median.
     pub relay_adds: Duration,
 }
@@ -145,7 +148,19 @@
     let (attempts, breaches) = deployment.ledger.so_far();
     let crashes = deployment.copies.iter().map(|copy| copy.crashes.load(Ordering::SeqCst)).sum();
     let relay_adds = deployment.relay_adds;
-    Ok(Run { experiment, records, breaches, attempts, crashes, faults: struck, samples, relay_adds })
+    let lived = |copy: usize, since| deployment.copies[copy].well_since(since);
+    let tellings = deployment.tellings.so_far(start, lived);
+    Ok(Run {
+        experiment,
+        records,
+        breaches,
+        attempts,
+        crashes,
+        faults: struck,
+        samples,
+        tellings,
+        relay_adds,
+    })
 }
 
 /// Each fault strikes and is lifted by itself, at its own times.
--- a/lab/tests/deployment.rs
+++ b/lab/tests/deployment.rs
@@ -4,11 +4,13 @@
 
 use gullpulley_lab::deployment::Deployment;
 use gullpulley_lab::experiment::{Experiment, Fault};
+use gullpulley_lab::http::COPY;
+use gullpulley_lab::ledger::Breach;
 use std::path::Path;
 use std::sync::Arc;
 use std::time::Duration;
 use support::{PATIENCE, STAND_IN, TWO_ZONES, fault, figure, wait};
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 async fn stand(more: &str, folder: &Path) -> Deployment {
     support::stand(Path::new(STAND_IN), more, folder).await
@@ -64,6 +66,39 @@
     assert!(told >= 1 && refused >= 20 && told + refused == 100, "{told} told, {refused} sent away");
 }
 
+#[tokio::test]
+async fn a_drain_counts_as_told_to_the_copy_that_it_was_written_to_and_to_others_later() {
+    let folder = tempfile::tempdir().unwrap();
+    let more = "[copy.stand_in]\nbreaks = \"drain\"\n[discovery]\ntold_after = \"60s\"\n";
+    let deployment = stand(more, folder.path()).await;
+    for copy in [0, 1] {
+        wait(&deployment, copy, "members", |members| members == 4.0).await;
+    }
+    deployment.strike(&fault("what = \"drain\"\nof = \"a\"")).await.unwrap();
+    let list = gullpulley_lab::http::get(deployment.copies[0].discovery, "/api/targets", PATIENCE).await;
+    assert!(list.unwrap().body.contains("draining"));
+    let counts = |copy| deployment.tellings.counts(2, Some(copy)).unwrap();
+    let begun = Instant::now();
+    while counts(0) > Instant::now() {
+        assert!(begun.elapsed() < PATIENCE, "it has been written to a-0");
+        sleep(Duration::from_millis(5)).await;
+    }
+    sleep(Duration::from_millis(600)).await; // the grace
+    let experiment = Experiment::parse("test", TWO_ZONES).unwrap();
+    let mut drained = Vec::new();
+    for (copy, id) in [0, 1].into_iter().flat_map(|copy| (0..40).map(move |id| (copy, id))) {
+        let request = experiment.class[0].request(&format!("q{copy}-{id}"), "", PATIENCE);
+        let request = request.header(COPY, copy).body(Default::default()).unwrap();
+        let answer = deployment.copies[copy].pool.ask(request).await.unwrap();
+        drained.extend(answer.body.starts_with("a/").then_some(copy));
+    }
+    assert!(drained.contains(&0) && drained.contains(&1), "both still send there: {drained:?}");
+    let breaches = deployment.ledger.so_far().1;
+    let of = |breach: &Breach| matches!(breach, Breach::Draining { copy: Some(0), .. });
+    assert!(breaches.iter().all(of), "b-0 has not been told: {breaches:?}");
+    assert_eq!(breaches.len(), drained.iter().filter(|copy| **copy == 0).count());
+}
+
 #[tokio::test]
 async fn an_endpoint_of_an_upper_tier_lives_and_dies_with_the_copy_beside_it() {
     let folder = tempfile::tempdir().unwrap();
--- a/lab/tests/experiments.rs
+++ b/lab/tests/experiments.rs
@@ -25,6 +25,9 @@
         ("at_least = 0.97", "", "check[0]: say at_least or at_most"),
         ("rate = 150.0", "rat = 150.0", "unknown field `rat`"),
         ("what = \"kill\"", "what = \"kil\"", "unknown variant `kil`"),
+        ("late = \"1s\"", "abandoned = \"kept\"", "unknown variant `kept`"),
+        ("late = \"1s\"", "abandoned = \"served\"", "`abandoned` work takes per_call or"),
+        ("late = \"1s\"", "per_call = \"1ms\"\npatience = \"0s\"", "a patience of 0"),
     ] {
         assert!(DEMO.contains(old), "{old}");
         let told_then = Experiment::parse("demo", &DEMO.replacen(old, new, 1)).expect_err(told).to_string();
@@ -55,6 +58,8 @@
     assert_eq!((varied.load.rate, varied.zone[1].copies), (20.0, 4));
     assert_eq!(varied.copy["limits"]["max_attempts"].as_integer(), Some(2));
     assert_eq!(varied.class[0].repeats, gullpulley_lab::experiment::Repeats::Never);
+    let error = vary(&["check.1.that=told-within", "fault.1.what=reset"]).unwrap_err().to_string();
+    assert!(error.ends_with("check[1]: no fault changes the list"), "{error}");
     for (setting, told) in [
         ("load.rate", "is no key=value"),
         ("zone.7.copies=1", "there is no `7`"),
