Unheard of for 6 s, send only where a call was taken in the last 3 s and none refused since

The asking knows since when nothing was heard. Once a change may count as told that never came, 6 s after the watch was lost or 2.25 s after a start, an endpoint is eligible only if a call sent there in the last 3 s was served and none was refused since; where there is none such all are, so nothing is refused for this alone. It ends with the first word. Only `allowed` (policy/choice.rs) decides it. A start counts as unheard of from then on.

Tests: asking.rs `unheard_for_too_long_...`, fails without the filter; `a_process_that_nobody_answers_...`.

--- a/src/policy/asking.rs
+++ b/src/policy/asking.rs
@@ -26,17 +26,6 @@
 /// half.
 const BESIDE: Duration = Duration::from_millis(500);
 
-/// What was heard of discovery.
-#[derive(Clone, Copy)]
-enum Word {
-    /// Nothing since the start of the process.
-    Never,
-    /// A watch is up.
-    Current,
-    /// Nothing since then.
-    Lost(Duration),
-}
-
 /// When one process asks discovery for a watch.
 pub struct Asking {
     mode: Discovery,
@@ -44,7 +33,8 @@
     /// One of its turns, and how long it is to the next.
     turn: Duration,
     period: Duration,
-    word: Word,
+    /// No watch is up, and nothing was heard since then.
+    lost: Option<Duration>,
 }
 
 impl Asking {
@@ -54,7 +44,9 @@
         let mut draws = Draws::new(seed);
         let period = TURN.min(ask_within).max(SPREAD_LEAST);
         let turn = now + period.mul_f64(draws.uniform());
-        Asking { mode, draws, turn, period, word: Word::Never }
+        // The list that it starts with may be old: soon it is worth no more than one long unheard of.
+        let lost = Some((now + CROWD).saturating_sub(TOLD));
+        Asking { mode, draws, turn, period, lost }
     }
 
     /// How long to wait before the first call.
@@ -67,33 +59,28 @@
 
     /// Discovery has spoken: a watch is up.
     pub fn heard(&mut self) {
-        self.word = Word::Current;
+        self.lost = None;
     }
 
     /// A call failed, or the watch is over, on which nothing had come for `unheard`: how long to wait
     /// before the next.
     pub fn failed(&mut self, now: Duration, unheard: Duration) -> Duration {
-        let before = self.word;
-        self.word = match before {
-            // What it has counts as known late, however young the process is.
-            Word::Never => Word::Lost(now.saturating_sub(TOLD)),
-            Word::Current => Word::Lost(now.saturating_sub(unheard)),
-            Word::Lost(at) => Word::Lost(at),
-        };
-        match (self.mode, before) {
+        let watched = self.lost.is_none();
+        self.lost.get_or_insert(now.saturating_sub(unheard));
+        match (self.mode, watched) {
             (Discovery::Push, _) => BESIDE.mul_f64(0.5 + self.draws.uniform()),
             // All watches may have ended at once: spread over what is left until a change may count as told.
-            (Discovery::Ask, Word::Current) => {
+            (Discovery::Ask, true) => {
                 let left = TOLD.saturating_sub(unheard + CROWD).max(SPREAD_LEAST);
                 left.mul_f64(self.draws.uniform())
             }
-            (Discovery::Ask, _) => self.until_turn(now),
+            (Discovery::Ask, false) => self.until_turn(now),
         }
     }
 
     /// Whether a change that was never heard of may count as told by now.
     pub fn overdue(&self, now: Duration) -> bool {
-        matches!(self.word, Word::Lost(at) if now >= at + TOLD)
+        self.lost.is_some_and(|at| now >= at + TOLD)
     }
 
     fn until_turn(&self, now: Duration) -> Duration {
--- a/src/policy/choice.rs
+++ b/src/policy/choice.rs
@@ -4,6 +4,7 @@
 //! what was seen of each endpoint.
 
 use super::Balancer;
+use super::asking::TOLD;
 use super::limits::LIMIT_START;
 use super::list::Endpoint;
 use super::requests::Pending;
@@ -31,10 +32,18 @@
 /// Occupancy by which an endpoint of another zone must be better: a crossing costs time and money.
 const CROSS_MARGIN: f64 = 1.0;
 
+/// For so long a call that was accepted says that its endpoint is not leaving. One that is listed as draining
+/// was seen to take calls for 2.3 s more: of the time until its leaving counts as told half is left to it.
+const ACCEPTED: Duration = Duration::from_secs(TOLD.as_secs() / 2);
+
 impl Balancer {
     /// The eligible set, then d samples, then the least occupied, ties at random.
     pub(super) fn pick(&mut self, now: Duration, id: RequestId) -> Option<usize> {
         self.common_heat = self.shared_heat(now);
+        // A change may count as told that never came: then only those are sent to that surely were not leaving so
+        // long ago, as long as there are any.
+        self.wary =
+            self.asking.overdue(now) && self.endpoints.iter().any(|e| e.is_ready() && e.accepts(now));
         // Of this balancer's part, or of all where too few of it can take the call.
         // With several times the mean it would crowd its part of a zone: beyond C calls each, all of it.
         let crowds =
@@ -62,7 +71,8 @@
         let (mut best, mut found): (Option<(usize, f64)>, usize) = (None, 0);
         let room = self.has_room(now, self.value(id), pool % 2);
         let size = if room { self.pools[pool].len() } else { 0 };
-        for k in 0..size.min(DRAWS) {
+        let looks = if self.wary { size } else { size.min(DRAWS) };
+        for k in 0..looks {
             let drawn = k + self.draws.below(size - k);
             self.pools[pool].swap(k, drawn);
             let i = self.pools[pool][k];
@@ -103,12 +113,13 @@
         self.load(now, i) + drag + if tried { HEAT_MOST } else { 0.0 }
     }
 
-    /// Hard limits: the list, the cold budget, and rule 2 for a keyed request that may have run.
+    /// Hard limits: the list, or what is left of it unheard, the cold budget, and rule 2 for a keyed request that may have run.
     pub(super) fn allowed(&self, now: Duration, i: usize, pending: &Pending) -> bool {
         let endpoint = &self.endpoints[i];
         let room = (endpoint.limit * self.warmth(now, i)).max(1.0);
         let overspent = self.warmth(now, i) < 1.0 && self.cold_tokens(now, i) < 1.0;
-        if !endpoint.is_ready() || self.load(now, i) + 1.0 > room || overspent {
+        let leaving = self.wary && !endpoint.accepts(now);
+        if !endpoint.is_ready() || leaving || self.load(now, i) + 1.0 > room || overspent {
             return false;
         }
         let Semantics::Keyed { group, .. } = self.settings.classes[pending.class].semantics else {
@@ -123,6 +134,11 @@
 }
 
 impl Endpoint {
+    /// It has taken a call so lately, and refused none since, that no word of its leaving can count as told yet.
+    fn accepts(&self, now: Duration) -> bool {
+        self.accepted.is_some_and(|at| now < at + ACCEPTED)
+    }
+
     pub(super) fn add_heat(&mut self, now: Duration) {
         self.heat.set(now, (self.heat(now) + FAILURE_HEAT).min(HEAT_MOST));
     }
--- a/src/policy/list.rs
+++ b/src/policy/list.rs
@@ -28,6 +28,8 @@
     /// Own calls it may hold: the paper's C, learned from late and timely answers.
     pub(super) limit: f64,
     pub(super) limit_cut_at: Duration,
+    /// When the last call that it served was sent; none where it has refused one sent since.
+    pub(super) accepted: Option<Duration>,
     /// When it last answered, and left a connection idle.
     pub(super) heard: Option<Duration>,
     /// Sends the cold budget still allows, as of `cold_at`.
@@ -131,6 +133,7 @@
                         drag: Fading::default(),
                         limit: LIMIT_START,
                         limit_cut_at: now,
+                        accepted: None,
                         heard: None,
                         cold_tokens,
                         cold_at: now,
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -53,6 +53,8 @@
     /// Heat that three quarters of the endpoints share: it comes from below and is nobody's fault here.
     /// Not the median's, or a zone lost would pass for it.
     common_heat: f64,
+    /// The list may be wrong by more than counts as untold: what has accepted nothing of late is left out.
+    wary: bool,
     /// Of the own zone and of all others together: a crowded zone must not shut the others.
     windows: [Window; 2],
     recheck_set: bool,
@@ -98,6 +100,7 @@
             requests: HashMap::new(),
             held: Vec::new(),
             common_heat: 0.0,
+            wary: false,
             windows: [Window { size: 1.0, out: 0, opening: true }; 2],
             recheck_set: false,
             missed: Fading::default(),
--- a/src/policy/requests.rs
+++ b/src/policy/requests.rs
@@ -180,11 +180,20 @@
         if attempt.fate != Fate::Out {
             return; // an outcome told twice
         }
-        let idle = attempt.idle;
+        let (idle, sent) = (attempt.idle, attempt.sent);
         attempt.fate = if ended.outcome.never_ran() { Fate::NeverRan } else { Fate::MayHaveRun };
         let class = pending.class;
         let (endpoint, counted, spent) = (attempt.endpoint, attempt.counted, pending.spent);
         let side = self.settings.side(attempt.zone);
+        if let Some(&i) = self.index.get(&endpoint) {
+            let accepted = &mut self.endpoints[i].accepted;
+            match ended.outcome {
+                Outcome::Ok => *accepted = (*accepted).max(Some(sent)),
+                // Sent later than what it had accepted: it may be leaving.
+                Outcome::Full | Outcome::ConnectFailed if *accepted <= Some(sent) => *accepted = None,
+                _ => {}
+            }
+        }
         if ended.outcome == Outcome::Ok && idle >= self.reaped_after {
             self.stale -= STALE_REFUTED;
         }
--- a/tests/asking.rs
+++ b/tests/asking.rs
@@ -1,10 +1,13 @@
 //! A whole fleet that asks one discovery, on a made clock: real balancers, and a queue as it was measured. Each call
 //! takes its turn in it, also one that was sent away for having waited too long; news to open watches does as well.
 
+mod support;
+
 use gullpulley::*;
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 use std::time::Duration;
+use support::*;
 
 /// Discovery, in seconds of its own work.
 #[derive(Clone, Copy)]
@@ -204,3 +207,64 @@
         }
     }
 }
+
+/// A request that ends as each endpoint it reaches does; where it went.
+fn serve(d: &mut Driver, refusing: &[u64]) -> Vec<EndpointId> {
+    let (id, actions) = d.request(ms(2000));
+    let mut went = sends(&actions);
+    while let Some(to) = d.out.iter().find(|o| o.0 == id).map(|o| o.2) {
+        let outcome = if refusing.contains(&to.0) { Outcome::Full } else { Outcome::Ok };
+        went.extend(sends(&d.end(id, outcome, ms(10))));
+    }
+    went
+}
+
+#[test]
+fn unheard_for_too_long_a_process_sends_only_where_calls_are_taken_and_serves_on() {
+    for (heard_first, seed) in [(true, 1), (true, 2), (false, 3), (false, 4)] {
+        let settings = Settings { discovery: Discovery::Ask, ..Settings::default() };
+        let mut d = Driver::seeded(settings, endpoints(8), seed);
+        if heard_first {
+            d.list(Membership::Delta(vec![]));
+        }
+        let mut leaving: Vec<u64> = Vec::new();
+        let mut to_leaving = 0;
+        for tick in 0..400 {
+            // Watched until 2 s; from 3 s on three are leaving, and nobody says so; all is told at 18 s.
+            if tick == 40 {
+                d.list(Membership::Failed { unheard: Duration::ZERO });
+            }
+            if tick == 60 {
+                leaving = vec![1, 2, 3];
+            }
+            if tick == 360 {
+                let gone =
+                    leaving.iter().map(|id| EndpointInfo { state: EndpointState::Gone, ..endpoint(*id) });
+                d.list(Membership::Delta(gone.collect()));
+            }
+            let went = serve(&mut d, &leaving);
+            assert!(went.last().is_some_and(|to| !leaving.contains(&to.0)), "served, at {tick}: {went:?}");
+            // They had been listed at 3 s: told by 9 s, and 0.5 s more.
+            let told = tick >= 60 + 120;
+            to_leaving += went.iter().filter(|to| told && leaving.contains(&to.0)).count();
+            d.advance(ms(50));
+        }
+        assert_eq!(to_leaving, 0, "heard first: {heard_first}, seed {seed}");
+    }
+}
+
+#[test]
+fn a_process_that_nobody_answers_any_more_still_tries_all_that_are_listed() {
+    let settings = Settings { discovery: Discovery::Ask, ..Settings::default() };
+    let mut d = Driver::new(settings, endpoints(6));
+    d.list(Membership::Failed { unheard: Duration::ZERO });
+    d.advance(ms(30_000));
+    // Idle for long: no endpoint has taken anything of late, and all may be tried.
+    assert_eq!(serve(&mut d, &[]).len(), 1);
+    let mut went = std::collections::HashSet::new();
+    for _ in 0..60 {
+        went.extend(serve(&mut d, &[1, 2, 3, 4, 5, 6]));
+        d.advance(ms(300));
+    }
+    assert_eq!(went.len(), 6, "none is given up for good: {went:?}");
+}
