Metrics and a debug line tell what becomes of calls at discovery, and how old its word is

Cause: on call nobody could see for how long a process had heard nothing of discovery, nor whether its calls were sent away, timed out or never arrived: the log says each reason once, and the line `outcomes` only counts failures.

Change: `net/contact.rs` holds when a watch last brought anything and a count for each outcome of a call; discovery writes there where the fact occurs, the operators' door reads. New in the OpenMetrics text: gullpulley_discovery_age_seconds and gullpulley_discovery_calls_total{outcome}, with answered, unavailable (503), other_status, timed_out, not_connected and broken. Calls fail with typed errors instead of strings; what the log says at warn is as it was. At debug each call has a line with its path, outcome and ms.

--- a/src/net/counters.rs
+++ b/src/net/counters.rs
@@ -1,6 +1,7 @@
 //! What the operators may read: counts since the start of the process, each taken once, where the fact
 //! occurs. How many endpoints there are, and which of them are avoided, the module says.
 
+use super::contact::Contact;
 use super::keeping::Keeping;
 use crate::logging::LogHandle;
 use gullpulley::Census;
@@ -46,6 +47,7 @@
     taking: Family<Labels, Histogram>,
     deciding: Histogram,
     log: LogHandle,
+    contact: Rc<Contact>,
     keeping: Option<Rc<Keeping>>,
 }
 
@@ -65,7 +67,12 @@
 
 impl Counters {
     /// Nothing counted yet.
-    pub fn new(classes: &[String], log: LogHandle, keeping: Option<Rc<Keeping>>) -> Rc<Self> {
+    pub fn new(
+        classes: &[String],
+        log: LogHandle,
+        contact: Rc<Contact>,
+        keeping: Option<Rc<Keeping>>,
+    ) -> Rc<Self> {
         // 1 ms to 16 s, and 1 us to 16 ms: what a bucket tells is right within a factor of two, or four.
         let taking: Family<Labels, Histogram> =
             Family::new_with_constructor(|| Histogram::new(exponential_buckets(0.001, 2.0, 15)));
@@ -77,7 +84,7 @@
         };
         let (upstream, pending) = Default::default();
         let classes = classes.iter().map(class).collect();
-        Rc::new(Counters { classes, upstream, pending, taking, deciding, log, keeping })
+        Rc::new(Counters { classes, upstream, pending, taking, deciding, log, contact, keeping })
     }
 
     /// A request of a class has come whole.
@@ -167,6 +174,7 @@
         }
         registry.register("window_attempts", "Own attempts that may be out", size);
         registry.register("window_attempts_out", "Own attempts that are out", out);
+        self.contact.register(&mut registry);
         if let Some(keeping) = &self.keeping {
             keeping.register(&mut registry);
         }
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -1,5 +1,6 @@
 //! The endpoint list: asks discovery for it, and follows its changes.
 
+use super::contact::{Contact, Outcome};
 use super::guard::Guard;
 use gullpulley::config::{LIST_MOST, List, ListReader, Names, State};
 use gullpulley::{
@@ -12,6 +13,7 @@
 use hyper_util::rt::TokioIo;
 use std::cell::{Cell, RefCell};
 use std::collections::HashSet;
+use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -21,7 +23,7 @@
 use tokio::sync::watch;
 use tokio::task::spawn_local;
 use tokio::time::{Instant, timeout, timeout_at};
-use tracing::{info, warn};
+use tracing::{debug, info, warn};
 
 /// A connection to discovery that is not up after this long has failed.
 const CONNECT: Duration = Duration::from_secs(1);
@@ -64,9 +66,53 @@
     #[error("the watch fell silent")]
     Silent,
     #[error("{0}")]
+    Call(#[from] CallError),
+    #[error("{0}")]
     Broken(String),
 }
 
+/// Why a call has failed.
+#[derive(Debug, Error)]
+enum CallError {
+    #[error("no connection in time")]
+    ConnectTimedOut,
+    #[error("{0}")]
+    NotConnected(io::Error),
+    #[error("no answer in time")]
+    TimedOut,
+    #[error("answered {0}")]
+    Status(StatusCode),
+    #[error("{0}")]
+    Broken(#[from] hyper::Error),
+    #[error("{0}")]
+    Unsendable(#[from] hyper::http::Error),
+}
+
+impl CallError {
+    fn outcome(&self) -> Outcome {
+        match self {
+            CallError::ConnectTimedOut | CallError::TimedOut => Outcome::TimedOut,
+            CallError::NotConnected(_) => Outcome::NotConnected,
+            CallError::Status(StatusCode::SERVICE_UNAVAILABLE) => Outcome::Unavailable,
+            CallError::Status(_) => Outcome::OtherStatus,
+            CallError::Broken(_) | CallError::Unsendable(_) => Outcome::Broken,
+        }
+    }
+}
+
+/// Why the whole list did not come.
+#[derive(Debug, Error)]
+enum FetchError {
+    #[error("{0}")]
+    Call(#[from] CallError),
+    #[error("the list never came")]
+    TimedOut,
+    #[error("{0}")]
+    Body(Box<dyn std::error::Error + Send + Sync>),
+    #[error("no list: {0}")]
+    Unreadable(#[from] serde_json::Error),
+}
+
 /// What the node knows of discovery.
 pub struct Discovery {
     address: Cell<SocketAddr>,
@@ -74,8 +120,7 @@
     names: Names,
     ids: RefCell<EndpointNames>,
     rev: Cell<u64>,
-    /// When a watch last brought anything.
-    heard_at: Cell<Instant>,
+    contact: Rc<Contact>,
     /// When it is asked, where lists are pushed; elsewhere the module says so.
     asking: RefCell<Asking>,
     began: Instant,
@@ -94,6 +139,7 @@
         mode: Mode,
         names: Names,
         seed: u64,
+        contact: Rc<Contact>,
         report: impl Fn(News) + 'static,
     ) -> Rc<Self> {
         let began = Instant::now();
@@ -107,7 +153,7 @@
             names,
             ids,
             rev,
-            heard_at: Cell::new(began),
+            contact,
             asking,
             began,
             heard,
@@ -167,7 +213,7 @@
                             // It may be older than what the watch has brought since.
                             Ok(list) if list.rev < this.rev.get() => this.tell(unchanged()),
                             Ok(list) => this.take(list),
-                            Err(reason) => drop(this.failed(&reason)),
+                            Err(error) => drop(this.failed(&error.to_string())),
                         }
                     });
                 }
@@ -204,7 +250,7 @@
         let path = format!("/api/targets?watch=1&after={}", self.rev.get());
         let (response, _connection) = match self.call(&path).await {
             Ok(answered) => answered,
-            Err(reason) => return Over::Broken(reason),
+            Err(error) => return error.into(),
         };
         let mut body = response.into_body();
         let mut lists = ListReader::default();
@@ -216,7 +262,7 @@
                 Ok(Some(Err(e))) => return Over::Broken(format!("the watch broke: {e}")),
                 Ok(Some(Ok(frame))) => frame,
             };
-            self.heard_at.set(Instant::now());
+            self.contact.heard();
             let piece = frame.data_ref().map_or(&[][..], |data| data);
             // To skip a change would leave the list wrong for good: the watch begins again instead.
             match lists.take(piece) {
@@ -230,30 +276,37 @@
         }
     }
 
-    async fn fetch(&self) -> Result<List, String> {
+    async fn fetch(&self) -> Result<List, FetchError> {
         let (response, _connection) = self.call("/api/targets").await?;
         let body = timeout(ANSWER, Limited::new(response.into_body(), LIST_MOST).collect()).await;
-        let body = body.map_err(|_| "the list never came".to_owned())?.map_err(|e| e.to_string())?;
-        serde_json::from_slice(&body.to_bytes()).map_err(|e| format!("no list: {e}"))
+        let body = body.map_err(|_| FetchError::TimedOut)?.map_err(FetchError::Body)?;
+        Ok(serde_json::from_slice(&body.to_bytes())?)
+    }
+
+    /// Makes a call, and says what became of it. One that is dropped, as discovery has moved, has no outcome.
+    async fn call(&self, path: &str) -> Result<(Response<Incoming>, Guard), CallError> {
+        let began = Instant::now();
+        let answered = self.attempt(path).await;
+        let outcome = answered.as_ref().map_or_else(CallError::outcome, |_| Outcome::Answered);
+        self.contact.called(outcome);
+        debug!(path, outcome = outcome.name(), ms = began.elapsed().as_millis() as u64, "call");
+        answered
     }
 
-    async fn call(&self, path: &str) -> Result<(Response<Incoming>, Guard), String> {
+    async fn attempt(&self, path: &str) -> Result<(Response<Incoming>, Guard), CallError> {
         let address = self.address.get();
         let connect = timeout(CONNECT, TcpStream::connect(address)).await;
-        let stream = connect.map_err(|_| "no connection in time".to_owned())?.map_err(|e| e.to_string())?;
-        let handshake = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await;
-        let (mut sender, connection) = handshake.map_err(|e| e.to_string())?;
+        let stream = connect.map_err(|_| CallError::ConnectTimedOut)?.map_err(CallError::NotConnected)?;
+        let (mut sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await?;
         let task = spawn_local(connection);
         let guard = Guard::new(task.abort_handle());
-        let request = Request::get(path)
-            .header(header::HOST, address.to_string())
-            .body(Empty::<Bytes>::new())
-            .map_err(|e| e.to_string())?;
+        let request =
+            Request::get(path).header(header::HOST, address.to_string()).body(Empty::<Bytes>::new())?;
         let answer = timeout(ANSWER, sender.send_request(request)).await;
-        let response = answer.map_err(|_| "no answer in time".to_owned())?.map_err(|e| e.to_string())?;
+        let response = answer.map_err(|_| CallError::TimedOut)??;
         match response.status() {
             StatusCode::OK => Ok((response, guard)),
-            status => Err(format!("answered {status}")),
+            status => Err(CallError::Status(status)),
         }
     }
 
@@ -281,7 +334,7 @@
 
     /// Tells that a call or watch has failed; for how long nothing had been heard.
     fn failed(&self, reason: &str) -> Duration {
-        let unheard = self.heard_at.get().elapsed();
+        let unheard = self.contact.unheard();
         // Said once for each reason until a list comes; the driver counts the others.
         if self.failing.replace(Some(reason.to_owned())).is_none_or(|before| before != reason) {
             warn!(address = %self.address.get(), "discovery: {reason}");
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,8 +1,8 @@
 //! The sidecar on its sockets. Start-up, signals and the parts' acquaintance are here; the rest, from
 //! plain types up, each knowing only what stands before it:
 //!
-//! `guard`, `clock`, `budget`, `keeping`, `counters`, `bans`, `overlap`: tasks, time, sockets held, what is kept,
-//! counts, orders, other processes;
+//! `guard`, `clock`, `budget`, `keeping`, `contact`, `counters`, `bans`, `overlap`: tasks, time, sockets held, what is
+//! kept, what comes of discovery, counts, orders, other processes;
 //! `progress`, `passing`: how far an attempt is, bodies that pass through;
 //! `outbound`, `discovery`: connections to endpoints and to discovery;
 //! `message`, `open`, `driver`: turns what happens there into the policy's events, and carries out its actions;
@@ -12,6 +12,7 @@
 mod bans;
 mod budget;
 mod clock;
+mod contact;
 mod control;
 mod counters;
 mod discovery;
@@ -34,6 +35,7 @@
 use bans::{Bans, Standing};
 use budget::Budget;
 use clock::Clock;
+use contact::Contact;
 use control::Door;
 use counters::Counters;
 use discovery::{Call, Discovery};
@@ -112,7 +114,8 @@
         }
         None => None,
     };
-    let counters = Counters::new(&classes, log, keeping);
+    let contact = Contact::new();
+    let counters = Counters::new(&classes, log, contact.clone(), keeping);
     let outbound = Outbound::new(&settings, budget.clone(), counters.clone());
     let inbound = Inbound::new(
         Wording { settings: settings.clone(), classes, tenants },
@@ -122,7 +125,7 @@
         inbox.clone(),
     );
     let news = inbox.clone();
-    let discovery = Discovery::new(discovery, settings.discovery, names, seed, move |said| {
+    let discovery = Discovery::new(discovery, settings.discovery, names, seed, contact, move |said| {
         let _ = news.send(Input::List(said)); // fails only while the process ends
     });
     let bans = Bans::new(&std::env::temp_dir(), &name);
