Ask at once for a lost watch again, keep to a shorter time in the settings, and probe what is left out

Cause 2, from reading: `askWithinMs` under 6 s was kept to between calls, not where a change counts as told. Cause 3, failures.rs: once wary, an endpoint that refused for another reason never came back until the first word; where an agent pushes lists, also before any had failed. Now only a lost watch counts there, and where probes are allowed one endpoint that is left out is probed each second that has requests.

--- a/src/policy/asking.rs
+++ b/src/policy/asking.rs
@@ -14,17 +14,17 @@
 use std::time::Duration;
 
 /// A change counts as told so long after discovery had it and could be reached (the operators' term).
-pub(super) const TOLD: Duration = Duration::from_secs(6);
+const TOLD: Duration = Duration::from_secs(6);
 /// From one turn to the next: what that term leaves when the answer takes half a second.
 const TURN: Duration = Duration::from_millis(5500);
-/// What an answer takes in a crowd: a call made so long before its process must know is early enough.
+/// An answer takes no longer in a crowd: a process that has heard nothing so long after its start mistrusts
+/// the list that it started with.
 const CROWD: Duration = Duration::from_millis(2250);
-/// Waits before the first call after a watch was lost are spread over this at least, also where time is
-/// short.
-const SPREAD_LEAST: Duration = Duration::from_millis(250);
-/// An agent beside the process serves no crowd: it is asked again after this, spread from half to one and a
-/// half.
-const BESIDE: Duration = Duration::from_millis(500);
+/// No period or term of the settings counts as shorter.
+const LEAST: Duration = Duration::from_millis(250);
+/// Before the first call after a watch was lost, and between all where an agent beside the process serves no
+/// crowd; spread from half to one and a half.
+const SOON: Duration = Duration::from_millis(500);
 
 /// When one process asks discovery for a watch.
 pub struct Asking {
@@ -33,6 +33,8 @@
     /// One of its turns, and how long it is to the next.
     turn: Duration,
     period: Duration,
+    /// A change counts as told so long after it was made, where nothing came and no call failed.
+    told: Duration,
     /// No watch is up, and nothing was heard since then.
     lost: Option<Duration>,
 }
@@ -42,11 +44,16 @@
     /// settings'.
     pub fn new(mode: Discovery, ask_within: Duration, seed: u64, now: Duration) -> Self {
         let mut draws = Draws::new(seed);
-        let period = TURN.min(ask_within).max(SPREAD_LEAST);
-        let turn = now + period.mul_f64(draws.uniform());
-        // The list that it starts with may be old: soon it is worth no more than one long unheard of.
-        let lost = Some((now + CROWD).saturating_sub(TOLD));
-        Asking { mode, draws, turn, period, lost }
+        let told = match mode {
+            Discovery::Push => TOLD,
+            Discovery::Ask => TOLD.min(ask_within).max(LEAST),
+        };
+        let turn = now + TURN.min(told).mul_f64(draws.uniform());
+        // After a call that failed the settings give four times as long.
+        let period = TURN.min(told * 4);
+        // The list that it starts with may be old, where no agent beside it holds a newer one.
+        let lost = (mode == Discovery::Ask).then(|| (now + CROWD).saturating_sub(told));
+        Asking { mode, draws, turn, period, told, lost }
     }
 
     /// How long to wait before the first call.
@@ -67,20 +74,23 @@
     pub fn failed(&mut self, now: Duration, unheard: Duration) -> Duration {
         let watched = self.lost.is_none();
         self.lost.get_or_insert(now.saturating_sub(unheard));
-        match (self.mode, watched) {
-            (Discovery::Push, _) => BESIDE.mul_f64(0.5 + self.draws.uniform()),
-            // All watches may have ended at once: spread over what is left until a change may count as told.
-            (Discovery::Ask, true) => {
-                let left = TOLD.saturating_sub(unheard + CROWD).max(SPREAD_LEAST);
-                left.mul_f64(self.draws.uniform())
-            }
-            (Discovery::Ask, false) => self.until_turn(now),
+        // A watch may end instead of telling, and what it would have told counts 2 s later.
+        if watched || self.mode == Discovery::Push {
+            SOON.mul_f64(0.5 + self.draws.uniform())
+        } else {
+            self.until_turn(now)
         }
     }
 
     /// Whether a change that was never heard of may count as told by now.
     pub fn overdue(&self, now: Duration) -> bool {
-        self.lost.is_some_and(|at| now >= at + TOLD)
+        self.lost.is_some_and(|at| now >= at + self.told)
+    }
+
+    /// For so long a call that was accepted says that its endpoint is not leaving: half of the time until
+    /// that counts, as one that is listed as draining was seen to take calls for 2.3 s more.
+    pub(super) fn proof(&self) -> Duration {
+        self.told / 2
     }
 
     fn until_turn(&self, now: Duration) -> Duration {
--- a/src/policy/choice.rs
+++ b/src/policy/choice.rs
@@ -4,7 +4,6 @@
 //! what was seen of each endpoint.
 
 use super::Balancer;
-use super::asking::TOLD;
 use super::limits::LIMIT_START;
 use super::list::Endpoint;
 use super::requests::Pending;
@@ -29,21 +28,19 @@
 pub(super) const DRAG_WEIGHT: f64 = 0.15;
 /// Seconds in which drag is forgotten to a third, so that a slow endpoint is tried again.
 pub(super) const DRAG_SECONDS: f64 = 6.0;
+/// While unheard for too long one endpoint that is left out is probed so often.
+const PROBE_EVERY: Duration = Duration::from_secs(1);
 /// Occupancy by which an endpoint of another zone must be better: a crossing costs time and money.
 const CROSS_MARGIN: f64 = 1.0;
 
-/// For so long a call that was accepted says that its endpoint is not leaving. One that is listed as draining
-/// was seen to take calls for 2.3 s more: of the time until its leaving counts as told half is left to it.
-const ACCEPTED: Duration = Duration::from_secs(TOLD.as_secs() / 2);
-
 impl Balancer {
     /// The eligible set, then d samples, then the least occupied, ties at random.
     pub(super) fn pick(&mut self, now: Duration, id: RequestId) -> Option<usize> {
         self.common_heat = self.shared_heat(now);
-        // A change may count as told that never came: then only those are sent to that surely were not leaving so
-        // long ago, as long as there are any.
-        self.wary =
-            self.asking.overdue(now) && self.endpoints.iter().any(|e| e.is_ready() && e.accepts(now));
+        // A change may count as told that never came: those that take calls are left, while there are any.
+        let proof = self.asking.proof();
+        self.wary = self.asking.overdue(now)
+            && self.endpoints.iter().any(|e| e.is_ready() && e.accepts(now, proof));
         // Of this balancer's part, or of all where too few of it can take the call.
         // With several times the mean it would crowd its part of a zone: beyond C calls each, all of it.
         let crowds =
@@ -65,6 +62,21 @@
         None
     }
 
+    /// Asks one of those left out whether it takes calls: what refused for another reason has to come back,
+    /// however long discovery is away.
+    pub(super) fn probe_left_out(&mut self, now: Duration, out: &mut Vec<Action>) {
+        if !self.wary || !self.settings.limits.probes || now < self.probe_at {
+            return;
+        }
+        self.probe_at = now + PROBE_EVERY;
+        let proof = self.asking.proof();
+        let left_out = self.endpoints.iter().filter(|e| e.is_ready() && !e.accepts(now, proof));
+        let left_out: Vec<EndpointId> = left_out.map(|e| e.info.id).collect();
+        if !left_out.is_empty() {
+            out.push(Action::Probe { endpoint: left_out[self.draws.below(left_out.len())] });
+        }
+    }
+
     /// Draws d eligible endpoints of a pool without replacement: the least occupied and how many there
     /// were. The first drawn wins ties.
     fn sample(&mut self, now: Duration, id: RequestId, pool: usize) -> (Option<(usize, f64)>, usize) {
@@ -113,12 +125,13 @@
         self.load(now, i) + drag + if tried { HEAT_MOST } else { 0.0 }
     }
 
-    /// Hard limits: the list, or what is left of it unheard, the cold budget, and rule 2 for a keyed request that may have run.
+    /// Hard limits: the list, or what of it takes calls, the cold budget, rule 2 for a keyed request that may
+    /// have run.
     pub(super) fn allowed(&self, now: Duration, i: usize, pending: &Pending) -> bool {
         let endpoint = &self.endpoints[i];
         let room = (endpoint.limit * self.warmth(now, i)).max(1.0);
         let overspent = self.warmth(now, i) < 1.0 && self.cold_tokens(now, i) < 1.0;
-        let leaving = self.wary && !endpoint.accepts(now);
+        let leaving = self.wary && !endpoint.accepts(now, self.asking.proof());
         if !endpoint.is_ready() || leaving || self.load(now, i) + 1.0 > room || overspent {
             return false;
         }
@@ -134,9 +147,9 @@
 }
 
 impl Endpoint {
-    /// It has taken a call so lately, and refused none since, that no word of its leaving can count as told yet.
-    fn accepts(&self, now: Duration) -> bool {
-        self.accepted.is_some_and(|at| now < at + ACCEPTED)
+    /// It has taken a call so lately, and refused none since, that its leaving can't count as told yet.
+    fn accepts(&self, now: Duration, proof: Duration) -> bool {
+        self.accepted.is_some_and(|at| now < at + proof)
     }
 
     pub(super) fn add_heat(&mut self, now: Duration) {
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -55,6 +55,7 @@
     common_heat: f64,
     /// The list may be wrong by more than counts as untold: what has accepted nothing of late is left out.
     wary: bool,
+    probe_at: Duration,
     /// Of the own zone and of all others together: a crowded zone must not shut the others.
     windows: [Window; 2],
     recheck_set: bool,
@@ -101,6 +102,7 @@
             held: Vec::new(),
             common_heat: 0.0,
             wary: false,
+            probe_at: now,
             windows: [Window { size: 1.0, out: 0, opening: true }; 2],
             recheck_set: false,
             missed: Fading::default(),
@@ -153,6 +155,11 @@
             Event::Suspend(id) => self.on_suspend(now, id, out),
             Event::Resume { endpoint, at } => self.on_resume(now, endpoint, at, out),
             Event::Shared { processes } => self.on_shared(processes),
+            Event::ProbeEnded { endpoint, outcome: Outcome::Ok, elapsed, .. } => {
+                if let Some(&i) = self.index.get(&endpoint) {
+                    self.endpoints[i].accepted = Some(now.saturating_sub(elapsed));
+                }
+            }
             Event::ProbeEnded { .. } | Event::PeerMessage { .. } => {}
         }
     }
--- a/src/policy/requests.rs
+++ b/src/policy/requests.rs
@@ -86,6 +86,7 @@
             self.set_timer(request.time_left, Timer::Deadline(id), out);
         }
         self.advance(now, id, out);
+        self.probe_left_out(now, out);
     }
 
     /// A slow body has come whole: only now does the endpoint begin, and the request's time run.
--- a/tests/asking.rs
+++ b/tests/asking.rs
@@ -208,6 +208,24 @@
     }
 }
 
+#[test]
+fn a_lost_watch_is_asked_for_at_once_and_counts_as_the_settings_say() {
+    // A watch may end instead of telling: what it would have told counts 2 s later.
+    for (ask_within, unheard) in [(ms(2100), ms(0)), (ms(10_000), ms(3000))] {
+        for seed in 0..40 {
+            let mut asking = Asking::new(Discovery::Ask, ask_within, seed, ms(50_000));
+            assert!(asking.first(ms(50_000)) <= ask_within, "from its start");
+            asking.heard();
+            let wait = asking.failed(ms(60_000), unheard);
+            assert!(wait <= ms(750), "{wait:?}");
+            let counts = ms(60_000) - unheard + ask_within.min(ms(6000));
+            assert!(!asking.overdue(counts - ms(1)) && asking.overdue(counts));
+            let again = ms(60_000) + wait + asking.failed(ms(60_000) + wait, unheard);
+            assert!(again <= ms(60_000 + 750 + 5500), "then in its turn");
+        }
+    }
+}
+
 /// A request that ends as each endpoint it reaches does; where it went.
 fn serve(d: &mut Driver, refusing: &[u64]) -> Vec<EndpointId> {
     let (id, actions) = d.request(ms(2000));
