Test that what refused while discovery is away is probed, and comes back

For 40 s without a word: an endpoint that refused for 5 s gets calls again where probes are allowed, with at most one probe a second (41 of 160 requests at most), and none where they are not, as operations.md says.

--- a/tests/asking.rs
+++ b/tests/asking.rs
@@ -286,3 +286,36 @@
     }
     assert_eq!(went.len(), 6, "none is given up for good: {went:?}");
 }
+
+#[test]
+fn what_refused_for_another_reason_is_probed_while_unheard_and_comes_back() {
+    for probes in [true, false] {
+        let mut settings = Settings { discovery: Discovery::Ask, ..Settings::default() };
+        settings.limits.probes = probes;
+        let mut d = Driver::new(settings, endpoints(8));
+        d.list(Membership::Delta(vec![]));
+        d.list(Membership::Failed { unheard: Duration::ZERO });
+        let (mut probed, mut served_after) = (0, 0);
+        for tick in 0..160 {
+            // Endpoint 1 refuses from 5 s to 10 s; discovery stays away for all the 40 s.
+            let refusing: &[u64] = if (20..40).contains(&tick) { &[1] } else { &[] };
+            let (id, actions) = d.request(ms(2000));
+            for action in &actions {
+                if let Action::Probe { endpoint } = *action {
+                    probed += 1;
+                    let outcome = if refusing.contains(&endpoint.0) { Outcome::Full } else { Outcome::Ok };
+                    d.feed(Event::ProbeEnded { endpoint, outcome, elapsed: ms(5), report: None });
+                }
+            }
+            while let Some(to) = d.out.iter().find(|o| o.0 == id).map(|o| o.2) {
+                served_after += usize::from(to.0 == 1 && tick > 60);
+                let outcome = if refusing.contains(&to.0) { Outcome::Full } else { Outcome::Ok };
+                d.end(id, outcome, ms(10));
+            }
+            d.advance(ms(250));
+        }
+        assert_eq!(served_after > 0, probes, "{served_after} calls went there again");
+        assert_eq!(probed > 0, probes);
+        assert!(probed <= 41, "{probed} probes in 40 s: one a second at most");
+    }
+}
