Ask discovery at once where no endpoint is known to serve by until one's turn

Cause: a process that starts with an empty list waited for its turn, up to 5.5 s, with nothing to serve by. Change: the first call waits only where the list known at the start names an endpoint. Test: asking.rs a_lost_watch_..., and node_list.rs, 16 of 16.

--- a/src/policy/asking.rs
+++ b/src/policy/asking.rs
@@ -56,11 +56,11 @@
         Asking { mode, draws, turn, period, told, lost }
     }
 
-    /// How long to wait before the first call.
-    pub fn first(&self, now: Duration) -> Duration {
+    /// How long to wait before the first call; no time where no endpoint is known to serve by until then.
+    pub fn first(&self, now: Duration, known: usize) -> Duration {
         match self.mode {
-            Discovery::Push => Duration::ZERO,
-            Discovery::Ask => self.until_turn(now),
+            Discovery::Ask if known > 0 => self.until_turn(now),
+            _ => Duration::ZERO,
         }
     }
 
