Policy: told how many balancers share the work, it takes its part in so many at once

Cause: how many balancers stand before the same endpoints came from the configuration alone; a process that comes, goes or is cut off changed nobody's part. Nothing could tell the policy. Change: Event::Balancers. It goes the way of Event::Shared (processes of one sidecar): with more of either the rates seen and cold budgets shrink at once, with fewer they are grown into; the part of each zone follows. Windows are measured and not scaled. Test: suspension.rs two_processes_or_balancers_...: of two, each sends a cold endpoint half of what one alone sends; it failed with rates left as they were.

--- a/src/api.rs
+++ b/src/api.rs
@@ -408,6 +408,11 @@
         /// This one included.
         processes: u32,
     },
+    /// So many balancers share the work of this tier from now on: each of them has a part in so many.
+    Balancers {
+        /// This one included; in place of [`Settings::balancers`].
+        living: u32,
+    },
     /// A message from another balancer of this tier.
     PeerMessage {
         /// The sender's number.
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -162,6 +162,10 @@
                 info!("processes of this sidecar: {processes}");
                 self.handle(Event::Shared { processes: processes as u32 });
             }
+            Input::Balancers(living) => {
+                info!("balancers that share the work: {living}");
+                self.handle(Event::Balancers { living });
+            }
             Input::Census(to) => drop(to.send(self.balancer.census(self.clock.now()))),
             Input::GiveUp => {
                 let open = self.requests.iter().filter(|(_, open)| open.answer.is_some());
--- a/src/net/message.rs
+++ b/src/net/message.rs
@@ -40,6 +40,8 @@
     Standing(Standing, oneshot::Sender<()>),
     /// So many processes are this sidecar together.
     Shared(usize),
+    /// So many balancers share the work.
+    Balancers(u32),
     /// The operators ask how many endpoints there are.
     Census(oneshot::Sender<Census>),
     /// The process must end: fail what is still open.
--- a/src/policy/list.rs
+++ b/src/policy/list.rs
@@ -84,26 +84,27 @@
         self.suspended.remove(&id);
         self.resumed.insert(id, at);
         if let Some(&i) = self.index.get(&id) {
-            let info = EndpointInfo {
-                started: self.endpoints[i].info.started.max(Some(at)),
-                ..self.endpoints[i].info
-            };
+            let mut info = self.endpoints[i].info.clone();
+            info.started = info.started.max(Some(at));
             self.endpoints[i].suspended = false;
             self.update_endpoints(now, vec![info]);
             self.release_held(now, out);
         }
     }
 
-    /// What was seen of all requests says too much of a part of them: cold endpoints would get their whole
-    /// budget from each process. Alone again, this one sees for itself what has become its own.
-    pub(super) fn on_shared(&mut self, processes: u32) {
-        let processes = f64::from(processes.max(1));
-        let part = (self.processes / processes).min(1.0);
+    /// So many balancers share the work, each of so many processes. What was seen of all requests says too
+    /// much of a smaller part of them: cold endpoints would get their whole budget from each. With a larger
+    /// part, this one sees for itself what has become its own.
+    pub(super) fn on_shared(&mut self, now: Duration, balancers: u32, processes: u32) {
+        let (balancers, processes) = (balancers.max(1), f64::from(processes.max(1)));
+        let before = f64::from(self.settings.balancers.max(1)) * self.processes;
+        let part = (before / (f64::from(balancers) * processes)).min(1.0);
         for rate in [&mut self.arrivals, &mut self.served, &mut self.proven] {
             rate.value *= part;
         }
         self.endpoints.iter_mut().for_each(|e| e.cold_tokens *= part);
-        self.processes = processes;
+        (self.settings.balancers, self.processes) = (balancers, processes);
+        self.choose_part(now);
     }
 
     fn update_endpoints(&mut self, now: Duration, entries: Vec<EndpointInfo>) {
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -154,7 +154,8 @@
             },
             Event::Suspend(id) => self.on_suspend(now, id, out),
             Event::Resume { endpoint, at } => self.on_resume(now, endpoint, at, out),
-            Event::Shared { processes } => self.on_shared(processes),
+            Event::Shared { processes } => self.on_shared(now, self.settings.balancers, processes),
+            Event::Balancers { living } => self.on_shared(now, living, self.processes as u32),
             Event::ProbeEnded { endpoint, outcome: Outcome::Ok, elapsed, .. } => {
                 if let Some(&i) = self.index.get(&endpoint) {
                     self.endpoints[i].accepted = Some(now.saturating_sub(elapsed));
--- a/src/policy/requests.rs
+++ b/src/policy/requests.rs
@@ -181,11 +181,9 @@
         if attempt.fate != Fate::Out {
             return; // an outcome told twice
         }
-        let (idle, sent) = (attempt.idle, attempt.sent);
         attempt.fate = if ended.outcome.never_ran() { Fate::NeverRan } else { Fate::MayHaveRun };
-        let class = pending.class;
-        let (endpoint, counted, spent) = (attempt.endpoint, attempt.counted, pending.spent);
-        let side = self.settings.side(attempt.zone);
+        let Attempt { endpoint, zone, idle, sent, counted, .. } = *attempt;
+        let (class, spent, side) = (pending.class, pending.spent, self.settings.side(zone));
         if let Some(&i) = self.index.get(&endpoint) {
             let accepted = &mut self.endpoints[i].accepted;
             match ended.outcome {
@@ -243,11 +241,8 @@
         // By then what is out now, ahead of it, has been answered or given up.
         let limits = &self.settings.limits;
         let retry_after = limits.retry_after.then(|| class.objective.min(limits.max_retry_after));
-        out.push(if harmless {
-            Action::Refuse { request: id, retry_after }
-        } else {
-            Action::Fail { request: id }
-        });
+        let refusal = Action::Refuse { request: id, retry_after };
+        out.push(if harmless { refusal } else { Action::Fail { request: id } });
         self.finish(id, out);
     }
 
--- a/tests/suspension.rs
+++ b/tests/suspension.rs
@@ -114,13 +114,13 @@
 }
 
 #[test]
-fn two_processes_together_send_a_cold_endpoint_no_more_than_one_would() {
-    let burst = |processes: u32| {
+fn two_processes_or_balancers_send_a_cold_endpoint_no_more_than_one_would() {
+    let burst = |parts: Event| {
         let rules = Rules { fall_multiple: 4.0, fall_after: Duration::from_secs(10), ..Rules::default() };
         let settings = Settings { tier: 1, tiers: 2, rules, ..Settings::default() };
         let mut d = Driver::new(settings, endpoints(4));
         sends_of(&mut d, 400);
-        d.feed(Event::Shared { processes });
+        d.feed(parts);
         let at = d.now;
         d.feed(Event::Resume { endpoint: OUT, at });
         d.advance(ms(2000));
@@ -133,7 +133,10 @@
         });
         burst.filter(|to| *to == OUT).count()
     };
-    let (alone, shared) = (burst(1), burst(2));
+    let alone = burst(Event::Shared { processes: 1 });
     assert!(alone >= 4, "{alone} sends: too few to tell");
-    assert!(shared * 2 <= alone + 1, "{shared} sends each of two, {alone} of one alone");
+    for parts in [Event::Shared { processes: 2 }, Event::Balancers { living: 2 }] {
+        let (said, shared) = (format!("{parts:?}"), burst(parts));
+        assert!(shared * 2 <= alone + 1, "{said}: {shared} sends each of two, {alone} of one alone");
+    }
 }
