Fleet membership: who is here, who has gone, and how many share the work

Copies shared nothing: each took a part in as many as its configuration said. The door has GET /v1/fleet, metrics gullpulley_fleet_*.

--- a/src/config/keys.rs
+++ b/src/config/keys.rs
@@ -22,6 +22,8 @@
     Word(&'static [&'static str]),
     /// A list of names, none twice.
     Names,
+    /// A list of addresses and ports, none twice.
+    Addresses,
     /// A level, or levels by target.
     Level,
 }
@@ -79,6 +81,11 @@
     key("log.level", Level, Is("\"info\""), "log.level", "error, warn, info, debug or trace; or by target, as \"info,gullpulley::net=debug\" (*)"),
     key("log.format", Word(&["text", "json"]), Is("\"text\""), "log.format", "text for people, or a JSON object a line"),
     key("state.dir", Text, Nothing("\"/var/lib/gullpulley\""), "state.dir", "a folder of this sidecar's own for what must outlive the process; without it nothing is kept"),
+    key("fleet.cluster", Text, Nothing("\"render\""), "fleet.cluster", "the fleet that this process is one of: processes hear only those of their own"),
+    key("fleet.listen", Address, Nothing("\"127.0.0.1:7072\""), "fleet.listen", "where its datagrams arrive (UDP); without it this process stays by itself"),
+    key("fleet.address", Address, Nothing("\"127.0.0.1:7072\""), "fleet.address", "by which address the others reach it, if not by that"),
+    key("fleet.seeds", Addresses, Is("[]"), "fleet.seeds", "where some others may be found at a start; three in different zones will do"),
+    key("fleet.round_trip", Time(1000), Is("\"25ms\""), "fleet.round_trip", "the longest that a datagram and its answer take on a good day; alike in all processes"),
     key("place.zone", Text, Required, "settings.myZone", "the zone that it runs in, one of place.zones"),
     key("place.zones", Names, Required, "settings.areas", "the zones of the deployment"),
     key("place.kinds", Names, Is("[]"), "settings.kinds", "machine kinds as discovery names them"),
@@ -128,7 +135,7 @@
 pub const TABLES: &[(&str, &[Key])] = &[("class", CLASS_KEYS), ("tenant", TENANT_KEYS)];
 
 /// Sections of parts that do not exist yet.
-pub const RESERVED: &[&str] = &["zones", "fleet", "duties"];
+pub const RESERVED: &[&str] = &["zones", "duties"];
 
 /// What may change while the process runs; all else needs a restart.
 pub const LIVE: &[&str] = &["discovery.address", "log.level"];
@@ -146,6 +153,7 @@
             Time(0) => "write a time with its unit in quotes, such as \"250ms\"".to_owned(),
             Time(_) => "write a time above zero with its unit in quotes, such as \"250ms\"".to_owned(),
             Word(words) => format!("write one of \"{}\"", words.join("\", \"")),
+            Addresses => "write a list of addresses and ports, none twice, such as [\"127.0.0.1:7072\"]".to_owned(),
             Names => "write a list of names, none twice, such as [\"a\", \"b\"]".to_owned(),
             Level => "write error, warn, info, debug or trace, or such for targets, as \"info,gullpulley::net=debug\""
                 .to_owned(),
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -13,6 +13,7 @@
 pub use list::{LIST_MOST, List, ListFault, ListReader, State, Target};
 
 use crate::api::{Discovery, Group, Semantics, Settings};
+use crate::fleet::host::Config as Fleet;
 use serde::Deserialize;
 use std::collections::{BTreeMap, BTreeSet};
 use std::fs;
@@ -61,6 +62,8 @@
     pub names: Names,
     /// How it logs.
     pub log: Log,
+    /// Its place among other processes; without it, it stays by itself.
+    pub fleet: Option<Fleet>,
     /// Where it keeps what must outlive the process; without it nothing is kept.
     pub state: Option<PathBuf>,
     /// Where values come from, as far as it was noted in reading.
@@ -151,6 +154,16 @@
             vec![("name", quoted(&self.name)), ("seed", quoted(&format!("{:016x}", self.seed)))];
         entries.push(("listen.clients", quoted(&self.listen)));
         entries.extend(self.control.map(|door| ("listen.operators", quoted(&door))));
+        if let Some(fleet) = &self.fleet {
+            let seeds: Vec<String> = fleet.seeds.iter().map(SocketAddr::to_string).collect();
+            entries.extend([
+                ("fleet.cluster", quoted(&fleet.cluster)),
+                ("fleet.listen", quoted(&fleet.listen)),
+                ("fleet.address", quoted(&fleet.address)),
+                ("fleet.seeds", format!("{seeds:?}")),
+                ("fleet.round_trip", time(fleet.round_trip)),
+            ]);
+        }
         entries.extend(self.state.as_ref().map(|dir| ("state.dir", quoted(&dir.display()))));
         entries.extend([
             ("discovery.address", quoted(&self.discovery)),
--- a/src/config/operator.rs
+++ b/src/config/operator.rs
@@ -5,6 +5,7 @@
 use super::layers::{UNSAID, convert, convert_table, merge, origin};
 use super::{Config, Log, Named, Names, Vars, known, seed};
 use crate::api::{Class, Discovery, Group, Limits, Rules, Semantics, Settings, Tenant, ZoneId};
+use crate::fleet::host::Config as Fleet;
 use config::{Value, ValueKind};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -22,6 +23,7 @@
     Flag(bool),
     Time(Duration),
     Names(Vec<String>),
+    Addresses(Vec<SocketAddr>),
 }
 
 /// The right values of some keys, with where each comes from.
@@ -188,7 +190,9 @@
 fn typed(kind: Kind, value: &Value) -> Result<Typed, String> {
     let text = match &value.kind {
         ValueKind::String(text) => text.clone(),
-        ValueKind::Array(_) if kind != Kind::Names => return Err("this is a list".to_owned()),
+        ValueKind::Array(_) if !matches!(kind, Kind::Names | Kind::Addresses) => {
+            return Err("this is a list".to_owned());
+        }
         ValueKind::Table(_) => return Err("this is a section".to_owned()),
         other => other.to_string(),
     };
@@ -202,7 +206,7 @@
             written(quoted)?
         }
         Kind::Whole(..) | Kind::Number(..) | Kind::Flag => written(!quoted)?,
-        Kind::Names => {}
+        Kind::Names | Kind::Addresses => {}
     }
     let some = |ok: bool, typed: Typed| if ok { Ok(typed) } else { Err(wrong()) };
     match kind {
@@ -229,7 +233,7 @@
             let right = time >= Duration::from_micros(least) && time <= Duration::from_secs(10_000_000);
             some(right, Typed::Time(time))
         }
-        Kind::Names => {
+        Kind::Names | Kind::Addresses => {
             let ValueKind::Array(entries) = &value.kind else { return Err("this is no list".to_owned()) };
             let names = entries.iter().map(|entry| match &entry.kind {
                 ValueKind::String(name) if !name.is_empty() => Ok(name.clone()),
@@ -238,12 +242,39 @@
             let names = names.collect::<Result<Vec<_>, _>>()?;
             match names.iter().enumerate().find(|(i, name)| names[..*i].contains(name)) {
                 Some((_, twice)) => Err(format!("`{twice}` stands twice")),
-                None => Ok(Typed::Names(names)),
+                None if kind == Kind::Names => Ok(Typed::Names(names)),
+                None => {
+                    let one = |name: &String| {
+                        name.parse().map_err(|_| format!("`{name}` is no address and port"))
+                    };
+                    Ok(Typed::Addresses(names.iter().map(one).collect::<Result<_, _>>()?))
+                }
             }
         }
     }
 }
 
+/// Processes of a fleet find and tell each other: what each must say for that.
+fn in_fleet(once: &Checked, fault: &mut impl FnMut(&Checked, &str, &str, String, &str)) {
+    let said = |key: &str| once.0.contains_key(key);
+    let keys = ["fleet.cluster", "fleet.listen", "fleet.address"];
+    let Some(first) = keys.into_iter().find(|key| said(key)) else { return };
+    for missing in ["fleet.cluster", "fleet.listen"].into_iter().filter(|key| !said(key)) {
+        let remedy = format!("a process in a fleet needs {missing} too; or leave the section out");
+        fault(once, "", first, format!("{missing} is missing"), &remedy);
+    }
+    let reached = if said("fleet.address") { "fleet.address" } else { "fleet.listen" };
+    if once.address(reached).is_some_and(|address| address.ip().is_unspecified() || address.port() == 0) {
+        let problem = "nobody can reach this address".to_owned();
+        fault(once, "", reached, problem, "say in fleet.address where the others reach this process");
+    }
+    for key in ["name", "place.zone"] {
+        if let Some(problem) = Fleet::name_fault(&once.text(key)) {
+            fault(once, "", key, problem, "give it a shorter one");
+        }
+    }
+}
+
 /// What is right by itself may still not go together.
 fn consistent(once: &Checked, classes: &[Checked], tenants: &[Checked], faults: &mut Vec<Fault>) {
     let mut fault = |of: &Checked, under: &str, key: &str, problem: String, remedy: &str| {
@@ -267,6 +298,7 @@
     if tier >= tiers {
         fault(once, "", "place.tier", format!("{tier} is none of {tiers}"), "count from 0");
     }
+    in_fleet(once, &mut fault);
     let least = super::least_sockets(once.0.contains_key("listen.operators"));
     if once.whole("process.sockets") < least as u64 {
         let problem = format!("{} are too few to serve with", once.whole("process.sockets"));
@@ -348,6 +380,22 @@
     fn names(&self, key: &str) -> Vec<String> {
         if let Some(Typed::Names(names)) = self.typed(key) { names.clone() } else { Vec::new() }
     }
+
+    fn addresses(&self, key: &str) -> Vec<SocketAddr> {
+        if let Some(Typed::Addresses(addresses)) = self.typed(key) { addresses.clone() } else { Vec::new() }
+    }
+
+    /// Its place in a fleet, where it has one.
+    fn fleet(&self) -> Option<Fleet> {
+        let listen = self.address("fleet.listen")?;
+        Some(Fleet {
+            cluster: self.text("fleet.cluster"),
+            listen,
+            address: self.address("fleet.address").unwrap_or(listen),
+            seeds: self.addresses("fleet.seeds"),
+            round_trip: self.time("fleet.round_trip"),
+        })
+    }
 }
 
 fn assemble(once: &Checked, classes: &[Checked], tenants: &[Checked]) -> Result<Config, String> {
@@ -419,6 +467,7 @@
             kinds: once.names("place.kinds"),
         },
         log: Log { level: once.text("log.level"), json: once.text("log.format") == "json" },
+        fleet: once.fleet(),
         state: once.typed("state.dir").map(|_| once.text("state.dir").into()),
         origins: Some(origins),
     })
--- a/src/config/router.rs
+++ b/src/config/router.rs
@@ -201,6 +201,7 @@
         settings,
         names,
         log: file.log,
+        fleet: None,
         state: None,
         origins: None,
     })
--- /dev/null
+++ b/src/fleet/host/agree.rs
@@ -0,0 +1,144 @@
+//! The thread that runs the core: datagrams, orders and the time in; datagrams, the log's lines and the view out.
+
+use super::{Figures, Order, publish};
+use crate::fleet::members::{Members, Output, Settings, Standing, Statement, View};
+use crossbeam_channel::{Receiver, after, never, select_biased};
+use std::net::{SocketAddr, UdpSocket};
+use std::sync::Arc;
+use std::sync::atomic::Ordering::Relaxed;
+use std::time::Duration;
+use tokio::sync::watch;
+use tracing::{error, info, warn};
+
+/// A datagram that the system does not take within this is lost, as any may be.
+const SEND_MOST: Duration = Duration::from_millis(20);
+
+/// What the thread works with.
+pub(super) struct Agree {
+    pub(super) datagrams: Receiver<Vec<u8>>,
+    pub(super) ordered: Receiver<Order>,
+    pub(super) figures: Arc<Figures>,
+    pub(super) says: watch::Sender<Option<View>>,
+}
+
+impl Agree {
+    /// Works until the process ends, from when the socket is there.
+    pub(super) fn work(self, settings: Settings, bound: &Receiver<UdpSocket>) {
+        let Ok(socket) = bound.recv() else { return };
+        if let Err(e) = socket.set_write_timeout(Some(SEND_MOST)) {
+            warn!("fleet: a slow socket may hold up the fleet's thread: {e}");
+        }
+        let me = settings.me.clone();
+        info!(cluster = settings.cluster, address = %me.address, "fleet: {} joins {}", me.name, settings.cluster);
+        let clock = self.figures.clone();
+        let (mut members, mut out) = (Members::new(settings, clock.elapsed()), Vec::new());
+        let mut leaving = false;
+        loop {
+            let wait = members.due().saturating_sub(clock.elapsed());
+            let ordered = if leaving { never() } else { self.ordered.clone() };
+            // What came is heard before a timer that is due may say that it never did.
+            select_biased! {
+                recv(ordered) -> order => match order {
+                    Ok(Order::Leave) => {
+                        info!("fleet: {} leaves", me.name);
+                        members.leave(clock.elapsed(), &mut out);
+                        leaving = true;
+                    }
+                    Err(_) => return, // the process ends
+                },
+                recv(self.datagrams) -> datagram => {
+                    let Ok(datagram) = datagram else { return };
+                    members.handle(clock.elapsed(), &datagram, &mut out);
+                }
+                recv(after(wait)) -> _ => members.tick(clock.elapsed(), &mut out),
+            }
+            for output in out.drain(..) {
+                match output {
+                    Output::Send(to, datagram) => self.send(&socket, to, &datagram),
+                    Output::Says(statement) => self.say(statement),
+                }
+            }
+            publish(&self.figures, &members.counts());
+            self.figures.turn();
+        }
+    }
+
+    fn send(&self, socket: &UdpSocket, to: SocketAddr, datagram: &[u8]) {
+        match socket.send_to(datagram, to) {
+            Ok(size) => {
+                self.figures.went[0].fetch_add(1, Relaxed);
+                self.figures.went[1].fetch_add(size as u64, Relaxed);
+            }
+            Err(_) => drop(self.figures.unsent.fetch_add(1, Relaxed)),
+        }
+    }
+
+    fn say(&self, statement: Statement) {
+        match statement {
+            Statement::Joined(peer) => {
+                info!(
+                    peer = peer.name,
+                    zone = peer.zone,
+                    "fleet: {} ({}) is here",
+                    peer.name,
+                    peer.address
+                );
+            }
+            Statement::Left(peer) => info!(peer = peer.name, "fleet: {} has left", peer.name),
+            Statement::Lost(peer) => {
+                warn!(
+                    peer = peer.name,
+                    zone = peer.zone,
+                    "fleet: {} ({}) is lost",
+                    peer.name,
+                    peer.address
+                );
+            }
+            Statement::Returned(peer) => {
+                warn!(
+                    "fleet: the others took this process for gone; it is back as generation {}",
+                    peer.generation
+                );
+            }
+            Statement::View(view) => {
+                let before = self.says.borrow().clone();
+                tell(before.as_ref(), &view);
+                self.says.send_replace(Some(view));
+            }
+        }
+    }
+}
+
+/// What of a view is worth a line: how it stands, and names that stand twice.
+fn tell(before: Option<&View>, view: &View) {
+    for name in view.twice.iter().filter(|name| before.is_none_or(|before| !before.twice.contains(name))) {
+        error!(
+            name,
+            "fleet: two processes here are named {name}: both count, and both serve; name one of them anew"
+        );
+    }
+    if before.is_some_and(|before| before.standing == view.standing) {
+        return;
+    }
+    let (living, known, balancers) = (view.living, view.known, view.balancers);
+    let away = known - living;
+    let names = view.away.join(" ");
+    match view.standing {
+        Standing::Converged if away == 0 => {
+            info!(living, known, balancers, "fleet: converged: all {known} are here")
+        }
+        Standing::Converged => {
+            info!(living, known, balancers, away = names, "fleet: converged: {living} of {known} are here")
+        }
+        Standing::Converging => {
+            info!(living, known, balancers, "fleet: converging: {living} of {known} are here")
+        }
+        Standing::Split => warn!(
+            living,
+            known,
+            balancers,
+            away = names,
+            "fleet: split: only {living} of {known} are here; each goes on with its part as if all were"
+        ),
+    }
+}
--- /dev/null
+++ b/src/fleet/host/mod.rs
@@ -0,0 +1,179 @@
+//! The threads around the cores, and what the serving thread may read of them. Nobody waits for either thread.
+//!
+//! `net` takes datagrams off the socket; `agree` runs the core, sends, and says what has become known.
+
+mod agree;
+mod net;
+
+use crate::fleet::members::{Counts, NAME_MOST, Peer, Settings, View};
+use crossbeam_channel::{Receiver, Sender, bounded};
+use std::collections::hash_map::RandomState;
+use std::hash::{BuildHasher, Hasher};
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
+use std::thread;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use tokio::sync::watch;
+
+/// Datagrams that may wait for the core.
+pub const DEPTH: usize = 1024;
+/// Orders that may.
+pub const ORDERS: usize = 4;
+
+/// A process's place in its fleet, as its configuration says it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Config {
+    /// The fleet's name: datagrams of others are not heard.
+    pub cluster: String,
+    /// Where its datagrams arrive.
+    pub listen: SocketAddr,
+    /// By which address others reach it.
+    pub address: SocketAddr,
+    /// Where some others may be found.
+    pub seeds: Vec<SocketAddr>,
+    /// The longest that a datagram and its answer take on a good day.
+    pub round_trip: Duration,
+}
+
+impl Config {
+    /// What is wrong with a name that others would have to carry; none where nothing is.
+    pub fn name_fault(name: &str) -> Option<String> {
+        let long = name.len() > NAME_MOST;
+        long.then(|| format!("{} bytes are too many for a fleet; it takes {NAME_MOST}", name.len()))
+    }
+
+    /// The core's settings for a process that starts now.
+    fn settings(&self, name: &str, zone: &str, balancers: u32) -> Settings {
+        let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let me = Peer {
+            address: self.address,
+            name: name.to_owned(),
+            zone: zone.to_owned(),
+            generation: since.as_millis() as u64,
+            claims: 0,
+            leaving: false,
+        };
+        Settings {
+            cluster: self.cluster.clone(),
+            me,
+            seeds: self.seeds.clone(),
+            round_trip: self.round_trip,
+            expected: balancers as usize,
+            seed: RandomState::new().build_hasher().finish(),
+        }
+    }
+}
+
+/// What the threads count; all of it may be read at any time.
+#[derive(Debug)]
+pub struct Figures {
+    began: Instant,
+    /// Datagrams that came, and their bytes.
+    pub came: [AtomicU64; 2],
+    /// Datagrams that went, and their bytes.
+    pub went: [AtomicU64; 2],
+    /// Datagrams that the system did not take.
+    pub unsent: AtomicU64,
+    /// Datagrams dropped, by [`Figures::REASONS`].
+    pub dropped: [AtomicU64; 6],
+    /// Times that the process had stood still.
+    pub stood: AtomicU64,
+    /// Orders not taken.
+    pub refused: AtomicU64,
+    /// Microseconds after the start at which the core last had a turn.
+    turn_us: AtomicU64,
+}
+
+impl Figures {
+    /// Why datagrams are dropped, in the order of the counts.
+    pub const REASONS: [&str; 6] = ["torn", "foreign", "newer", "old", "senseless", "full"];
+    const FULL: usize = 5;
+
+    fn new() -> Self {
+        let (came, went, unsent, dropped, stood, refused, turn_us) = Default::default();
+        Figures { began: Instant::now(), came, went, unsent, dropped, stood, refused, turn_us }
+    }
+
+    fn turn(&self) {
+        self.turn_us.store(self.began.elapsed().as_micros() as u64, Relaxed);
+    }
+
+    /// Time since the start: the clock of [`View::since`].
+    pub fn elapsed(&self) -> Duration {
+        self.began.elapsed()
+    }
+
+    /// Since when the core has had no turn; below half a second where all is well.
+    pub fn stuck_for(&self) -> Duration {
+        let turn = Duration::from_micros(self.turn_us.load(Relaxed));
+        self.began.elapsed().saturating_sub(turn)
+    }
+}
+
+/// An order to the core.
+enum Order {
+    Leave,
+}
+
+/// The threads of a process in a fleet. They end with the process.
+#[derive(Debug)]
+pub struct Fleet {
+    orders: Sender<Order>,
+    datagrams: Receiver<Vec<u8>>,
+    figures: Arc<Figures>,
+    view: watch::Receiver<Option<View>>,
+}
+
+impl Fleet {
+    /// Starts the threads; the socket is bound on its own thread, as an older process of this sidecar may still have it.
+    pub fn start(config: Config, name: &str, zone: &str, balancers: u32) -> io::Result<Self> {
+        let (orders, ordered) = bounded(ORDERS);
+        let (came, datagrams) = bounded(DEPTH);
+        let figures = Arc::new(Figures::new());
+        let (says, view) = watch::channel(None);
+        let settings = config.settings(name, zone, balancers);
+        let (bound, taken) = bounded(1);
+        let counts = figures.clone();
+        thread::Builder::new()
+            .name("fleet-net".to_owned())
+            .spawn(move || net::work(config.listen, &bound, &came, &counts))?;
+        let agree = agree::Agree { datagrams: datagrams.clone(), ordered, figures: figures.clone(), says };
+        thread::Builder::new()
+            .name("fleet-agree".to_owned())
+            .spawn(move || agree.work(settings, &taken))?;
+        Ok(Fleet { orders, datagrams, figures, view })
+    }
+
+    /// Tells the others that this process leaves. Never waits; not taken where the core is stuck.
+    pub fn leave(&self) {
+        if self.orders.try_send(Order::Leave).is_err() {
+            self.figures.refused.fetch_add(1, Relaxed);
+        }
+    }
+
+    /// How things are: none until the socket is there. Newest wins.
+    pub fn view(&self) -> watch::Receiver<Option<View>> {
+        self.view.clone()
+    }
+
+    /// What is counted.
+    pub fn figures(&self) -> &Figures {
+        &self.figures
+    }
+
+    /// Datagrams that wait for the core.
+    pub fn waiting(&self) -> usize {
+        self.datagrams.len()
+    }
+}
+
+/// Counts as the core has them, for all to read.
+fn publish(figures: &Figures, counts: &Counts) {
+    let Counts { torn, foreign, newer, old, senseless, stood } = *counts;
+    for (at, count) in [torn, foreign, newer, old, senseless].into_iter().enumerate() {
+        figures.dropped[at].store(count, Relaxed);
+    }
+    figures.stood.store(stood, Relaxed);
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod adapter;
 mod api;
 pub mod config;
+pub mod fleet;
 mod names;
 mod policy;
 pub mod state;
--- a/src/net/control.rs
+++ b/src/net/control.rs
@@ -66,6 +66,7 @@
 enum Place<'a> {
     Ready,
     Metrics,
+    Fleet,
     Drain,
     Endpoint(&'a str, Order),
 }
@@ -76,6 +77,7 @@
         let place = match (parts.next()?, parts.next(), parts.next()) {
             ("readyz", None, None) => Place::Ready,
             ("metrics", None, None) => Place::Metrics,
+            ("fleet", None, None) => Place::Fleet,
             ("drain", None, None) => Place::Drain,
             ("endpoints", Some(uid), Some("suspend")) => Place::Endpoint(uid, Order::Suspend),
             ("endpoints", Some(uid), Some("resume")) => Place::Endpoint(uid, Order::Resume),
@@ -86,7 +88,7 @@
 
     fn method(&self) -> Method {
         match self {
-            Place::Ready | Place::Metrics => Method::GET,
+            Place::Ready | Place::Metrics | Place::Fleet => Method::GET,
             Place::Drain | Place::Endpoint(..) => Method::POST,
         }
     }
@@ -189,6 +191,10 @@
                 Some(census) => self.figures(census, uri.query()),
                 None => text(StatusCode::SERVICE_UNAVAILABLE, "ending\n"),
             },
+            Place::Fleet => match self.counters.fleet() {
+                Some(report) => text(StatusCode::OK, report),
+                None => text(StatusCode::NOT_FOUND, "this process is in no fleet\n"),
+            },
             Place::Drain => {
                 info!("operators: drain");
                 self.inbound.drain();
--- a/src/net/counters.rs
+++ b/src/net/counters.rs
@@ -3,6 +3,7 @@
 
 use super::contact::Contact;
 use super::keeping::Keeping;
+use super::peers::Peers;
 use crate::logging::LogHandle;
 use gullpulley::Census;
 use prometheus_client::encoding::text;
@@ -49,6 +50,7 @@
     log: LogHandle,
     contact: Rc<Contact>,
     keeping: Option<Rc<Keeping>>,
+    peers: Option<Rc<Peers>>,
 }
 
 struct Class {
@@ -72,6 +74,7 @@
         log: LogHandle,
         contact: Rc<Contact>,
         keeping: Option<Rc<Keeping>>,
+        peers: Option<Rc<Peers>>,
     ) -> Rc<Self> {
         // 1 ms to 16 s, and 1 us to 16 ms: what a bucket tells is right within a factor of two, or four.
         let taking: Family<Labels, Histogram> =
@@ -84,7 +87,7 @@
         };
         let (upstream, pending) = Default::default();
         let classes = classes.iter().map(class).collect();
-        Rc::new(Counters { classes, upstream, pending, taking, deciding, log, contact, keeping })
+        Rc::new(Counters { classes, upstream, pending, taking, deciding, log, contact, keeping, peers })
     }
 
     /// A request of a class has come whole.
@@ -136,6 +139,11 @@
         text
     }
 
+    /// How its fleet is; none where it is in none.
+    pub fn fleet(&self) -> Option<String> {
+        self.peers.as_ref().map(|peers| peers.report())
+    }
+
     /// The same figures and more, as OpenMetrics text.
     pub fn open_metrics(&self, census: Census) -> String {
         let mut registry = Registry::with_prefix("gullpulley");
@@ -178,6 +186,9 @@
         if let Some(keeping) = &self.keeping {
             keeping.register(&mut registry);
         }
+        if let Some(peers) = &self.peers {
+            peers.register(&mut registry);
+        }
         let mut written = String::new();
         let _ = text::encode(&mut written, &registry); // writing to a string does not fail
         written
--- a/src/net/inbound.rs
+++ b/src/net/inbound.rs
@@ -129,7 +129,8 @@
     }
 
     /// Serves until told to end, then drains: all that the kernel has accepted is answered.
-    pub async fn serve(self: Rc<Self>, listener: TcpListener, mut term: Signal) {
+    /// `ending` is called as the drain begins.
+    pub async fn serve(self: Rc<Self>, listener: TcpListener, mut term: Signal, ending: impl FnOnce()) {
         self.serving.set(true);
         loop {
             tokio::select! {
@@ -141,6 +142,7 @@
         let asked = Instant::now();
         info!(clients = self.budget.clients(), "draining");
         self.draining.set(true);
+        ending();
         let longest = self.wording.settings.classes.iter().map(|c| c.deadline).max().unwrap_or_default();
         let until = asked + longest.min(DEADLINE_MOST) + DRAIN_SLACK;
         // What still waits in the backlog then counts as taken: closing the listener would reset it.
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,8 +1,8 @@
 //! The sidecar on its sockets. Start-up, signals and the parts' acquaintance are here; the rest, from
 //! plain types up, each knowing only what stands before it:
 //!
-//! `guard`, `clock`, `budget`, `keeping`, `contact`, `counters`, `bans`, `overlap`: tasks, time, sockets held, what is
-//! kept, what comes of discovery, counts, orders, other processes;
+//! `guard`, `clock`, `budget`, `keeping`, `contact`, `peers`, `counters`, `bans`, `overlap`: tasks, time, sockets held,
+//! what is kept, what comes of discovery, the fleet, counts, orders, other processes of this sidecar;
 //! `progress`, `passing`: how far an attempt is, bodies that pass through;
 //! `outbound`, `discovery`: connections to endpoints and to discovery;
 //! `message`, `open`, `driver`: turns what happens there into the policy's events, and carries out its actions;
@@ -25,6 +25,7 @@
 mod outbound;
 mod overlap;
 mod passing;
+mod peers;
 mod progress;
 mod reply;
 mod request;
@@ -49,6 +50,7 @@
 use message::{Inbox, Input};
 use outbound::Outbound;
 use overlap::Overlap;
+use peers::Peers;
 use request::Wording;
 use std::io;
 use std::net::SocketAddr;
@@ -93,6 +95,7 @@
         settings,
         names,
         state,
+        fleet,
         ..
     } = config;
     let term = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
@@ -114,8 +117,21 @@
         }
         None => None,
     };
+    let peers = match fleet {
+        Some(fleet) => {
+            let zone = names.areas.get(settings.zone.0 as usize).map_or("", String::as_str);
+            let peers = Peers::start(fleet, &name, zone, settings.balancers);
+            Some(peers.map_err(|e| format!("fleet: {e}"))?)
+        }
+        None => None,
+    };
+    if let Some(peers) = &peers {
+        let inbox = inbox.clone();
+        // Fails only while the process ends.
+        spawn_local(peers.clone().follow(move |living| drop(inbox.send(Input::Balancers(living)))));
+    }
     let contact = Contact::new();
-    let counters = Counters::new(&classes, log, contact.clone(), keeping);
+    let counters = Counters::new(&classes, log, contact.clone(), keeping, peers.clone());
     let outbound = Outbound::new(&settings, budget.clone(), counters.clone());
     let inbound = Inbound::new(
         Wording { settings: settings.clone(), classes, tenants },
@@ -173,7 +189,7 @@
     }
     info!(sidecar = name, %listen, version = env!("CARGO_PKG_VERSION"), "serving");
     tokio::select! {
-        () = inbound.serve(listener, term) => Ok(()),
+        () = inbound.serve(listener, term, || peers.iter().for_each(|peers| peers.leave())) => Ok(()),
         ended = &mut driver => Err(format!("the driver ended: {ended:?}")),
     }
 }
--- /dev/null
+++ b/src/net/peers.rs
@@ -0,0 +1,135 @@
+//! The fleet that this process is one of, as the serving thread sees it: told by the fleet's threads, never waited for.
+
+use gullpulley::fleet::host::{Config, Figures, Fleet};
+use gullpulley::fleet::members::{Standing, View};
+use prometheus_client::metrics::counter::{ConstCounter, Counter};
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::ConstGauge;
+use prometheus_client::registry::Registry;
+use std::fmt::Write;
+use std::io;
+use std::rc::Rc;
+use std::sync::atomic::Ordering::Relaxed;
+use std::time::Duration;
+
+/// Every way for a view to stand, with its name in figures.
+const STANDINGS: [(Standing, &str); 3] =
+    [(Standing::Converged, "converged"), (Standing::Converging, "converging"), (Standing::Split, "split")];
+
+type Labels = Vec<(&'static str, &'static str)>;
+
+/// A process's fleet.
+pub struct Peers {
+    fleet: Fleet,
+    /// As many balancers as its configuration states.
+    configured: u32,
+}
+
+impl Peers {
+    /// Starts the fleet's threads; returns at once.
+    pub fn start(config: Config, name: &str, zone: &str, balancers: u32) -> io::Result<Rc<Self>> {
+        Ok(Rc::new(Peers { fleet: Fleet::start(config, name, zone, balancers)?, configured: balancers }))
+    }
+
+    /// Tells how many share the work, whenever that changes.
+    pub async fn follow(self: Rc<Self>, tell: impl Fn(u32)) {
+        let (mut view, mut told) = (self.fleet.view(), self.configured);
+        while view.changed().await.is_ok() {
+            let living = view.borrow_and_update().as_ref().map_or(told, |view| view.balancers as u32);
+            if std::mem::replace(&mut told, living) != living {
+                tell(living);
+            }
+        }
+    }
+
+    /// Tells the others that this process leaves.
+    pub fn leave(&self) {
+        self.fleet.leave();
+    }
+
+    /// How the fleet is, a line each.
+    pub fn report(&self) -> String {
+        let mut text = String::new();
+        let mut line = |name: &str, value: &dyn std::fmt::Display| {
+            let _ = writeln!(text, "fleet.{name}={value}"); // writing to a string does not fail
+        };
+        let figures = self.fleet.figures();
+        match &*self.fleet.view().borrow() {
+            None => line("standing", &"waiting for its address"),
+            Some(view) => {
+                line("standing", &name(view.standing));
+                line("for_s", &self.lasted(view).as_secs());
+                line("living", &view.living);
+                line("suspects", &view.suspects);
+                line("known", &view.known);
+                line("balancers", &view.balancers);
+                line("away", &view.away.join(" "));
+                line("names_twice", &view.twice.join(" "));
+            }
+        }
+        line("stuck_s", &figures.stuck_for().as_secs_f64());
+        text
+    }
+
+    fn lasted(&self, view: &View) -> Duration {
+        self.fleet.figures().elapsed().saturating_sub(view.since)
+    }
+
+    /// Adds its figures.
+    pub fn register(&self, registry: &mut Registry) {
+        let fleet = registry.sub_registry_with_prefix("fleet");
+        let mut gauge = |name: &str, help: &str, value: f64| {
+            fleet.register(name, help, ConstGauge::new(value));
+        };
+        let figures = self.fleet.figures();
+        if let Some(view) = &*self.fleet.view().borrow() {
+            gauge("living", "Processes that are here, this one included", view.living as f64);
+            gauge("suspects", "Those of them that somebody suspects to be gone", view.suspects as f64);
+            gauge("known", "Processes that count as the fleet, here or away", view.known as f64);
+            gauge(
+                "balancers",
+                "Processes that share the work, as decisions are told",
+                view.balancers as f64,
+            );
+            gauge("names_twice", "Names that two processes here have", view.twice.len() as f64);
+            gauge(
+                "standing_seconds",
+                "For how long the view has stood as it does",
+                self.lasted(view).as_secs_f64(),
+            );
+            for (standing, name) in STANDINGS {
+                let help = "1 while the view stands so";
+                gauge(name, help, f64::from(u8::from(view.standing == standing)));
+            }
+        }
+        gauge(
+            "stuck_seconds",
+            "Since the fleet's thread last had a turn",
+            figures.stuck_for().as_secs_f64(),
+        );
+        gauge("waiting", "Datagrams that wait for the fleet's thread", self.fleet.waiting() as f64);
+        let (datagrams, bytes) = <(Family<Labels, Counter>, Family<Labels, Counter>)>::default();
+        for (way, [count, size]) in [("in", &figures.came), ("out", &figures.went)] {
+            datagrams.get_or_create(&vec![("way", way)]).inc_by(count.load(Relaxed));
+            bytes.get_or_create(&vec![("way", way)]).inc_by(size.load(Relaxed));
+        }
+        fleet.register("datagrams", "Datagrams", datagrams);
+        fleet.register("datagram_bytes", "Their bytes", bytes);
+        let dropped = Family::<Labels, Counter>::default();
+        for (reason, count) in Figures::REASONS.iter().zip(&figures.dropped) {
+            dropped.get_or_create(&vec![("reason", *reason)]).inc_by(count.load(Relaxed));
+        }
+        fleet.register("dropped", "Datagrams that came and were not heard", dropped);
+        for (name, help, count) in [
+            ("unsent", "Datagrams that the system did not take", &figures.unsent),
+            ("stood", "Times that this process had stood still", &figures.stood),
+            ("orders_refused", "Orders that the fleet's thread did not take", &figures.refused),
+        ] {
+            fleet.register(name, help, ConstCounter::new(count.load(Relaxed)));
+        }
+    }
+}
+
+fn name(standing: Standing) -> &'static str {
+    STANDINGS[standing as usize].1
+}
--- a/src/stats.rs
+++ b/src/stats.rs
@@ -1,6 +1,6 @@
 //! Small tools that decide nothing: a value that fades, what a class's answers take, seeded draws.
 
-use rand_core::{RngCore, SeedableRng};
+use rand_core::{Rng, SeedableRng};
 use rand_pcg::Pcg32;
 use std::time::Duration;
 
--- a/tests/configuration.rs
+++ b/tests/configuration.rs
@@ -78,7 +78,12 @@
         (with("repeats = \"safe\"", "repeats = \"keyed\""), vec!["class[0].window: keyed requests with no window are never repeated".to_owned()]),
         (with("deadline = ", "deadlin = "), vec!["class[0].deadline: missing".to_owned(), "class[0].deadlin: there is no such key; did you mean `deadline`?".to_owned()]),
         (with("\n[[class]]", "\n[class]"), vec!["class: this is a list; write [[class]] above each one's keys".to_owned()]),
-        (with("\n[[class]]", "\n[fleet]\nx = 1\n[[class]]"), vec!["fleet: this build has no such part yet; leave the section out".to_owned()]),
+        (with("\n[[class]]", "\n[duties]\nx = 1\n[[class]]"), vec!["duties: this build has no such part yet; leave the section out".to_owned()]),
+        (with("[fleet]", "[fleet]\nseed = []"), vec!["fleet.seed: there is no such key; did you mean `seeds`?".to_owned()]),
+        (with("# cluster = ", "cluster = "), vec!["fleet.cluster: fleet.listen is missing; a process in a fleet needs fleet.listen too; or leave the section out".to_owned()]),
+        (with("# listen = \"127.0.0.1:7072\"", "listen = \"0.0.0.0:7072\""), vec!["fleet.listen: fleet.cluster is missing".to_owned(), "fleet.listen: nobody can reach this address; say in fleet.address where".to_owned()]),
+        (with("# seeds = []", "seeds = [\"a:1\"]"), vec!["fleet.seeds: `a:1` is no address and port; write a list of addresses and ports".to_owned()]),
+        (with("# cluster = \"render\"", "cluster = \"render\"\nlisten = \"127.0.0.1:7072\"").replace("name = \"front\"", &format!("name = {:?}", "n".repeat(121))), vec!["name: 121 bytes are too many for a fleet; it takes 120; give it a shorter one".to_owned()]),
         (with("[listen]", "[listen"), vec!["F:8: unclosed table".to_owned()]),
         (format!("{}\n[[class]]\nname = \"quote\"\nrepeats = \"never\"\nwanted = \"1s\"\ndeadline = \"2s\"\n", keys::example()), vec!["class[1].name: `quote` stands twice".to_owned()]),
         ("x".to_owned(), vec!["F:1: ".to_owned()]),
@@ -147,6 +152,11 @@
     let once = load("toml", &example, &[]).unwrap();
     let changed: Vec<String> = differences(&once.entries(), &entries).into_iter().map(|d| d.key).collect();
     let wanted = [
+        "fleet.address",
+        "fleet.cluster",
+        "fleet.listen",
+        "fleet.round_trip",
+        "fleet.seeds",
         "listen.operators",
         "state.dir",
         "tenant[0].allowance_per_s",
--- a/tests/operations.rs
+++ b/tests/operations.rs
@@ -29,6 +29,8 @@
     for (method, path, status) in [
         ("GET", "/v1/readyz", 200),
         ("GET", "/v1/metrics", 200),
+        ("GET", "/v1/fleet", 404),
+        ("POST", "/v1/fleet", 405),
         ("POST", "/v1/readyz", 405),
         ("POST", "/v1/metrics", 405),
         ("GET", "/v1/endpoints/s-0/suspend", 405),
@@ -64,6 +66,32 @@
     assert_eq!(client.receive().unwrap().status(), 404);
 }
 
+#[test]
+fn without_a_fleet_there_is_no_thread_of_it_and_no_socket_that_takes_datagrams() {
+    let peer = Peer::serving("ok");
+    let sidecar = Sidecar::start(&config(&[&peer]));
+    assert_eq!(sidecar.ask("quote", "r-0").status(), 200);
+    let process = format!("/proc/{}", sidecar.child.id());
+    let within = |folder: &str| {
+        std::fs::read_dir(format!("{process}/{folder}")).unwrap().map(|entry| entry.unwrap().path())
+    };
+    let threads: Vec<String> =
+        within("task").map(|thread| std::fs::read_to_string(thread.join("comm")).unwrap()).collect();
+    assert!(threads.iter().all(|name| !name.starts_with("fleet")), "{threads:?}");
+    let sockets = within("fd").filter_map(|fd| {
+        std::fs::read_link(fd)
+            .ok()?
+            .to_str()?
+            .strip_prefix("socket:[")?
+            .strip_suffix(']')
+            .map(str::to_owned)
+    });
+    let datagrams = std::fs::read_to_string(format!("{process}/net/udp")).unwrap();
+    let taken: Vec<&str> =
+        datagrams.lines().skip(1).filter_map(|line| line.split_whitespace().nth(9)).collect();
+    assert!(sockets.into_iter().all(|inode| !taken.contains(&inode.as_str())), "{datagrams}");
+}
+
 #[test]
 fn silent_and_unfinished_callers_do_not_keep_others_from_the_door() {
     let peer = Peer::serving("ok");
--- a/tests/slow_start.rs
+++ b/tests/slow_start.rs
@@ -2,7 +2,7 @@
 //! together. Virtual time, real policies.
 
 use gullpulley::*;
-use rand_core::{RngCore, SeedableRng};
+use rand_core::{Rng, SeedableRng};
 use rand_pcg::Pcg32;
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap};
--- a/tests/support/disk.rs
+++ b/tests/support/disk.rs
@@ -1,6 +1,6 @@
 //! A disk of one's own making: it notes every step, loses what was not synced, tears it, and fails when told to.
 
-use rand_core::{RngCore, SeedableRng};
+use rand_core::{Rng, SeedableRng};
 use rand_pcg::Pcg32;
 use redb::StorageBackend;
 use std::io;
