Fleet: a state folder put back to an older copy is told to its process by the others

Change: a process joins once its start on the folder is durable (after 5 s without it), and carries folder, number and time of the start; each member remembers the latest start on each folder (members/starts.rs) and answers an asker whose start can't be: made later, counting no more of them. That process says so once at error, and folder_older at the door. Not yet: what a voter does then (it comes back as a learner) belongs to agreement, where there are votes.

--- a/src/fleet/host/agree.rs
+++ b/src/fleet/host/agree.rs
@@ -1,12 +1,12 @@
 //! The thread that runs the core: datagrams, orders and the time in; datagrams, the log's lines and the view out.
 
 use super::{Figures, Order, publish};
-use crate::fleet::members::{Members, Output, Settings, Standing, Statement, View};
+use crate::fleet::members::{Members, Output, Settings, Standing, Start, Statement, View};
 use crossbeam_channel::{Receiver, after, never, select_biased};
 use std::net::{SocketAddr, UdpSocket};
 use std::sync::Arc;
 use std::sync::atomic::Ordering::Relaxed;
-use std::time::Duration;
+use std::time::{Duration, UNIX_EPOCH};
 use tokio::sync::watch;
 use tracing::{error, info, warn};
 
@@ -22,9 +22,16 @@
 }
 
 impl Agree {
-    /// Works until the process ends, from when the socket is there.
-    pub(super) fn work(self, settings: Settings, bound: &Receiver<UdpSocket>) {
+    /// Works until the process ends, from when the socket is there and the process is to join.
+    pub(super) fn work(self, mut settings: Settings, bound: &Receiver<UdpSocket>) {
         let Ok(socket) = bound.recv() else { return };
+        match self.ordered.recv() {
+            Ok(Order::Join(start)) => {
+                let at = settings.me.generation;
+                settings.me.start = start.map(|(folder, number)| Start { folder, number, at });
+            }
+            Ok(Order::Leave) | Err(_) => return, // it ends before it was there
+        }
         if let Err(e) = socket.set_write_timeout(Some(SEND_MOST)) {
             warn!("fleet: a slow socket may hold up the fleet's thread: {e}");
         }
@@ -44,6 +51,7 @@
                         members.leave(clock.elapsed(), &mut out);
                         leaving = true;
                     }
+                    Ok(Order::Join(_)) => {} // it has joined
                     Err(_) => return, // the process ends
                 },
                 recv(self.datagrams) -> datagram => {
@@ -100,6 +108,16 @@
                     peer.generation
                 );
             }
+            Statement::Older(latest) => {
+                let (number, at) = (latest.number, Duration::from_millis(latest.at));
+                self.figures.older.store(number, Relaxed);
+                let at = humantime::format_rfc3339_seconds(UNIX_EPOCH + at);
+                error!(
+                    number,
+                    "fleet: state.dir is older than what others remember, or a copy: they saw start {number} on it at {at}; \
+                     what it says of before can't be trusted"
+                );
+            }
             Statement::View(view) => {
                 let before = self.says.borrow().clone();
                 tell(before.as_ref(), &view);
--- a/src/fleet/host/mod.rs
+++ b/src/fleet/host/mod.rs
@@ -54,6 +54,7 @@
             generation: since.as_millis() as u64,
             claims: 0,
             leaving: false,
+            start: None,
         };
         Settings {
             cluster: self.cluster.clone(),
@@ -82,6 +83,8 @@
     pub stood: AtomicU64,
     /// Orders not taken.
     pub refused: AtomicU64,
+    /// The number of the later start that another remembers of this process's state folder; 0 where none does.
+    pub older: AtomicU64,
     /// Microseconds after the start at which the core last had a turn.
     turn_us: AtomicU64,
 }
@@ -92,8 +95,8 @@
     const FULL: usize = 5;
 
     fn new() -> Self {
-        let (came, went, unsent, dropped, stood, refused, turn_us) = Default::default();
-        Figures { began: Instant::now(), came, went, unsent, dropped, stood, refused, turn_us }
+        let (came, went, unsent, dropped, stood, refused, older, turn_us) = Default::default();
+        Figures { began: Instant::now(), came, went, unsent, dropped, stood, refused, older, turn_us }
     }
 
     fn turn(&self) {
@@ -114,6 +117,8 @@
 
 /// An order to the core.
 enum Order {
+    /// To join, with its state folder and the number of its start there, where it keeps a state.
+    Join(Option<(u128, u64)>),
     Leave,
 }
 
@@ -146,9 +151,19 @@
         Ok(Fleet { orders, datagrams, figures, view })
     }
 
+    /// Joins; to be called once, as soon as the state folder, where there is one, has this start durable: which folder,
+    /// and the start's number there. Never waits.
+    pub fn join(&self, start: Option<(u128, u64)>) {
+        self.order(Order::Join(start));
+    }
+
     /// Tells the others that this process leaves. Never waits; not taken where the core is stuck.
     pub fn leave(&self) {
-        if self.orders.try_send(Order::Leave).is_err() {
+        self.order(Order::Leave);
+    }
+
+    fn order(&self, order: Order) {
+        if self.orders.try_send(order).is_err() {
             self.figures.refused.fetch_add(1, Relaxed);
         }
     }
--- a/src/fleet/members/mod.rs
+++ b/src/fleet/members/mod.rs
@@ -1,14 +1,16 @@
 //! Who is there: SWIM with suspicion by a kept crate (foca), in frames of our own, with what follows for shares.
 //!
 //! `peer` is who a process is to the others, `datagram` the frame and what is dropped at it, `swim` the crate with its
-//! timers on a clock that stands while the process does, `roster` what is known of whom and how many share the work.
+//! timers on a clock that stands while the process does, `roster` what is known of whom and how many share the work, `starts`
+//! what is remembered of their state folders.
 
 mod datagram;
 mod peer;
 mod roster;
+mod starts;
 mod swim;
 
 pub use datagram::{DATAGRAM_MOST, Dropped};
-pub use peer::{NAME_MOST, Peer};
+pub use peer::{NAME_MOST, Peer, Start};
 pub use roster::{Standing, View};
 pub use swim::{Counts, Members, Output, Settings, Statement};
--- a/src/fleet/members/peer.rs
+++ b/src/fleet/members/peer.rs
@@ -9,6 +9,17 @@
 /// A process that its peers believe to be an older one gains on them by doubling steps; these are enough for any clock.
 const STEPS_MOST: u8 = 48;
 
+/// A start of a process on its state folder, once it is durable there.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Start {
+    /// Drawn once for a folder.
+    pub folder: u128,
+    /// Starts on it, this one included.
+    pub number: u64,
+    /// Milliseconds since 1970 by the process's clock: tells two starts of one number apart.
+    pub at: u64,
+}
+
 /// A process of the fleet, as it says of itself. Two with one address are lives of one process: the later one counts.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Peer {
@@ -24,13 +35,15 @@
     pub claims: u8,
     /// It has said that it leaves.
     pub leaving: bool,
+    /// Its start, where it keeps a state.
+    pub start: Option<Start>,
 }
 
 impl Peer {
     /// Somebody at this address, of whom nothing else is known.
     pub(super) fn at(address: SocketAddr) -> Self {
-        let (name, zone, generation, claims, leaving) = Default::default();
-        Peer { address, name, zone, generation, claims, leaving }
+        let (name, zone, generation, claims, leaving, start) = Default::default();
+        Peer { address, name, zone, generation, claims, leaving, start }
     }
 }
 
--- a/src/fleet/members/swim.rs
+++ b/src/fleet/members/swim.rs
@@ -2,14 +2,17 @@
 //! everybody else of the silence.
 
 use super::datagram::{DATAGRAM_MOST, Dropped, Frames, HEAD};
-use super::peer::Peer;
+use super::peer::{Peer, Start};
 use super::roster::{Change, Roster, View};
+use super::starts::{Starts, contradicts};
 use foca::{
     AccumulatingRuntime, Config, Foca, Member, NoCustomBroadcast, PeriodicParams, PostcardCodec, State,
     Timer,
 };
 use rand_core::{Rng, SeedableRng};
 use rand_pcg::Pcg32;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 use std::net::SocketAddr;
@@ -76,6 +79,8 @@
     Lost(Peer),
     /// The others took this process for gone; it has come back under a later generation.
     Returned(Peer),
+    /// The state folder of this process is older than what another remembers of it, or a copy: it saw this start there.
+    Older(Start),
     /// How things are, where that differs from before.
     View(View),
 }
@@ -105,6 +110,9 @@
     swim: Swim,
     frames: Frames,
     roster: Roster,
+    starts: Starts,
+    /// Another remembers a later start on this process's folder; said once.
+    older: Option<Start>,
     runtime: AccumulatingRuntime<Peer>,
     timers: BinaryHeap<Reverse<Due>>,
     numbered: u64,
@@ -129,6 +137,7 @@
 const SWIM: u8 = 0;
 const ASK: u8 = 1;
 const PAGE: u8 = 2;
+const OLDER: u8 = 3;
 
 /// A timer, by when it is due, then by the crate's order, then by age.
 #[derive(PartialEq, Eq, PartialOrd, Ord)]
@@ -144,6 +153,8 @@
         let swim = Foca::new(settings.me.clone(), config(settings.round_trip, fitted), own, PostcardCodec);
         Members {
             roster: Roster::new(settings.me.clone(), settings.expected, now),
+            starts: Starts::default(),
+            older: None,
             swim,
             frames,
             runtime: AccumulatingRuntime::new(),
@@ -168,7 +179,7 @@
     pub fn handle(&mut self, now: Duration, datagram: &[u8], out: &mut Vec<Output>) {
         self.catch_up(now);
         let heard = self.frames.open(now, datagram);
-        if let Err(dropped) = heard.and_then(|content| self.hear(content)) {
+        if let Err(dropped) = heard.and_then(|content| self.hear(now, content, out)) {
             let count = match dropped {
                 Dropped::Torn => &mut self.counts.torn,
                 Dropped::Foreign => &mut self.counts.foreign,
@@ -227,7 +238,7 @@
         self.counts
     }
 
-    fn hear(&mut self, content: &[u8]) -> Result<(), Dropped> {
+    fn hear(&mut self, now: Duration, content: &[u8], out: &mut Vec<Output>) -> Result<(), Dropped> {
         let (kind, rest) = content.split_first().ok_or(Dropped::Senseless)?;
         match *kind {
             SWIM => {
@@ -235,8 +246,10 @@
                 self.swim.handle_data(rest, &mut self.runtime).map_err(|_| Dropped::Senseless)
             }
             ASK => {
-                let (asker, sum) =
-                    postcard::from_bytes::<(SocketAddr, u64)>(rest).map_err(|_| Dropped::Senseless)?;
+                let (asker, sum, start) = read::<(SocketAddr, u64, Option<Start>)>(rest)?;
+                if let Some(latest) = start.and_then(|start| self.starts.take(now, start)) {
+                    self.own.push((asker, said(OLDER, &latest)));
+                }
                 if sum != self.sum() {
                     self.tell_pages(asker);
                 }
@@ -254,6 +267,15 @@
                 let told = self.swim.apply_many(members.into_iter(), false, &mut self.runtime);
                 told.map_err(|_| Dropped::Senseless)
             }
+            OLDER => {
+                let latest = read::<Start>(rest)?;
+                let mine = self.settings.me.start.is_some_and(|start| contradicts(start, latest));
+                if mine && self.older.is_none_or(|older| older.number < latest.number) {
+                    self.older = Some(latest);
+                    out.push(Output::Says(Statement::Older(latest)));
+                }
+                Ok(())
+            }
             _ => Err(Dropped::Senseless),
         }
     }
@@ -292,8 +314,7 @@
     fn compare(&mut self) {
         let here: Vec<SocketAddr> = self.swim.iter_members().map(|member| member.id().address).collect();
         let Some(one) = here.get(self.draws.next_u32() as usize % here.len().max(1)) else { return };
-        let mut ask = vec![ASK];
-        ask.extend(postcard::to_stdvec(&(self.settings.me.address, self.sum())).unwrap_or_default()); // as above
+        let ask = said(ASK, &(self.settings.me.address, self.sum(), self.settings.me.start));
         self.own.push((*one, ask));
     }
 
@@ -311,6 +332,10 @@
     fn look(&mut self, now: Duration, out: &mut Vec<Output>) {
         let suspects = self.swim.iter_members().filter(|member| is_suspect(member)).count();
         self.pages = PAGES;
+        for start in self.swim.iter_members().filter_map(|member| member.id().start) {
+            // Whoever claims what can't be is told when it asks.
+            let _ = self.starts.take(now, start);
+        }
         // Of those that have gone only who had said so: it may be heard of no sooner.
         let told = |member: &&Member<Peer>| member.state() != State::Down || member.id().leaving;
         let here = self.swim.iter_membership_state().filter(told).map(Member::id);
@@ -378,6 +403,17 @@
     }
 }
 
+/// What a datagram of one's own kind says.
+fn said(kind: u8, what: &impl Serialize) -> Vec<u8> {
+    let mut content = vec![kind];
+    content.extend(postcard::to_stdvec(what).unwrap_or_default()); // writing to memory does not fail
+    content
+}
+
+fn read<T: DeserializeOwned>(content: &[u8]) -> Result<T, Dropped> {
+    postcard::from_bytes(content).map_err(|_| Dropped::Senseless)
+}
+
 fn is_suspect(member: &Member<Peer>) -> bool {
     member.state() == State::Suspect
 }
--- a/src/net/keeping.rs
+++ b/src/net/keeping.rs
@@ -11,7 +11,10 @@
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::sync::atomic::Ordering::Relaxed;
+use std::time::Duration;
 use tokio::sync::mpsc::{Receiver, channel};
+use tokio::sync::watch;
+use tokio::time::timeout;
 use tracing::{error, info, warn};
 
 /// Statements of the disk that may wait for this thread; at more the disk's thread waits.
@@ -22,7 +25,9 @@
     name: String,
     writer: RefCell<Writer>,
     /// Who it is, and the batch that says so.
-    told: Cell<Option<(u64, u64)>>,
+    told: RefCell<Option<(u64, Identity)>>,
+    /// Its folder and the number of its start there, once that is durable; none there where nothing is kept.
+    start: watch::Sender<Option<Option<(u128, u64)>>>,
     /// The incarnation that is durable; 0 before.
     incarnation: Cell<u64>,
     set_aside: Cell<u64>,
@@ -31,13 +36,13 @@
 
 impl Keeping {
     /// Starts the thread of this folder; returns at once, and tells what comes of it to `follow`.
-    pub fn start(folder: PathBuf, name: &str) -> io::Result<(Rc<Self>, Receiver<Statement>)> {
+    pub fn open(folder: PathBuf, name: &str) -> io::Result<(Rc<Self>, Receiver<Statement>)> {
         let (says, said) = channel(STATEMENTS);
         let say = move |statement| drop(says.blocking_send(statement)); // fails only while the process ends
         let writer = RefCell::new(Writer::start(folder, name.to_owned(), say)?);
-        let (told, incarnation, set_aside, over) = Default::default();
+        let (told, start, incarnation, set_aside, over) = Default::default();
         let name = name.to_owned();
-        Ok((Rc::new(Keeping { name, writer, told, incarnation, set_aside, over }), said))
+        Ok((Rc::new(Keeping { name, writer, told, start, incarnation, set_aside, over }), said))
     }
 
     /// Follows what the disk says.
@@ -49,15 +54,17 @@
                 }
                 Statement::Opened(found) => self.opened(found),
                 Statement::Durable(number) => {
-                    if let Some((batch, incarnation)) = self.told.get()
+                    if let Some((batch, Identity { folder, incarnation, .. })) = *self.told.borrow()
                         && number >= batch
                         && self.incarnation.replace(incarnation) != incarnation
                     {
                         info!(incarnation, "state: start {incarnation} on this folder is kept");
+                        self.start.send_replace(Some(Some((folder, incarnation))));
                     }
                 }
                 Statement::Over(e) => {
                     self.over.set(true);
+                    self.start.send_if_modified(|start| start.is_none() && start.replace(None).is_none());
                     error!("state: {e}; nothing is kept from now on, and serving goes on");
                 }
             }
@@ -78,15 +85,22 @@
             Some(identity) => Identity { incarnation: identity.incarnation + 1, ..identity },
             None => Identity::drawn(&self.name),
         };
-        let incarnation = identity.incarnation;
-        match self.writer.borrow_mut().submit(vec![Change::Identity(identity)]) {
-            Ok(batch) => self.told.set(Some((batch, incarnation))),
+        match self.writer.borrow_mut().submit(vec![Change::Identity(identity.clone())]) {
+            Ok(batch) => drop(self.told.replace(Some((batch, identity)))),
             Err(Refused::Full | Refused::Over) => {
                 warn!("state: this start could not be handed to the disk")
             }
         }
     }
 
+    /// Waits until this start is durable: the folder and the start's number there. None where nothing is kept, or not
+    /// within this time.
+    pub async fn start(&self, within: Duration) -> Option<(u128, u64)> {
+        let mut start = self.start.subscribe();
+        let known = timeout(within, start.wait_for(Option::is_some)).await;
+        known.ok()?.ok()?.flatten()
+    }
+
     /// Adds its figures.
     pub fn register(&self, registry: &mut Registry) {
         let writer = self.writer.borrow();
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -77,6 +77,9 @@
 /// An address in use is tried again for so long, and this often.
 const BIND_PATIENCE: Duration = Duration::from_secs(1);
 const BIND_LOOK: Duration = Duration::from_millis(5);
+/// A process joins its fleet when its start is durable, or after this without it: a disk that hangs, or that an older
+/// process still has, must not keep it out.
+const DISK_WAIT: Duration = Duration::from_secs(5);
 /// Connections that may wait to be accepted; the system may allow fewer.
 const BACKLOG: u32 = 1024;
 
@@ -111,7 +114,7 @@
     let (classes, tenants) = (listed(&names.classes), listed(&names.tenants));
     let keeping = match state {
         Some(folder) => {
-            let (keeping, said) = Keeping::start(folder, &name).map_err(|e| format!("state: {e}"))?;
+            let (keeping, said) = Keeping::open(folder, &name).map_err(|e| format!("state: {e}"))?;
             spawn_local(keeping.clone().follow(said));
             Some(keeping)
         }
@@ -129,6 +132,15 @@
         let inbox = inbox.clone();
         // Fails only while the process ends.
         spawn_local(peers.clone().follow(move |living| drop(inbox.send(Input::Balancers(living)))));
+        let (peers, keeping) = (peers.clone(), keeping.clone());
+        spawn_local(async move {
+            // Nothing is said of a start before it is durable.
+            let start = match keeping {
+                Some(keeping) => keeping.start(DISK_WAIT).await,
+                None => None,
+            };
+            peers.join(start);
+        });
     }
     let contact = Contact::new();
     let counters = Counters::new(&classes, log, contact.clone(), keeping, peers.clone());
--- a/src/net/peers.rs
+++ b/src/net/peers.rs
@@ -42,6 +42,11 @@
         }
     }
 
+    /// Joins the others, with this start on a state folder where there is one.
+    pub fn join(&self, start: Option<(u128, u64)>) {
+        self.fleet.join(start);
+    }
+
     /// Tells the others that this process leaves.
     pub fn leave(&self) {
         self.fleet.leave();
@@ -67,6 +72,7 @@
                 line("names_twice", &view.twice.join(" "));
             }
         }
+        line("folder_older", &figures.older.load(Relaxed));
         line("stuck_s", &figures.stuck_for().as_secs_f64());
         text
     }
@@ -102,6 +108,8 @@
                 gauge(name, help, f64::from(u8::from(view.standing == standing)));
             }
         }
+        let help = "The later start that others remember of this state folder; 0 where none does";
+        gauge("folder_older", help, figures.older.load(Relaxed) as f64);
         gauge(
             "stuck_seconds",
             "Since the fleet's thread last had a turn",
--- a/tests/members.rs
+++ b/tests/members.rs
@@ -5,7 +5,7 @@
 
 use fleet::{Net, ms, settings};
 use gullpulley::fleet::members::{
-    Counts, DATAGRAM_MOST, Members, NAME_MOST, Output, Peer, Settings, Standing, Statement,
+    Counts, DATAGRAM_MOST, Members, NAME_MOST, Output, Peer, Settings, Standing, Start, Statement,
 };
 use std::time::Duration;
 
@@ -244,6 +244,44 @@
     assert!(net.until(ms(3000), |view| view.twice.is_empty()).is_some());
 }
 
+/// A folder's process says how often it started there; the others remember.
+#[test]
+fn a_state_folder_put_back_or_copied_is_told_to_its_process_by_the_others() {
+    let mut net = gathered(5, 10);
+    let older = |net: &Net, number: usize| {
+        let said = net.places[number].said.iter().rev();
+        said.filter_map(
+            |(_, said)| if let Statement::Older(start) = said { Some(start.number) } else { None },
+        )
+        .next()
+    };
+    let mut generation = 1;
+    let mut start = |net: &mut Net, place: usize, number: u64, at: u64| {
+        net.kill(place);
+        generation += 1;
+        net.places[place].said.clear();
+        let mut settings = settings(place, 5, generation, 10);
+        settings.me.start = Some(Start { folder: 77, number, at });
+        net.start(place, settings);
+        net.run(ms(4000));
+    };
+    // Seven starts as they should be, the last after the clock was put back.
+    start(&mut net, 4, 6, 1000);
+    start(&mut net, 4, 7, 900);
+    assert_eq!(older(&net, 4), None);
+    // Put back to before the last start, which thereby comes twice; and to long before.
+    start(&mut net, 4, 7, 2000);
+    assert_eq!(older(&net, 4), Some(7));
+    start(&mut net, 4, 3, 3000);
+    assert_eq!(older(&net, 4), Some(7));
+    // Mended by a later number; and a copy of the folder that another place starts on.
+    start(&mut net, 4, 8, 4000);
+    assert_eq!(older(&net, 4), None);
+    start(&mut net, 3, 8, 5000);
+    assert_eq!((older(&net, 3), older(&net, 4)), (Some(8), None));
+    assert!(net.running().all(|place| place.view.as_ref().unwrap().living == 5), "all count, as all serve");
+}
+
 #[test]
 fn what_a_member_says_does_not_grow_with_the_fleet_and_the_longest_names_fit() {
     let mut costs = Vec::new();
--- a/tests/support/fleet.rs
+++ b/tests/support/fleet.rs
@@ -23,7 +23,15 @@
     let (name, zone) = (format!("copy-{number}"), format!("zone-{}", number % 3));
     Settings {
         cluster: "made".to_owned(),
-        me: Peer { address: address(number), name, zone, generation, claims: 0, leaving: false },
+        me: Peer {
+            address: address(number),
+            name,
+            zone,
+            generation,
+            claims: 0,
+            leaving: false,
+            start: None,
+        },
         seeds: (0..3).map(address).collect(),
         round_trip: ROUND_TRIP,
         expected,
