Lab: disks that lie, flip or go back, links that stall, and drawn fault schedules

Not done: a clock that runs fast or slow for one process; a real one needs privileges, the core takes any made time.

--- a/lab/src/copies.rs
+++ b/lab/src/copies.rs
@@ -4,11 +4,15 @@
 
 use crate::experiment::DescribedCopy;
 use crate::http::{self, Pool};
+use crate::seeds::{Part, draws};
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
+use rand::Rng;
+use std::collections::BTreeMap;
 use std::fs::{File, OpenOptions};
 use std::io::{self, Write};
 use std::net::SocketAddr;
+use std::os::unix::fs::FileExt;
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -28,6 +32,12 @@
 /// A copy that is not ready by then never will be.
 const READY_WITHIN: Duration = Duration::from_secs(15);
 
+/// A copy's state folder in its own, and where that is kept to be put back.
+pub const STATE: &str = "state";
+const KEPT: &str = "state.kept";
+/// A flip changes a bit in each piece of a file of so many bytes: much of a store is not in use.
+const FLIP_EACH: u64 = 512;
+
 /// What went wrong with a copy.
 #[derive(Debug, Error)]
 pub enum CopyError {
@@ -99,6 +109,8 @@
     keeper: Arc<Keeper>,
     process: Mutex<Process>,
     ended: watch::Sender<u64>,
+    /// What its disk does from now on, by word: it holds for the next process too.
+    disk: Mutex<BTreeMap<String, String>>,
 }
 
 #[derive(Default)]
@@ -138,6 +150,7 @@
             keeper,
             process: Mutex::default(),
             ended: watch::Sender::new(0),
+            disk: Mutex::default(),
         })
     }
 
@@ -157,7 +170,9 @@
         let mut command = match self.warded {
             true => {
                 let mut command = tokio::process::Command::new(ward().map_err(failed)?);
-                command.arg(self.folder.join("state")).arg("--").arg(&self.binary);
+                let standing = self.disk.lock().unwrap_or_else(PoisonError::into_inner).clone();
+                command.arg(self.folder.join(STATE)).args(standing.into_values());
+                command.arg("--").arg(&self.binary);
                 command.stdin(Stdio::piped()).stdout(Stdio::piped());
                 command
             }
@@ -206,6 +221,40 @@
         Err(CopyError::NeverReady(self.name.clone(), READY_WITHIN.as_secs(), self.last_lines()))
     }
 
+    /// Flips bits of what it keeps, at places by the seed, as a disk at rest may.
+    pub fn flip(&self, seed: u64) -> io::Result<()> {
+        let mut draws = draws(seed, Part::Disk, 1);
+        let mut files: Vec<PathBuf> =
+            std::fs::read_dir(self.folder.join(STATE))?.flatten().map(|entry| entry.path()).collect();
+        files.sort();
+        for path in files {
+            let file = OpenOptions::new().read(true).write(true).open(path)?;
+            let length = file.metadata()?.len();
+            for piece in 0..length.div_ceil(FLIP_EACH) {
+                let (first, mut byte) = (piece * FLIP_EACH, [0]);
+                let at = draws.random_range(first..length.min(first + FLIP_EACH));
+                file.read_exact_at(&mut byte, at)?;
+                file.write_all_at(&[byte[0] ^ 1 << draws.random_range(0..8)], at)?;
+            }
+        }
+        Ok(())
+    }
+
+    /// Keeps its state folder as it stands, to be put back later; it stands still meanwhile.
+    pub fn keep_state(&self) -> io::Result<()> {
+        self.pause(true);
+        let kept = copied(&self.folder.join(STATE), &self.folder.join(KEPT));
+        self.pause(false);
+        kept
+    }
+
+    /// Puts its state folder back to what was kept; it must not run.
+    pub fn put_state_back(&self) -> io::Result<()> {
+        let (state, kept) = (self.folder.join(STATE), self.folder.join(KEPT));
+        std::fs::remove_dir_all(&state)?;
+        std::fs::rename(kept, state)
+    }
+
     /// The end of its log.
     pub fn last_lines(&self) -> String {
         let log = std::fs::read_to_string(self.folder.join("log")).unwrap_or_default();
@@ -263,8 +312,15 @@
         self.signal(if on { Signal::SIGSTOP } else { Signal::SIGCONT });
     }
 
-    /// Tells its ward what becomes of its disk.
-    pub fn order(&self, order: &str) {
+    /// Tells its ward what its disk does from now on, also under the next process.
+    pub fn disk(&self, order: &str) {
+        let word = order.split(' ').next().unwrap_or_default().to_owned();
+        self.disk.lock().unwrap_or_else(PoisonError::into_inner).insert(word, order.to_owned());
+        self.order(order);
+    }
+
+    /// Gives its ward an order.
+    fn order(&self, order: &str) {
         if let Some(orders) = &mut self.process().orders {
             // A pipe takes a line at once; nobody reads it where the process has just ended.
             let _ = writeln!(orders, "{order}");
@@ -321,3 +377,16 @@
         sleep(READY_LOOK).await;
     }
 }
+
+/// Copies the files of a folder into another, in place of what is there.
+fn copied(from: &Path, to: &Path) -> io::Result<()> {
+    if to.exists() {
+        std::fs::remove_dir_all(to)?;
+    }
+    std::fs::create_dir_all(to)?;
+    for entry in std::fs::read_dir(from)? {
+        let entry = entry?;
+        std::fs::copy(entry.path(), to.join(entry.file_name()))?;
+    }
+    Ok(())
+}
--- a/lab/src/deployment/faults.rs
+++ b/lab/src/deployment/faults.rs
@@ -37,6 +37,17 @@
                 self.end(beside.chain(zone), Signal::SIGKILL).await;
                 self.tell(&struck, "removed", false).await;
             }
+            What::DiskFlipped => {
+                for (number, copy) in self.on_disk(fault).into_iter().enumerate() {
+                    let seed = self.experiment.seed.wrapping_mul(1009) + number as u64;
+                    copy.flip(seed).map_err(|e| DeploymentError::Io(copy.name.clone(), e))?;
+                }
+            }
+            What::DiskOlder => {
+                for copy in self.on_disk(fault) {
+                    copy.keep_state().map_err(|e| DeploymentError::Io(copy.name.clone(), e))?;
+                }
+            }
             What::DiscoveryMissing => {
                 self.tell(&self.struck(fault), "removed", false).await;
             }
@@ -61,6 +72,14 @@
                 self.start(self.on_disk(fault)).await?;
                 self.tell(&struck, "up", true).await;
             }
+            What::DiskOlder => {
+                let copies = self.on_disk(fault);
+                self.end(copies.clone(), Signal::SIGKILL).await;
+                for copy in &copies {
+                    copy.put_state_back().map_err(|e| DeploymentError::Io(copy.name.clone(), e))?;
+                }
+                self.start(copies).await?;
+            }
             What::ZoneLost | What::Gone => {
                 let struck = self.struck(fault);
                 self.start(struck.iter().filter_map(|endpoint| endpoint.behind.clone())).await?;
@@ -86,6 +105,7 @@
         match fault.what {
             What::Pause => self.copy(&fault.of).into_iter().for_each(|copy| copy.pause(on)),
             What::DiskFull => self.order(fault, if on { "full on" } else { "full off" }),
+            What::DiskLying => self.order(fault, if on { "lying on" } else { "lying off" }),
             What::DiskFailing => self.order(fault, if on { "failing on" } else { "failing off" }),
             What::DiskSlow => self.order(fault, &format!("slow {}", if on { fault.by as u64 } else { 0 })),
             What::DiscoveryDown => self.table.send_modify(|table| {
@@ -185,7 +205,7 @@
     }
 
     fn order(&self, fault: &Fault, order: &str) {
-        self.on_disk(fault).iter().for_each(|copy| copy.order(order));
+        self.on_disk(fault).iter().for_each(|copy| copy.disk(order));
     }
 
     /// The copies of a zone that is lost.
@@ -211,6 +231,7 @@
     let part = if on { fault.by } else { 0.0 };
     match fault.what {
         What::CutOff | What::CutOffOneWay => way.cut = on,
+        What::Stall => way.stalled = on,
         What::BlackHole => way.hole = on,
         What::Reset => way.reset = on,
         What::Resets => way.breaks = part,
--- a/lab/src/deployment/mod.rs
+++ b/lab/src/deployment/mod.rs
@@ -4,7 +4,7 @@
 mod configuration;
 mod faults;
 
-use crate::copies::{Copy, CopyError, Keeper, front};
+use crate::copies::{Copy, CopyError, Keeper, STATE, front};
 use crate::discovery::{self, Behind, Caller, Desk, Entry, Table};
 use crate::endpoint::{Endpoint, World, mean_work};
 use crate::experiment::{DescribedCopy, Experiment};
@@ -224,7 +224,7 @@
         let places = [addresses.at(CLIENTS, number), addresses.at(DOOR, number), discovery];
         let mut table = configuration(experiment, &described, copy, places);
         if experiment.copy.contains_key("state") {
-            let dir = here.join("state").display().to_string();
+            let dir = here.join(STATE).display().to_string();
             table.insert("state".into(), toml::Table::from_iter([("dir".to_owned(), dir.into())]).into());
         }
         configuration::join(&mut table, &described, copy, posts, number);
--- a/lab/src/experiment/faults.rs
+++ b/lab/src/experiment/faults.rs
@@ -46,11 +46,21 @@
     DiskFailing,
     /// What a copy writes, or makes durable, takes longer.
     DiskSlow,
+    /// What a copy makes durable is said to be, and is not: a power cut then leaves of it what it will.
+    DiskLying,
+    /// Some bits of what a copy keeps are flipped at rest, under it if it runs.
+    DiskFlipped,
+    /// A copy's state folder is kept as it stands; at the end the copy is killed, the folder put back to that, and the
+    /// copy started again.
+    DiskOlder,
     /// A zone is lost: copies killed, endpoints gone, all started again at the end.
     ZoneLost,
     /// Nothing comes through between a zone, or a copy, and others. A connection's bytes are held back, as
     /// retransmission would; datagrams are lost.
     CutOff,
+    /// Nothing comes through between a zone, or a copy, and others, and at the end everything does at once: bytes and
+    /// datagrams.
+    Stall,
     /// Nothing comes through from a zone or copy; what goes there does.
     CutOffOneWay,
     /// What is sent between a zone and others vanishes, and the connections that it was sent on stay silent.
@@ -95,6 +105,7 @@
     pub fn of_way(&self) -> bool {
         let ways = [
             What::CutOff,
+            What::Stall,
             What::CutOffOneWay,
             What::BlackHole,
             What::Delay,
@@ -109,7 +120,8 @@
 
     /// Whether a ward has to stand between the copy and its disk.
     pub fn of_disk(&self) -> bool {
-        matches!(self.what, What::PowerCut | What::DiskFull | What::DiskFailing | What::DiskSlow)
+        let orders = [What::PowerCut, What::DiskFull, What::DiskFailing, What::DiskSlow, What::DiskLying];
+        orders.contains(&self.what)
     }
 
     /// Whether it changes the list.
--- a/lab/src/experiment/fits.rs
+++ b/lab/src/experiment/fits.rs
@@ -36,6 +36,17 @@
         for (number, fault) in self.fault.iter().enumerate() {
             self.target(fault).map_err(|problem| format!("fault[{number}]: {problem}"))?;
         }
+        if let Some(draw) = &self.draw {
+            let room = draw.until.saturating_sub(draw.from);
+            if draw.what.is_empty() || draw.faults == 0 {
+                return wrong("draw: say how many faults, and what may go wrong".to_owned());
+            }
+            if draw.longest.is_zero() || draw.longest > room || draw.until > self.lasts {
+                return wrong(
+                    "draw: from, longest and until must fit in what the experiment lasts".to_owned(),
+                );
+            }
+        }
         for (number, check) in self.check.iter().enumerate() {
             if check.at_least.is_none() && check.at_most.is_none() {
                 return wrong(format!("check[{number}]: say at_least or at_most"));
@@ -92,7 +103,7 @@
     }
 
     /// Checks that what a fault strikes is there.
-    fn target(&self, fault: &Fault) -> Result<(), String> {
+    pub(super) fn target(&self, fault: &Fault) -> Result<(), String> {
         let missing = |sort: &str, known: Vec<String>| {
             Err(format!("there is no {sort} `{}`; there are {}", fault.of, known.join(", ")))
         };
@@ -111,6 +122,9 @@
                 true => Ok(()),
             };
         }
+        if fault.what == What::DiskOlder && fault.lasts.is_none() {
+            return Err("say with `lasts` when the older folder is put back".to_owned());
+        }
         match fault.what {
             What::Kill | What::Term | What::Pause => {
                 if copies.contains(&fault.of) {
@@ -123,7 +137,11 @@
             | What::DiskFull
             | What::DiskFailing
             | What::DiskSlow
+            | What::DiskLying
+            | What::DiskFlipped
+            | What::DiskOlder
             | What::CutOff
+            | What::Stall
             | What::CutOffOneWay
             | What::Delay
             | What::Loss
--- a/lab/src/experiment/mod.rs
+++ b/lab/src/experiment/mod.rs
@@ -1,10 +1,12 @@
 //! An experiment: a world, the load on it, the faults in it, and what must hold. Read from TOML; every name that
 //! one part uses of another is checked before anything starts.
 
+mod draw;
 mod faults;
 mod fits;
 mod world;
 
+pub use draw::Draw;
 pub use faults::{Check, Fault, Over, That, What};
 pub use world::{
     Abandoned, Arrivals, Burst, Class, Described, DescribedCopy, Discovery, Group, Kind, Link, Load,
@@ -69,6 +71,9 @@
     /// What goes wrong, and when.
     #[serde(default)]
     pub fault: Vec<Fault>,
+    /// From what fault schedules are drawn, for `--schedules`.
+    #[serde(default)]
+    pub draw: Option<Draw>,
     /// What must hold.
     #[serde(default)]
     pub check: Vec<Check>,
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -10,7 +10,8 @@
 use gullpulley_lab::telling;
 use std::path::{Path, PathBuf};
 use std::process::{Command as Process, ExitCode};
-use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
 
 const DEMO: &str = include_str!("../experiments/demo.toml");
 /// The project's folder, as this program was built from it.
@@ -49,6 +50,12 @@
         file: PathBuf,
         #[command(flatten)]
         with: With,
+        /// Play so many fault schedules drawn by its `[draw]`, from the seed on, and say which seeds fail
+        #[arg(long, value_name = "N")]
+        schedules: Option<u64>,
+        /// Of these, play so many at a time
+        #[arg(long, value_name = "K", default_value_t = 2, value_parser = clap::value_parser!(u64).range(1..=6))]
+        at_once: u64,
     },
     /// Play two variants in turn on the same seeds, and say whether they differ
     Compare {
@@ -103,9 +110,12 @@
         Command::Demo(with) => {
             Experiment::parse("demo", DEMO).map_err(|e| e.to_string()).and_then(|demo| play(demo, &with))
         }
-        Command::Run { file, with } => Experiment::load(&file)
-            .map_err(|e| e.to_string())
-            .and_then(|experiment| play(experiment, &with)),
+        Command::Run { file, with, schedules, at_once } => {
+            Experiment::load(&file).map_err(|e| e.to_string()).and_then(|experiment| match schedules {
+                Some(count) => play_schedules(&experiment, count, at_once, &with),
+                None => play(experiment, &with),
+            })
+        }
         Command::Compare { file, first, second, plays, with } => {
             compare(&file, [&first, &second], plays, &with)
         }
@@ -267,6 +277,69 @@
     Ok(code)
 }
 
+/// Plays fault schedules, several at a time, and says which seeds failed; each keeps its files and report.
+fn play_schedules(experiment: &Experiment, count: u64, at_once: u64, with: &With) -> Result<u8, String> {
+    let (program, folder) = (with.program()?, with.folder(&experiment.name));
+    let first = with.seed.unwrap_or(experiment.seed);
+    let next = AtomicU64::new(first);
+    let (failed, void) = (Mutex::new(Vec::new()), AtomicU64::new(0));
+    let work = || {
+        loop {
+            let seed = next.fetch_add(1, Ordering::SeqCst);
+            if seed >= first + count {
+                return Ok(());
+            }
+            let drawn = experiment.drawn(seed).ok_or("the experiment has no [draw]")?;
+            let folder = folder.join(seed.to_string());
+            let run = in_time(Arc::new(drawn), &program, &folder, |_| {})?;
+            report::write(&run, &folder).map_err(|e| e.to_string())?;
+            let verdicts = verdicts(&run);
+            let broken: Vec<_> = verdicts.iter().filter(|verdict| !verdict.holds).collect();
+            let faults: Vec<&str> = run.faults.iter().map(|fault| fault.what.as_str()).collect();
+            let mark = match (run.void(), broken.is_empty()) {
+                (Some(_), _) => "VOID  ",
+                (None, true) => "holds ",
+                (None, false) => "BROKEN",
+            };
+            println!("{mark}  seed {seed}: {}", faults.join(", "));
+            if run.void().is_some() {
+                void.fetch_add(1, Ordering::SeqCst);
+            } else if !broken.is_empty() {
+                for verdict in broken {
+                    let figure =
+                        verdict.figure.map_or_else(|| "none".to_owned(), |figure| format!("{figure:.3}"));
+                    println!("        seed {seed}: {} is {figure} ({})", verdict.check, verdict.wanted);
+                }
+                failed.lock().unwrap_or_else(PoisonError::into_inner).push(seed);
+            }
+        }
+    };
+    let ended: Vec<Result<(), String>> = std::thread::scope(|scope| {
+        let working: Vec<_> = (0..at_once).map(|_| scope.spawn(work)).collect();
+        let lost = |_| Err("a play ended early".to_owned());
+        working.into_iter().map(|work| work.join().unwrap_or_else(lost)).collect()
+    });
+    ended.into_iter().collect::<Result<Vec<()>, String>>()?;
+    let mut failed = failed.into_inner().unwrap_or_else(PoisonError::into_inner);
+    failed.sort_unstable();
+    let void = void.into_inner();
+    println!(
+        "\n{count} schedules from seed {first}: {} failed, {void} void; in {}",
+        failed.len(),
+        folder.display()
+    );
+    for seed in &failed {
+        println!("        replay: run FILE --schedules 1 --seed {seed}");
+    }
+    Ok(if !failed.is_empty() {
+        BROKEN
+    } else if void > 0 {
+        VOID
+    } else {
+        0
+    })
+}
+
 fn show(second: &Second) {
     let Second { second, ended, served, refused, failed, fronted, faults } = second;
     println!("{second:6} {ended:7} {served:7} {refused:8} {failed:7} {fronted:7}  {}", faults.join(", "));
--- a/lab/src/network/datagrams.rs
+++ b/lab/src/network/datagrams.rs
@@ -18,6 +18,9 @@
 /// One that comes after later ones does so by up to this and twice the delay.
 const REORDERED: Duration = Duration::from_millis(20);
 
+/// How often a datagram that is held back looks whether it may go on.
+const STALL_LOOK: Duration = Duration::from_millis(5);
+
 /// Where a copy takes datagrams.
 #[derive(Clone, Copy, Debug)]
 pub struct Post {
@@ -80,21 +83,25 @@
         lines[from].sent.bytes.fetch_add(size as u64, Ordering::Relaxed);
         let way = network.between((from, lines[from].post.zone), (to, lines[to].post.zone));
         let falls = |part: f64| part > 0.0 && rand::random::<f64>() < part;
-        let Way { delay, loss, duplicate, reorder, cut, hole, .. } = way;
+        let Way { delay, loss, duplicate, reorder, cut, stalled, hole, .. } = way;
         if cut || hole || falls(loss) {
             continue;
         }
         for _ in 0..if falls(duplicate) { 2 } else { 1 } {
             let later = (REORDERED + 2 * delay).mul_f64(rand::random());
             let delay = delay + if falls(reorder) { later } else { Duration::ZERO };
-            if delay.is_zero() {
+            if delay.is_zero() && !stalled {
                 // One that nobody takes is lost, as datagrams are.
                 let _ = lines[from].socket.send_to(&datagram[..size], lines[to].post.own).await;
                 continue;
             }
             let (lines, datagram) = (lines.clone(), datagram[..size].to_vec());
+            let network = network.clone();
             tokio::spawn(async move {
                 sleep(delay).await;
+                while network.between((from, lines[from].post.zone), (to, lines[to].post.zone)).stalled {
+                    sleep(STALL_LOOK).await;
+                }
                 let _ = lines[from].socket.send_to(&datagram, lines[to].post.own).await;
             });
         }
--- a/lab/src/network/mod.rs
+++ b/lab/src/network/mod.rs
@@ -35,6 +35,8 @@
     pub breaks: f64,
     /// Nothing comes through: a connection's bytes are held back until it does, datagrams are lost.
     pub cut: bool,
+    /// Nothing comes through until all of it does: bytes and datagrams are held back.
+    pub stalled: bool,
     /// What is sent is lost, and the connections that it was sent on stay silent for good.
     pub hole: bool,
     /// Connections are reset, and refused.
@@ -52,6 +54,7 @@
             reorder: either(self.reorder, next.reorder),
             breaks: either(self.breaks, next.breaks),
             cut: self.cut || next.cut,
+            stalled: self.stalled || next.stalled,
             hole: self.hole || next.hole,
             reset: self.reset || next.reset,
         }
--- a/lab/src/network/relay.rs
+++ b/lab/src/network/relay.rs
@@ -159,7 +159,9 @@
             if due > Instant::now() {
                 sleep_until(due).await;
             }
-            if way.wait_for(|way| !way.cut).await.is_err() || to.write_all(&piece).await.is_err() {
+            if way.wait_for(|way| !way.cut && !way.stalled).await.is_err()
+                || to.write_all(&piece).await.is_err()
+            {
                 return Ok(());
             }
         }
--- a/lab/src/seeds.rs
+++ b/lab/src/seeds.rs
@@ -20,6 +20,8 @@
     Disk,
     /// A client's wait before it asks again, by the request's number.
     Retry,
+    /// What goes wrong, where that is drawn.
+    Faults,
 }
 
 /// The draws of one part, for one thing among many.
--- a/lab/src/ward/tracer.rs
+++ b/lab/src/ward/tracer.rs
@@ -30,6 +30,7 @@
     full: AtomicBool,
     failing: AtomicBool,
     paused: AtomicBool,
+    lying: AtomicBool,
     slow_ms: AtomicU64,
     cut: OnceLock<u64>,
 }
@@ -60,7 +61,7 @@
 }
 
 /// Runs a program until it ends; the exit code that follows.
-pub fn run(folder: &Path, program: &[OsString]) -> Result<u8, Box<dyn Error>> {
+pub fn run(folder: &Path, standing: &[OsString], program: &[OsString]) -> Result<u8, Box<dyn Error>> {
     let folder = Folder::open(folder)?;
     let child = Command::new("/bin/sh").arg("-c").arg(HALT).arg("sh").args(program).spawn()?;
     let pid = Pid::from_raw(child.id() as i32);
@@ -73,6 +74,7 @@
         | Options::PTRACE_O_EXITKILL;
     ptrace::seize(pid, options)?;
     let orders = Arc::new(Orders::default());
+    standing.iter().for_each(|order| carry_out(pid, &orders, &order.to_string_lossy()));
     let taking = orders.clone();
     thread::spawn(move || take(pid, &taking));
     writeln!(io::stdout(), "pid {pid}")?;
@@ -87,20 +89,23 @@
 
 /// Takes orders until there can be no more.
 fn take(pid: Pid, orders: &Orders) {
-    for line in io::stdin().lock().lines().map_while(Result::ok) {
-        let (word, value) = line.split_once(' ').unwrap_or((&line, ""));
-        let on = value == "on";
-        match word {
-            "full" => orders.full.store(on, Ordering::SeqCst),
-            "failing" => orders.failing.store(on, Ordering::SeqCst),
-            "pause" => orders.paused.store(on, Ordering::SeqCst),
-            "slow" => orders.slow_ms.store(value.parse().unwrap_or(0), Ordering::SeqCst),
-            "cut" => {
-                let _ = orders.cut.set(value.parse().unwrap_or(0)); // the first cut is the one that counts
-                let _ = kill(pid, Signal::SIGKILL); // it may just have ended
-            }
-            _ => eprintln!("gullpulley-lab-ward: no order: {line}"),
+    io::stdin().lock().lines().map_while(Result::ok).for_each(|line| carry_out(pid, orders, &line));
+}
+
+fn carry_out(pid: Pid, orders: &Orders, line: &str) {
+    let (word, value) = line.split_once(' ').unwrap_or((line, ""));
+    let on = value == "on";
+    match word {
+        "full" => orders.full.store(on, Ordering::SeqCst),
+        "failing" => orders.failing.store(on, Ordering::SeqCst),
+        "lying" => orders.lying.store(on, Ordering::SeqCst),
+        "pause" => orders.paused.store(on, Ordering::SeqCst),
+        "slow" => orders.slow_ms.store(value.parse().unwrap_or(0), Ordering::SeqCst),
+        "cut" => {
+            let _ = orders.cut.set(value.parse().unwrap_or(0)); // the first cut is the one that counts
+            let _ = kill(pid, Signal::SIGKILL); // it may just have ended
         }
+        _ => eprintln!("gullpulley-lab-ward: no order: {line}"),
     }
 }
 
@@ -198,7 +203,9 @@
                     Call::Open(_) => self.folder.opened(pid.as_raw(), regs.rax as i32),
                     _ => opened,
                 };
-                if let Some(opened) = opened {
+                // What it was told is durable stays to be cut.
+                let lied = matches!(call, Call::Sync(_)) && self.orders.lying.load(Ordering::SeqCst);
+                if let Some(opened) = opened.filter(|_| !lied) {
                     self.folder.done(pid.as_raw(), call, &opened, regs.rax, pending)?;
                 }
             }
--- a/lab/tests/experiments.rs
+++ b/lab/tests/experiments.rs
@@ -105,3 +105,38 @@
     let error = schedule(&Experiment::varied("demo", &text, &[&trace]).unwrap()).unwrap_err().to_string();
     assert!(error.ends_with("results.jsonl:1: there is no such class"), "{error}");
 }
+
+#[test]
+fn a_seed_draws_the_same_faults_each_time_and_none_that_do_not_fit_or_undo_each_other() {
+    const SCHEDULES: &str = include_str!("../experiments/members-schedules.toml");
+    let experiment = Experiment::parse("schedules", SCHEDULES).unwrap();
+    let draw = experiment.draw.clone().unwrap();
+    let mut sorts = std::collections::BTreeSet::new();
+    for seed in 1..=200 {
+        let drawn = experiment.drawn(seed).unwrap();
+        let text = drawn.text();
+        assert_eq!(text, experiment.drawn(seed).unwrap().text());
+        let read = Experiment::parse("drawn", &text).expect("a drawn schedule can be read again");
+        assert_eq!(read.fault.len(), draw.faults, "seed {seed}");
+        for (number, fault) in read.fault.iter().enumerate() {
+            let end = fault.at + fault.lasts.unwrap();
+            assert!(fault.at >= draw.from && end <= draw.until && fault.lasts.unwrap() <= draw.longest);
+            let same = |other: &&gullpulley_lab::experiment::Fault| {
+                (other.what == fault.what || other.of == fault.of)
+                    && other.at < end
+                    && fault.at < other.at + other.lasts.unwrap()
+            };
+            assert_eq!(read.fault[number + 1..].iter().filter(same).count(), 0, "seed {seed}: {text}");
+            sorts.insert(format!("{:?}", fault.what));
+        }
+    }
+    assert_eq!(sorts.len(), draw.what.len(), "all sorts come up: {sorts:?}");
+    for (old, new, told) in [
+        ("until = \"16s\"", "until = \"60s\"", "draw: from, longest and until must fit"),
+        ("faults = 6", "faults = 0", "draw: say how many faults"),
+        ("\"kill\", \"term\"", "\"kil\"", "unknown variant `kil`"),
+    ] {
+        let told_then = Experiment::parse("schedules", &SCHEDULES.replacen(old, new, 1)).expect_err(told);
+        assert!(told_then.to_string().contains(told), "{told_then}");
+    }
+}
