--- a/lab/src/deployment/addresses.rs
+++ b/lab/src/deployment/addresses.rs
@@ -17,8 +17,10 @@
 pub(super) const DOOR: usize = 202;
 pub(super) const DISCOVERY: usize = 203;
 pub(super) const ECHO: usize = 204;
-pub(super) const FLEET: usize = 205;
 pub(super) const KNOWN: usize = 206;
+/// Below them, a copy's own: so many can be told apart by where they connect from.
+const COPIES: usize = 20;
+const COPIES_APART: usize = 180;
 
 /// The addresses of one deployment: an IP address for each sort of part, a port for each part.
 pub(super) struct Addresses {
@@ -33,6 +35,11 @@
         Addresses { process: [1 + (process >> 8) as u8 % 250, process as u8], base: PORT + turn * PORTS }
     }
 
+    /// Where a copy takes what others say to it, and from where it speaks.
+    pub(super) fn of_copy(&self, number: usize) -> SocketAddr {
+        self.at(COPIES + number % COPIES_APART, number)
+    }
+
     pub(super) fn at(&self, sort: usize, number: usize) -> SocketAddr {
         let ip = Ipv4Addr::new(127, self.process[0], self.process[1], 1 + sort as u8);
         SocketAddr::from((ip, self.base + number as u16))
--- a/lab/src/deployment/mod.rs
+++ b/lab/src/deployment/mod.rs
@@ -11,10 +11,10 @@
 use crate::ledger::Ledger;
 use crate::network::datagrams::{self, Post, Sent};
 use crate::network::relay::{self, Place};
-use crate::network::{self, Network};
+use crate::network::{self, Network, streams};
 use crate::schedule::TraceError;
 use crate::telling::Tellings;
-use addresses::{Addresses, CLIENTS, DISCOVERY, DOOR, ECHO, ENDPOINT, FLEET, KNOWN, PORTS};
+use addresses::{Addresses, CLIENTS, DISCOVERY, DOOR, ECHO, ENDPOINT, KNOWN, PORTS};
 use configuration::configuration;
 use std::io;
 use std::net::SocketAddr;
@@ -108,7 +108,7 @@
         let keeper = Keeper::start().map_err(|e| DeploymentError::Io("the keeper".to_owned(), e))?;
         let mut tasks = JoinSet::new();
         let post = |(number, copy): (usize, &DescribedCopy)| Post {
-            own: addresses.at(FLEET, number),
+            own: addresses.of_copy(number),
             known: addresses.at(KNOWN, number),
             zone: copy.zone,
         };
@@ -118,6 +118,8 @@
         };
         let said = datagrams::pass(&posts, &network, &mut tasks).await;
         let said = said.map_err(|e| DeploymentError::Io("a relay of datagrams".to_owned(), e))?;
+        let streams = streams::pass(&posts, &network, &mut tasks).await;
+        streams.map_err(|e| DeploymentError::Io("a relay between copies".to_owned(), e))?;
         let copies = set_out(experiment, &addresses, &posts, program, folder, &keeper)?;
         let (mut endpoints, mut entries) = (Vec::new(), Vec::new());
         for (number, described) in experiment.endpoints().into_iter().enumerate() {
--- a/lab/src/network/mod.rs
+++ b/lab/src/network/mod.rs
@@ -1,11 +1,12 @@
 //! What lies between zones, and the relays through which all traffic between parts goes, so that a fault needs no
-//! privileges: [`relay`] for connections, [`datagrams`] for what processes say to each other.
+//! privileges: [`relay`] for connections, [`datagrams`] and [`streams`] for what copies say to each other.
 //!
 //! What it can't do: lose the first packet of a connection. The system completes every handshake on loopback, so a
 //! connection through a path that is cut off comes up, and stays silent.
 
 pub mod datagrams;
 pub mod relay;
+pub mod streams;
 
 use std::collections::HashMap;
 use std::io;
--- a/src/config/keys.rs
+++ b/src/config/keys.rs
@@ -85,6 +85,7 @@
     key("fleet.listen", Address, Nothing("\"127.0.0.1:7072\""), "fleet.listen", "where its datagrams arrive (UDP); without it this process stays by itself"),
     key("fleet.address", Address, Nothing("\"127.0.0.1:7072\""), "fleet.address", "by which address the others reach it, if not by that"),
     key("fleet.seeds", Addresses, Is("[]"), "fleet.seeds", "where some others may be found at a start; three in different zones will do"),
+    key("fleet.voters", Names, Is("[]"), "fleet.voters", "names of the 3, 5 or 7 processes that agree for all, in different zones; alike in all; these need state.dir"),
     key("fleet.round_trip", Time(1000), Is("\"25ms\""), "fleet.round_trip", "the longest that a datagram and its answer take on a good day; alike in all processes"),
     key("place.zone", Text, Required, "settings.myZone", "the zone that it runs in, one of place.zones"),
     key("place.zones", Names, Required, "settings.areas", "the zones of the deployment"),
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -161,6 +161,7 @@
                 ("fleet.listen", quoted(&fleet.listen)),
                 ("fleet.address", quoted(&fleet.address)),
                 ("fleet.seeds", format!("{seeds:?}")),
+                ("fleet.voters", format!("{:?}", fleet.voters)),
                 ("fleet.round_trip", time(fleet.round_trip)),
             ]);
         }
--- a/src/config/operator.rs
+++ b/src/config/operator.rs
@@ -268,6 +268,18 @@
         let problem = "nobody can reach this address".to_owned();
         fault(once, "", reached, problem, "say in fleet.address where the others reach this process");
     }
+    let voters = once.names("fleet.voters");
+    if !matches!(voters.len(), 0 | 3 | 5 | 7) {
+        let problem = format!(
+            "{} voters: a majority of them is no safer than of one less, or too slow",
+            voters.len()
+        );
+        fault(once, "", "fleet.voters", problem, "name 3, 5 or 7, or leave it out");
+    }
+    if voters.contains(&once.text("name")) && !said("state.dir") {
+        let problem = "this process votes, and has no state.dir to remember it by".to_owned();
+        fault(once, "", "fleet.voters", problem, "say state.dir, or name other voters");
+    }
     for key in ["name", "place.zone"] {
         if let Some(problem) = Fleet::name_fault(&once.text(key)) {
             fault(once, "", key, problem, "give it a shorter one");
@@ -394,6 +406,7 @@
             address: self.address("fleet.address").unwrap_or(listen),
             seeds: self.addresses("fleet.seeds"),
             round_trip: self.time("fleet.round_trip"),
+            voters: self.names("fleet.voters"),
         })
     }
 }
--- a/src/fleet/host/agree.rs
+++ b/src/fleet/host/agree.rs
@@ -1,5 +1,6 @@
 //! The thread that runs the core: datagrams, orders and the time in; datagrams, the log's lines and the view out.
 
+use super::keeper::Addresses;
 use super::{Figures, Order, publish};
 use crate::fleet::members::{Members, Output, Settings, Standing, Start, Statement, View};
 use crossbeam_channel::{Receiver, after, never, select_biased};
@@ -19,6 +20,8 @@
     pub(super) ordered: Receiver<Order>,
     pub(super) figures: Arc<Figures>,
     pub(super) says: watch::Sender<Option<View>>,
+    /// Where others are, for the log's thread.
+    pub(super) peers: watch::Sender<Addresses>,
 }
 
 impl Agree {
@@ -84,6 +87,9 @@
     fn say(&self, statement: Statement) {
         match statement {
             Statement::Joined(peer) => {
+                self.peers.send_modify(|peers| {
+                    Arc::make_mut(peers).insert(peer.name.clone(), peer.address);
+                });
                 info!(
                     peer = peer.name,
                     zone = peer.zone,
@@ -92,7 +98,12 @@
                     peer.address
                 );
             }
-            Statement::Left(peer) => info!(peer = peer.name, "fleet: {} has left", peer.name),
+            Statement::Left(peer) => {
+                self.peers.send_modify(|peers| {
+                    Arc::make_mut(peers).remove(&peer.name);
+                });
+                info!(peer = peer.name, "fleet: {} has left", peer.name);
+            }
             Statement::Lost(peer) => {
                 warn!(
                     peer = peer.name,
--- a/src/fleet/host/mod.rs
+++ b/src/fleet/host/mod.rs
@@ -1,10 +1,17 @@
 //! The threads around the cores, and what the serving thread may read of them. Nobody waits for either thread.
 //!
-//! `net` takes datagrams off the socket; `agree` runs the core, sends, and says what has become known.
+//! `net` takes datagrams off the socket; `agree` runs the core of membership, sends, and says what has become known.
+//! `keeper` runs the core of the log, where there are voters, and `streams` carries its frames.
 
 mod agree;
+mod keeper;
 mod net;
+mod streams;
 
+pub use keeper::Joining;
+pub use streams::PEER_DEPTH;
+
+use crate::fleet::log;
 use crate::fleet::members::{Counts, NAME_MOST, Peer, Settings, View};
 use crossbeam_channel::{Receiver, Sender, bounded};
 use std::collections::hash_map::RandomState;
@@ -15,12 +22,16 @@
 use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 
 /// Datagrams that may wait for the core.
 pub const DEPTH: usize = 1024;
 /// Orders that may.
 pub const ORDERS: usize = 4;
+/// Frames that may wait for the log's core, and frames of its that may wait to be carried.
+pub const FRAMES: usize = 256;
+/// Statements of the disk that may wait for the log's core.
+pub const DISK_DEPTH: usize = 64;
 
 /// A process's place in its fleet, as its configuration says it.
 #[derive(Clone, Debug, PartialEq)]
@@ -35,6 +46,17 @@
     pub seeds: Vec<SocketAddr>,
     /// The longest that a datagram and its answer take on a good day.
     pub round_trip: Duration,
+    /// The names of the voters: 3, 5 or 7, or none where nothing is to be agreed.
+    pub voters: Vec<String>,
+}
+
+/// What the disk says to the log's core.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DiskSays {
+    /// All batches up to this number of the writer's are durable.
+    Durable(u64),
+    /// Nothing is kept any more.
+    Over,
 }
 
 impl Config {
@@ -44,6 +66,15 @@
         long.then(|| format!("{} bytes are too many for a fleet; it takes {NAME_MOST}", name.len()))
     }
 
+    /// The log's settings for the process that turns out to have this number.
+    fn log_settings(&self, name: &str) -> impl FnOnce(u64) -> log::Settings + Send + 'static {
+        let (cluster, voters) = (self.cluster.clone(), self.voters.iter().cloned().collect());
+        let (name, round_trip) = (name.to_owned(), self.round_trip);
+        let half = || u128::from(RandomState::new().build_hasher().finish());
+        let client = half() << 64 | half();
+        move |id| log::Settings { cluster, name, id, client, voters, round_trip }
+    }
+
     /// The core's settings for a process that starts now.
     fn settings(&self, name: &str, zone: &str, balancers: u32) -> Settings {
         let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
@@ -83,6 +114,10 @@
     pub stood: AtomicU64,
     /// Orders not taken.
     pub refused: AtomicU64,
+    /// Frames of the log that came, and that went.
+    pub frames: [AtomicU64; 2],
+    /// Frames that were not delivered, or not heard as too many waited.
+    pub frames_lost: AtomicU64,
     /// The number of the later start that another remembers of this process's state folder; 0 where none does.
     pub older: AtomicU64,
     /// Microseconds after the start at which the core last had a turn.
@@ -95,8 +130,10 @@
     const FULL: usize = 5;
 
     fn new() -> Self {
-        let (came, went, unsent, dropped, stood, refused, older, turn_us) = Default::default();
-        Figures { began: Instant::now(), came, went, unsent, dropped, stood, refused, older, turn_us }
+        let (came, went, unsent, dropped, stood, refused) = Default::default();
+        let (frames, frames_lost, older, turn_us) = Default::default();
+        let began = Instant::now();
+        Figures { began, came, went, unsent, dropped, stood, refused, frames, frames_lost, older, turn_us }
     }
 
     fn turn(&self) {
@@ -129,32 +166,72 @@
     datagrams: Receiver<Vec<u8>>,
     figures: Arc<Figures>,
     view: watch::Receiver<Option<View>>,
+    /// What the process brings to the log, where there is one.
+    joining: Option<Sender<Joining>>,
+    log: watch::Receiver<Option<log::View>>,
 }
 
 impl Fleet {
     /// Starts the threads; the socket is bound on its own thread, as an older process of this sidecar may still have it.
-    pub fn start(config: Config, name: &str, zone: &str, balancers: u32) -> io::Result<Self> {
+    /// What the disk says comes through `disk`, where the process keeps a state.
+    pub fn start(
+        config: Config,
+        name: &str,
+        zone: &str,
+        balancers: u32,
+        disk: Receiver<DiskSays>,
+    ) -> io::Result<Self> {
         let (orders, ordered) = bounded(ORDERS);
         let (came, datagrams) = bounded(DEPTH);
         let figures = Arc::new(Figures::new());
         let (says, view) = watch::channel(None);
         let settings = config.settings(name, zone, balancers);
         let (bound, taken) = bounded(1);
+        let (says_log, log) = watch::channel(None);
+        let (addresses, peers) = watch::channel(Arc::default());
+        let joining = match config.voters.is_empty() {
+            true => None,
+            false => {
+                let (joining, joined) = bounded(1);
+                let (frames, posts) = carry(config.listen, &figures)?;
+                let keeper = keeper::Keeper {
+                    joining: joined,
+                    peers,
+                    frames,
+                    disk,
+                    posts,
+                    figures: figures.clone(),
+                    says: says_log,
+                };
+                let settings = config.log_settings(name);
+                thread::Builder::new().name("fleet-log".to_owned()).spawn(move || keeper.work(settings))?;
+                Some(joining)
+            }
+        };
         let counts = figures.clone();
         thread::Builder::new()
             .name("fleet-net".to_owned())
             .spawn(move || net::work(config.listen, &bound, &came, &counts))?;
-        let agree = agree::Agree { datagrams: datagrams.clone(), ordered, figures: figures.clone(), says };
+        let agree = agree::Agree {
+            datagrams: datagrams.clone(),
+            ordered,
+            figures: figures.clone(),
+            says,
+            peers: addresses,
+        };
         thread::Builder::new()
             .name("fleet-agree".to_owned())
             .spawn(move || agree.work(settings, &taken))?;
-        Ok(Fleet { orders, datagrams, figures, view })
+        Ok(Fleet { orders, datagrams, figures, view, joining, log })
     }
 
     /// Joins; to be called once, as soon as the state folder, where there is one, has this start durable: which folder,
-    /// and the start's number there. Never waits.
-    pub fn join(&self, start: Option<(u128, u64)>) {
+    /// and the start's number there, and what it brings to the log. Never waits.
+    pub fn join(&self, start: Option<(u128, u64)>, joining: Option<Joining>) {
         self.order(Order::Join(start));
+        if let (Some(joined), Some(joining)) = (&self.joining, joining) {
+            let _ = joined.try_send(joining); // fails only for a second one
+        }
     }
 
     /// Tells the others that this process leaves. Never waits; not taken where the core is stuck.
@@ -173,6 +250,11 @@
         self.view.clone()
     }
 
+    /// How the log is: none where there are no voters, or until this process has joined.
+    pub fn log(&self) -> watch::Receiver<Option<log::View>> {
+        self.log.clone()
+    }
+
     /// What is counted.
     pub fn figures(&self) -> &Figures {
         &self.figures
@@ -184,6 +266,20 @@
     }
 }
 
+/// Starts the thread of the log's frames: those that come, and where those that go are posted.
+fn carry(
+    listen: SocketAddr,
+    figures: &Arc<Figures>,
+) -> io::Result<(Receiver<Vec<u8>>, mpsc::Sender<streams::Posted>)> {
+    let (came, frames) = bounded(FRAMES);
+    let (posts, posted) = mpsc::channel(FRAMES);
+    let figures = figures.clone();
+    thread::Builder::new()
+        .name("fleet-streams".to_owned())
+        .spawn(move || streams::work(listen, posted, &came, &figures))?;
+    Ok((frames, posts))
+}
+
 /// Counts as the core has them, for all to read.
 fn publish(figures: &Figures, counts: &Counts) {
     let Counts { torn, foreign, newer, old, senseless, stood } = *counts;
--- a/src/fleet/members/swim.rs
+++ b/src/fleet/members/swim.rs
@@ -332,9 +332,11 @@
     fn look(&mut self, now: Duration, out: &mut Vec<Output>) {
         let suspects = self.swim.iter_members().filter(|member| is_suspect(member)).count();
         self.pages = PAGES;
-        for start in self.swim.iter_members().filter_map(|member| member.id().start) {
-            // Whoever claims what can't be is told when it asks.
-            let _ = self.starts.take(now, start);
+        for peer in self.swim.iter_members().map(Member::id) {
+            // Whoever claims what can't be is told, before it may act on it.
+            if let Some(latest) = peer.start.and_then(|start| self.starts.take(now, start)) {
+                self.own.push((peer.address, said(OLDER, &latest)));
+            }
         }
         // Of those that have gone only who had said so: it may be heard of no sooner.
         let told = |member: &&Member<Peer>| member.state() != State::Down || member.id().leaving;
--- a/src/net/keeping.rs
+++ b/src/net/keeping.rs
@@ -1,5 +1,7 @@
 //! What this process keeps on disk, as the serving thread sees it: told by the disk's thread, never waited for.
 
+use crossbeam_channel::Sender;
+use gullpulley::fleet::host::{DiskSays, Joining};
 use gullpulley::state::memory::{Change, Identity, Memory};
 use gullpulley::state::store::Found;
 use gullpulley::state::writer::{Refused, Statement, Writer};
@@ -11,6 +13,7 @@
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::sync::atomic::Ordering::Relaxed;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::sync::mpsc::{Receiver, channel};
 use tokio::sync::watch;
@@ -23,7 +26,10 @@
 /// The folder of a process, and what is known of it.
 pub struct Keeping {
     name: String,
-    writer: RefCell<Writer>,
+    /// The log's thread writes too.
+    writer: Arc<Mutex<Writer>>,
+    /// What was found, until the log takes it.
+    found: RefCell<Memory>,
     /// Who it is, and the batch that says so.
     told: RefCell<Option<(u64, Identity)>>,
     /// Its folder and the number of its start there, once that is durable; none there where nothing is kept.
@@ -35,14 +41,38 @@
 }
 
 impl Keeping {
-    /// Starts the thread of this folder; returns at once, and tells what comes of it to `follow`.
-    pub fn open(folder: PathBuf, name: &str) -> io::Result<(Rc<Self>, Receiver<Statement>)> {
+    /// Starts the thread of this folder; returns at once, and tells what comes of it to `follow`, and to the log.
+    pub fn open(
+        folder: PathBuf,
+        name: &str,
+        log: Option<Sender<DiskSays>>,
+    ) -> io::Result<(Rc<Self>, Receiver<Statement>)> {
         let (says, said) = channel(STATEMENTS);
-        let say = move |statement| drop(says.blocking_send(statement)); // fails only while the process ends
-        let writer = RefCell::new(Writer::start(folder, name.to_owned(), say)?);
-        let (told, start, incarnation, set_aside, over) = Default::default();
+        let say = move |statement: Statement| {
+            let told = match &statement {
+                Statement::Durable(number) => Some(DiskSays::Durable(*number)),
+                Statement::Over(_) => Some(DiskSays::Over),
+                Statement::Waiting(_) | Statement::Opened(_) => None,
+            };
+            // Both fail only while the process ends.
+            if let (Some(log), Some(told)) = (&log, told) {
+                let _ = log.send(told);
+            }
+            let _ = says.blocking_send(statement);
+        };
+        let writer = Arc::new(Mutex::new(Writer::start(folder, name.to_owned(), say)?));
+        let (found, told, start, incarnation, set_aside, over) = Default::default();
         let name = name.to_owned();
-        Ok((Rc::new(Keeping { name, writer, told, start, incarnation, set_aside, over }), said))
+        Ok((Rc::new(Keeping { name, writer, found, told, start, incarnation, set_aside, over }), said))
+    }
+
+    fn writer(&self) -> MutexGuard<'_, Writer> {
+        self.writer.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// What this process brings to the log: once, and after its start is durable.
+    pub fn joining(&self, folder: u128) -> Joining {
+        Joining { id: (folder as u64).max(1), memory: self.found.take(), writer: Some(self.writer.clone()) }
     }
 
     /// Follows what the disk says.
@@ -81,16 +111,17 @@
                 Memory::default()
             }
         };
-        let identity = match memory.identity {
+        let identity = match memory.identity.clone() {
             Some(identity) => Identity { incarnation: identity.incarnation + 1, ..identity },
             None => Identity::drawn(&self.name),
         };
-        match self.writer.borrow_mut().submit(vec![Change::Identity(identity.clone())]) {
+        match self.writer().submit(vec![Change::Identity(identity.clone())]) {
             Ok(batch) => drop(self.told.replace(Some((batch, identity)))),
             Err(Refused::Full | Refused::Over) => {
                 warn!("state: this start could not be handed to the disk")
             }
         }
+        self.found.replace(memory);
     }
 
     /// Waits until this start is durable: the folder and the start's number there. None where nothing is kept, or not
@@ -103,7 +134,7 @@
 
     /// Adds its figures.
     pub fn register(&self, registry: &mut Registry) {
-        let writer = self.writer.borrow();
+        let writer = self.writer();
         let figures = writer.figures();
         let state = registry.sub_registry_with_prefix("state");
         for (name, help, value) in [
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -112,9 +112,12 @@
     let (calls, asked) = mpsc::unbounded_channel();
     let listed = |named: &[Named]| named.iter().map(|n| n.name.clone()).collect::<Vec<_>>();
     let (classes, tenants) = (listed(&names.classes), listed(&names.tenants));
+    let (to_log, disk) = crossbeam_channel::bounded(gullpulley::fleet::host::DISK_DEPTH);
+    let agrees = fleet.as_ref().is_some_and(|fleet| !fleet.voters.is_empty());
     let keeping = match state {
         Some(folder) => {
-            let (keeping, said) = Keeping::open(folder, &name).map_err(|e| format!("state: {e}"))?;
+            let (keeping, said) = Keeping::open(folder, &name, agrees.then_some(to_log))
+                .map_err(|e| format!("state: {e}"))?;
             spawn_local(keeping.clone().follow(said));
             Some(keeping)
         }
@@ -123,7 +126,7 @@
     let peers = match fleet {
         Some(fleet) => {
             let zone = names.areas.get(settings.zone.0 as usize).map_or("", String::as_str);
-            let peers = Peers::start(fleet, &name, zone, settings.balancers);
+            let peers = Peers::start(fleet, &name, zone, settings.balancers, disk);
             Some(peers.map_err(|e| format!("fleet: {e}"))?)
         }
         None => None,
@@ -135,11 +138,12 @@
         let (peers, keeping) = (peers.clone(), keeping.clone());
         spawn_local(async move {
             // Nothing is said of a start before it is durable.
-            let start = match keeping {
+            let start = match &keeping {
                 Some(keeping) => keeping.start(DISK_WAIT).await,
                 None => None,
             };
-            peers.join(start);
+            let kept = keeping.zip(start).map(|(keeping, (folder, _))| keeping.joining(folder));
+            peers.join(start, kept);
         });
     }
     let contact = Contact::new();
--- a/src/net/peers.rs
+++ b/src/net/peers.rs
@@ -1,6 +1,8 @@
 //! The fleet that this process is one of, as the serving thread sees it: told by the fleet's threads, never waited for.
 
-use gullpulley::fleet::host::{Config, Figures, Fleet};
+use crossbeam_channel::Receiver;
+use gullpulley::fleet::host::{Config, DiskSays, Figures, Fleet, Joining};
+use gullpulley::fleet::log;
 use gullpulley::fleet::members::{Standing, View};
 use prometheus_client::metrics::counter::{ConstCounter, Counter};
 use prometheus_client::metrics::family::Family;
@@ -11,11 +13,21 @@
 use std::rc::Rc;
 use std::sync::atomic::Ordering::Relaxed;
 use std::time::Duration;
+use tracing::error;
 
 /// Every way for a view to stand, with its name in figures.
 const STANDINGS: [(Standing, &str); 3] =
     [(Standing::Converged, "converged"), (Standing::Converging, "converging"), (Standing::Split, "split")];
 
+/// Every part in the log, with its name in figures.
+const PARTS: [(log::Part, &str); 5] = [
+    (log::Part::Founding, "founding"),
+    (log::Part::Voter, "voter"),
+    (log::Part::Leader, "leader"),
+    (log::Part::Learner, "learner"),
+    (log::Part::Follower, "follower"),
+];
+
 type Labels = Vec<(&'static str, &'static str)>;
 
 /// A process's fleet.
@@ -23,12 +35,22 @@
     fleet: Fleet,
     /// As many balancers as its configuration states.
     configured: u32,
+    /// It is one of those that vote.
+    votes: bool,
 }
 
 impl Peers {
     /// Starts the fleet's threads; returns at once.
-    pub fn start(config: Config, name: &str, zone: &str, balancers: u32) -> io::Result<Rc<Self>> {
-        Ok(Rc::new(Peers { fleet: Fleet::start(config, name, zone, balancers)?, configured: balancers }))
+    pub fn start(
+        config: Config,
+        name: &str,
+        zone: &str,
+        balancers: u32,
+        disk: Receiver<DiskSays>,
+    ) -> io::Result<Rc<Self>> {
+        let votes = config.voters.iter().any(|voter| voter == name);
+        let fleet = Fleet::start(config, name, zone, balancers, disk)?;
+        Ok(Rc::new(Peers { fleet, configured: balancers, votes }))
     }
 
     /// Tells how many share the work, whenever that changes.
@@ -42,9 +64,15 @@
         }
     }
 
-    /// Joins the others, with this start on a state folder where there is one.
-    pub fn join(&self, start: Option<(u128, u64)>) {
-        self.fleet.join(start);
+    /// Joins the others, with this start on a state folder where there is one, and with what it brings to the log.
+    pub fn join(&self, start: Option<(u128, u64)>, kept: Option<Joining>) {
+        if kept.is_none() && self.votes {
+            error!(
+                "fleet log: this process votes, and its state is not kept: it has no part until it starts again"
+            );
+            return self.fleet.join(start, None);
+        }
+        self.fleet.join(start, Some(kept.unwrap_or_else(Joining::without_state)));
     }
 
     /// Tells the others that this process leaves.
@@ -72,6 +100,18 @@
                 line("names_twice", &view.twice.join(" "));
             }
         }
+        if let Some(view) = &*self.fleet.log().borrow() {
+            line("log.part", &part(view.part));
+            line("log.history", &format_args!("{:016x}", view.history));
+            line("log.leader", &view.leader.as_deref().unwrap_or_default());
+            line("log.term", &view.term);
+            line("log.applied", &view.applied);
+            line("log.voters", &view.voters.join(" "));
+            line("log.changing", &u8::from(view.changing));
+            line("log.lost", &view.lost.join(" "));
+            line("log.disturbed", &view.disturbed.as_ref().map_or(String::new(), ToString::to_string));
+            line("log.mute", &u8::from(view.mute));
+        }
         line("folder_older", &figures.older.load(Relaxed));
         line("stuck_s", &figures.stuck_for().as_secs_f64());
         text
@@ -108,6 +148,32 @@
                 gauge(name, help, f64::from(u8::from(view.standing == standing)));
             }
         }
+        if let Some(view) = &*self.fleet.log().borrow() {
+            for (this, name) in PARTS {
+                let help = "1 while this process has that part in the log";
+                gauge(&format!("log_{name}"), help, f64::from(u8::from(view.part == this)));
+            }
+            for (name, help, value) in [
+                ("led", "1 while a leader is known", u64::from(view.leader.is_some())),
+                ("term", "The term; 0 for one that follows", view.term),
+                ("applied", "All up to this index is agreed and carried out here", view.applied),
+                ("voters", "Those that vote", view.voters.len() as u64),
+                ("changing", "1 while that is being changed", u64::from(view.changing)),
+                (
+                    "lost",
+                    "Voters that have lost their memory and wait to be let in",
+                    view.lost.len() as u64,
+                ),
+                ("mute", "1 where nothing is kept any more", u64::from(view.mute)),
+                (
+                    "unheard",
+                    "Frames that were dropped as torn, foreign or later",
+                    view.dropped.iter().sum(),
+                ),
+            ] {
+                gauge(&format!("log_{name}"), help, value as f64);
+            }
+        }
         let help = "The later start that others remember of this state folder; 0 where none does";
         gauge("folder_older", help, figures.older.load(Relaxed) as f64);
         gauge(
@@ -131,6 +197,13 @@
         for (name, help, count) in [
             ("unsent", "Datagrams that the system did not take", &figures.unsent),
             ("stood", "Times that this process had stood still", &figures.stood),
+            ("log_frames_in", "Frames of the log that came", &figures.frames[0]),
+            ("log_frames_out", "Frames of the log that went", &figures.frames[1]),
+            (
+                "log_frames_lost",
+                "Frames not delivered, or not heard as too many waited",
+                &figures.frames_lost,
+            ),
             ("orders_refused", "Orders that the fleet's thread did not take", &figures.refused),
         ] {
             fleet.register(name, help, ConstCounter::new(count.load(Relaxed)));
@@ -141,3 +214,7 @@
 fn name(standing: Standing) -> &'static str {
     STANDINGS[standing as usize].1
 }
+
+fn part(part: log::Part) -> &'static str {
+    PARTS[part as usize].1
+}
