Fleet log: send a state again that was lost on its way, and let nobody vote that has nothing

Seen: drawn faults failed now and then: a voter that had lost its memory stayed a learner with nothing, or one behind the leader's log stayed there, while all was well.

Change: a leader takes a state without word for lost after 1 s; who has nothing learns on.

--- a/src/fleet/log/voter.rs
+++ b/src/fleet/log/voter.rs
@@ -7,7 +7,7 @@
 use super::storage::{Kept, Unreadable};
 use super::wire::{Entry, Said, Says, Snapshot, Step, Voters, change};
 use crate::state::memory::{Change, Memory, Promise};
-use raft::{Config, RawNode, StateRole};
+use raft::{Config, ProgressState, RawNode, SnapshotStatus, StateRole};
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
@@ -26,6 +26,8 @@
 const TAIL: u64 = 4096;
 /// A leader whose disk has not finished a batch for so long hands over.
 const DISK_PATIENCE: Duration = Duration::from_secs(1);
+/// A state that a leader has sent and that nobody has confirmed after so long was lost on its way: the crate waits for ever.
+const STATE_LOST: Duration = Duration::from_secs(1);
 /// A successor that learns votes once it is no further behind.
 const CAUGHT_UP: u64 = 16;
 
@@ -50,6 +52,8 @@
     batch: u64,
     /// Those that would succeed a name, by number.
     successors: BTreeMap<u64, String>,
+    /// To whom this leader has sent the state, and when.
+    states_sent: BTreeMap<u64, Duration>,
 }
 
 /// What is to be done.
@@ -85,8 +89,8 @@
         let logger = slog::Logger::root(slog::Discard, slog::o!());
         // It fails for settings that contradict themselves, and these do not.
         let raw = RawNode::new(&config, kept, &logger).map_err(|_| Unreadable::Snapshot(index))?;
-        let (waiting, batch, successors) = Default::default();
-        Ok(Voter { id, raw, agreed, applied: index, waiting, batch, successors })
+        let (waiting, batch, successors, states_sent) = Default::default();
+        Ok(Voter { id, raw, agreed, applied: index, waiting, batch, successors, states_sent })
     }
 
     pub(super) fn is_leader(&self) -> bool {
@@ -140,10 +144,26 @@
             }
         }
         if self.is_leader() {
+            self.send_states_again(now);
             self.succeed();
         }
     }
 
+    fn send_states_again(&mut self, now: Duration) {
+        let progress = self.raw.raft.prs().iter();
+        let sent: Vec<u64> = progress
+            .filter(|(_, progress)| progress.state == ProgressState::Snapshot)
+            .map(|(id, _)| *id)
+            .collect();
+        self.states_sent.retain(|id, _| sent.contains(id));
+        for id in sent {
+            if now >= *self.states_sent.entry(id).or_insert(now) + STATE_LOST {
+                self.states_sent.remove(&id);
+                self.raw.report_snapshot(id, SnapshotStatus::Failure);
+            }
+        }
+    }
+
     /// Proposes an order; whether it was taken: only a leader does, and not more than fits.
     pub(super) fn propose(&mut self, order: &Order) -> bool {
         let bytes = postcard::to_stdvec(order).unwrap_or_default(); // writing to memory does not fail
@@ -169,7 +189,7 @@
         let context = postcard::to_stdvec(&(id, name)).unwrap_or_default(); // as above
         let steps = if voters.learners.contains(&id) {
             let matched = self.raw.raft.prs().get(id).map_or(0, |progress| progress.matched);
-            if matched + CAUGHT_UP < self.raw.raft.raft_log.committed {
+            if matched == 0 || matched + CAUGHT_UP < self.raw.raft.raft_log.committed {
                 return;
             }
             let named = |id: &&u64| self.agreed.names.get(id) == Some(name);
--- a/tests/agreement.rs
+++ b/tests/agreement.rs
@@ -158,6 +158,29 @@
     net.check_order();
 }
 
+/// What a leader sends to one that has nothing is lost now and then, and nothing says so.
+#[test]
+fn voters_that_lose_their_memory_one_after_another_are_let_in_though_frames_are_lost() {
+    let mut net = Net::founded(3, 0, 15);
+    for turn in 0..12 {
+        let leader = net.leader().unwrap();
+        let lost = (leader + 1) % 3;
+        net.kill(lost);
+        net.wipe(lost);
+        net.start(lost);
+        net.loss = 0.3;
+        net.run(ms(1500));
+        net.loss = 0.0;
+        let whole = |net: &Net| {
+            net.leader().is_some()
+                && net.running().all(|(_, view)| !view.changing && view.lost.is_empty() && view.applied > 1)
+                && net.view(lost).part != Part::Learner
+        };
+        assert!(net.until(ms(5000), whole).is_some(), "turn {turn}: {:?}", net.views());
+    }
+    net.check_order();
+}
+
 #[test]
 fn where_most_voters_lost_their_memory_nothing_is_agreed_any_more_and_that_is_said() {
     let mut net = Net::founded(3, 1, 6);
