Fleet log: what lies behind a leader's state on disk goes when that state is taken

Change: the log behind the state's index is written as empty in the same batch. Test: a_leader_cut_off_with_orders_of_its_own_... fails without it by the disk's own check.

--- a/src/fleet/log/storage.rs
+++ b/src/fleet/log/storage.rs
@@ -80,6 +80,8 @@
         let mut changes = Vec::new();
         if let Some(snapshot) = snapshot {
             changes.push(written(&snapshot));
+            // What was here beyond it was never agreed.
+            changes.push(Change::Log { first: snapshot.index + 1, entries: Vec::new() });
             self.entries.clear();
             self.snapshot = snapshot;
         }
--- a/tests/agreement.rs
+++ b/tests/agreement.rs
@@ -181,6 +181,36 @@
     net.check_order();
 }
 
+#[test]
+fn a_leader_cut_off_with_orders_of_its_own_takes_the_state_of_the_others_in_their_place() {
+    let mut net = Net::founded(5, 0, 16);
+    let old = net.leader().unwrap();
+    net.passes = Box::new(move |from, to| (from == old) == (to == old));
+    for _ in 0..60 {
+        net.set(old, "own");
+    }
+    let other = net.until(ms(5000), |net| net.leader().is_some_and(|leader| leader != old));
+    assert!(other.is_some(), "{:?}", net.views());
+    // One that lost its memory makes the new leader begin its log anew, behind what the old one holds.
+    let lost = (0..5).find(|number| Some(*number) != net.leader() && *number != old).unwrap();
+    net.kill(lost);
+    net.wipe(lost);
+    net.start(lost);
+    let whole =
+        |net: &Net| net.view(lost).part == Part::Voter && net.running().all(|(_, view)| !view.changing);
+    assert!(net.until(ms(5000), whole).is_some(), "{:?}", net.views());
+    net.passes = Box::new(|_, _| true);
+    let level = |net: &Net| {
+        let most = net.running().map(|(_, view)| view.applied).max();
+        net.running().all(|(_, view)| Some(view.applied) == most && view.waiting == 0)
+    };
+    assert!(net.until(ms(5000), level).is_some(), "{:?}", net.views());
+    net.kill(old);
+    net.start(old);
+    assert!(net.until(ms(2000), |net| net.view(old).part == Part::Voter && level(net)).is_some());
+    net.check_order();
+}
+
 #[test]
 fn where_most_voters_lost_their_memory_nothing_is_agreed_any_more_and_that_is_said() {
     let mut net = Net::founded(3, 1, 6);
