--- a/src/config/keys.rs
+++ b/src/config/keys.rs
@@ -82,7 +82,7 @@
     key("log.format", Word(&["text", "json"]), Is("\"text\""), "log.format", "text for people, or a JSON object a line"),
     key("state.dir", Text, Nothing("\"/var/lib/gullpulley\""), "state.dir", "a folder of this sidecar's own for what must outlive the process; without it nothing is kept"),
     key("fleet.cluster", Text, Nothing("\"render\""), "fleet.cluster", "the fleet that this process is one of: processes hear only those of their own"),
-    key("fleet.listen", Address, Nothing("\"127.0.0.1:7072\""), "fleet.listen", "where its datagrams arrive (UDP); without it this process stays by itself"),
+    key("fleet.listen", Address, Nothing("\"127.0.0.1:7072\""), "fleet.listen", "where others reach it: datagrams (UDP) and, with voters, connections (TCP); without it this process stays by itself"),
     key("fleet.address", Address, Nothing("\"127.0.0.1:7072\""), "fleet.address", "by which address the others reach it, if not by that"),
     key("fleet.seeds", Addresses, Is("[]"), "fleet.seeds", "where some others may be found at a start; three in different zones will do"),
     key("fleet.voters", Names, Is("[]"), "fleet.voters", "names of the 3, 5 or 7 processes that agree for all, in different zones; alike in all; these need state.dir"),
