--- a/src/fleet/log/founding.rs
+++ b/src/fleet/log/founding.rs
@@ -52,7 +52,7 @@
     OtherVoters(String),
     /// What that one has promised holds another number for a name: somebody lost its memory in between.
     #[error(
-        "{0} lost its memory while the log was being founded, or promised to found it with one that did:          no log begins until all voters start on new folders"
+        "{0} lost its memory while the log was founded, or promised it to one that did: start all voters on new folders"
     )]
     OtherMembers(String),
 }
--- a/tests/support/agreement.rs
+++ b/tests/support/agreement.rs
@@ -1,6 +1,8 @@
 //! A fleet's log in made time: processes with disks of their own on a network that delays, loses and cuts, each way by
 //! itself. Each step is checked: whoever is at one index has the same state, and what a disk holds is no contradiction.
 
+#![allow(dead_code)] // each test uses a part
+
 use gullpulley::fleet::log::{Log, Outcome, Output, Part, Put, Refused, Settings, View};
 use gullpulley::state::memory::{Change, Identity, Memory};
 use rand_core::{Rng, SeedableRng};
@@ -57,6 +59,9 @@
     seed: u64,
     /// Of all that was sent: equal in equal plays.
     pub digest: u32,
+    /// What happened, a line each.
+    pub lines: Vec<String>,
+    told: BTreeMap<usize, String>,
 }
 
 impl Net {
@@ -76,6 +81,8 @@
             draws: Pcg32::seed_from_u64(seed),
             seed,
             digest: 0,
+            lines: Vec::new(),
+            told: BTreeMap::new(),
         };
         for _ in 0..voters + others {
             net.places.push(Place {
@@ -294,9 +301,11 @@
                         |given: &&mut Given| (given.by, given.life, given.number) == (number, life, ended);
                     let given = self.given.iter_mut().find(of).unwrap();
                     assert!(given.ended.replace((self.now, outcome)).is_none(), "ended twice");
+                    self.note(&format!("{}: its order {ended} has ended: {outcome:?}", name(number)));
                 }
             }
         }
+        self.tell_view(number);
         // Whoever is at one index has one state.
         let Some(log) = &self.places[number].log else { return };
         let (index, Some(agreed)) = (log.view().applied, log.agreed()) else { return };
@@ -306,4 +315,39 @@
             assert_eq!(known, state, "{number} has another state at index {index}");
         }
     }
+
+    /// Adds a line to what happened.
+    pub fn note(&mut self, what: &str) {
+        self.lines.push(format!("{:9.3} s  {what}", self.now.as_secs_f64()));
+    }
+
+    /// How a process sees the log, where that has changed in more than how far it is.
+    fn tell_view(&mut self, number: usize) {
+        let Some(log) = &self.places[number].log else { return };
+        let view = log.view();
+        let mut says = format!("{:?}", view.part);
+        match &view.leader {
+            Some(leader) if view.part == Part::Leader => {
+                says += &format!(" ({leader}) in term {}", view.term)
+            }
+            Some(leader) => says += &format!(", {leader} leads in term {}", view.term),
+            None if matches!(view.part, Part::Voter | Part::Learner) => says += ", nobody leads",
+            None => {}
+        }
+        if view.changing {
+            says += "; voters are being changed";
+        }
+        if !view.lost.is_empty() {
+            says += &format!("; without their memory: {}", view.lost.join(" "));
+        }
+        if let Some(disturbed) = &view.disturbed {
+            says += &format!("; {disturbed}");
+        }
+        if view.mute {
+            says += "; mute";
+        }
+        if self.told.insert(number, says.clone()).as_ref() != Some(&says) {
+            self.note(&format!("{}: {says}", name(number)));
+        }
+    }
 }
