Fleet log: who learns is shown, and three guards that no test caught are held

Sixteen guards were taken out one at a time; four were missed: that a promise of a founding is durable before it is said, that who has nothing gets no vote, that a leader steps down without its majority, and that one that follows skips what it has (which changes nothing). The first three have tests now. View::learners, and fleet.log.learners at the door, as one of the tests and on-call need them.

--- a/src/fleet/log/mod.rs
+++ b/src/fleet/log/mod.rs
@@ -112,6 +112,8 @@
     pub applied: u64,
     /// Who votes.
     pub voters: Vec<String>,
+    /// Who learns, to vote once it has caught up.
+    pub learners: Vec<String>,
     /// Who votes is being changed: until that is over, a majority of those before is needed too.
     pub changing: bool,
     /// Names of voters whose processes have come back without their memory, and wait to be let in.
@@ -311,10 +313,10 @@
 
     /// How things are.
     pub fn view(&self) -> View {
-        let named = |agreed: &Agreed, voters: &Voters| {
-            voters.voters.iter().filter_map(|id| agreed.names.get(id).cloned()).collect::<Vec<_>>()
+        let named = |agreed: &Agreed, ids: &[u64]| {
+            ids.iter().filter_map(|id| agreed.names.get(id).cloned()).collect::<Vec<_>>()
         };
-        let mut changing = false;
+        let (mut changing, mut learners) = (false, Vec::new());
         let (part, leader, term, applied, voters) = match &self.stand {
             Stand::Founding(_) => {
                 (Part::Founding, None, 0, 0, self.settings.voters.iter().cloned().collect())
@@ -328,11 +330,16 @@
                 };
                 let leader = voter.agreed.names.get(&voter.leader()).cloned();
                 changing = !voters.outgoing.is_empty();
-                (part, leader, voter.term(), voter.applied, named(&voter.agreed, &voters))
-            }
-            Stand::Follows(followed) => {
-                (Part::Follower, None, 0, followed.applied, named(&followed.agreed, &followed.voters))
+                learners = named(&voter.agreed, &voters.learners);
+                (part, leader, voter.term(), voter.applied, named(&voter.agreed, &voters.voters))
             }
+            Stand::Follows(followed) => (
+                Part::Follower,
+                None,
+                0,
+                followed.applied,
+                named(&followed.agreed, &followed.voters.voters),
+            ),
         };
         View {
             part,
@@ -341,6 +348,7 @@
             term,
             applied,
             voters,
+            learners,
             changing,
             lost: self.lost.keys().cloned().collect(),
             disturbed: match &self.stand {
--- a/src/net/peers.rs
+++ b/src/net/peers.rs
@@ -107,6 +107,7 @@
             line("log.term", &view.term);
             line("log.applied", &view.applied);
             line("log.voters", &view.voters.join(" "));
+            line("log.learners", &view.learners.join(" "));
             line("log.changing", &u8::from(view.changing));
             line("log.lost", &view.lost.join(" "));
             line("log.disturbed", &view.disturbed.as_ref().map_or(String::new(), ToString::to_string));
--- a/tests/agreement.rs
+++ b/tests/agreement.rs
@@ -191,6 +191,8 @@
     }
     let other = net.until(ms(5000), |net| net.leader().is_some_and(|leader| leader != old));
     assert!(other.is_some(), "{:?}", net.views());
+    net.run(ms(2000));
+    assert_ne!(net.view(old).part, Part::Leader, "without its majority");
     // One that lost its memory makes the new leader begin its log anew, behind what the old one holds.
     let lost = (0..5).find(|number| Some(*number) != net.leader() && *number != old).unwrap();
     net.kill(lost);
@@ -257,6 +259,38 @@
     assert!(net.until(ms(3000), |net| net.running().all(|(_, view)| view.history > 0)).is_some());
 }
 
+#[test]
+fn nobody_says_that_it_has_promised_before_that_is_durable() {
+    let mut net = Net::new(3, 0, 17);
+    (0..3).for_each(|number| net.start(number));
+    net.places[2].disk_stalled_until = ms(4000);
+    net.run(ms(3900));
+    assert!(net.running().all(|(_, view)| view.history == 0), "{:?}", net.views());
+    assert!(net.until(ms(2000), |net| net.running().all(|(_, view)| view.history > 0)).is_some());
+}
+
+#[test]
+fn who_has_nothing_of_the_state_is_given_no_vote() {
+    let mut net = Net::founded(3, 0, 18);
+    let lost = (net.leader().unwrap() + 1) % 3;
+    net.kill(lost);
+    net.wipe(lost);
+    net.start(lost);
+    let asked = net.until(ms(2000), |net| net.view(lost).part == Part::Follower);
+    assert!(asked.is_some(), "{:?}", net.views());
+    net.passes = Box::new(move |_, to| to != lost);
+    net.run(ms(4000));
+    let leader = net.view(net.leader().unwrap());
+    assert_eq!((leader.learners, leader.changing), (vec![name(lost)], false));
+    net.passes = Box::new(|_, _| true);
+    let level = |net: &Net| net.running().all(|(_, view)| view.learners.is_empty() && !view.changing);
+    assert!(
+        net.until(ms(3000), level).is_some() && net.view(lost).part == Part::Voter,
+        "{:?}",
+        net.views()
+    );
+}
+
 #[test]
 fn what_is_torn_foreign_or_later_is_dropped_and_counted() {
     let mut net = Net::founded(3, 0, 8);
