--- a/tests/agreement.rs
+++ b/tests/agreement.rs
@@ -396,3 +396,46 @@
     assert_eq!(play(3).digest, play(3).digest);
     assert_ne!(play(3).digest, play(4).digest);
 }
+
+/// `cargo test --test agreement an_order_is_at_all -- --nocapture` prints what `docs/fleet.md` tells; more of it by FIGURES=4.
+#[test]
+fn an_order_is_at_all_within_a_second_and_a_killed_leader_is_followed_within_three() {
+    let plays: u64 = std::env::var("FIGURES").map_or(1, |plays| plays.parse().unwrap());
+    let spread = |mut times: Vec<Duration>| {
+        times.sort();
+        (times[times.len() / 2], times[times.len() * 99 / 100])
+    };
+    for (voters, others) in [(3, 20), (7, 100)] {
+        let mut takes = Vec::new();
+        for seed in 0..plays {
+            let mut net = Net::founded(voters, others, 50 + seed);
+            net.run(ms(2000));
+            for n in 0..50 {
+                let (by, pause) = (net.below(voters + others), ms(net.below(300) as u64));
+                net.run(pause);
+                let cell = format!("cell-{n}");
+                net.set(by, &cell);
+                let all = net.until(ms(5000), |net| net.cells(&cell).iter().all(Option::is_some));
+                takes.push(all.expect("an order is not at all 5 s later"));
+            }
+        }
+        let (half, most) = spread(takes);
+        println!("{voters} voters and {others} others: at all p50 {half:?}, p99 {most:?}");
+        assert!(most < ms(1000), "{most:?}");
+    }
+    let mut takes = Vec::new();
+    for seed in 0..plays {
+        let mut net = Net::founded(5, 5, 500 + seed);
+        for _ in 0..50 {
+            net.run(ms(1500));
+            let leader = net.leader().unwrap();
+            net.kill(leader);
+            let next = net.until(ms(5000), |net| net.leader().is_some_and(|next| next != leader));
+            takes.push(next.expect("nobody leads 5 s after the leader was killed"));
+            net.start(leader);
+        }
+    }
+    let (half, most) = spread(takes);
+    println!("five voters, the next leader known to most of them: p50 {half:?}, p99 {most:?}");
+    assert!(most < ms(3000), "{most:?}");
+}
