Fleet: one record, one window of numbers, and threads named after what they run

Reason: read once more as a whole, the fleet wrote three things that the project had. Lab: its two relays share their constants, and the tests of members and agreement one way to read and wait for figures. Nothing on the wire or on disk differs.

--- a/lab/src/network/relay.rs
+++ b/lab/src/network/relay.rs
@@ -11,11 +11,11 @@
 use tokio::time::{Instant, sleep_until};
 
 /// Pieces on their way through one direction of a relay.
-const PIECES: usize = 256;
+pub(super) const PIECES: usize = 256;
 /// The least time after which the system sends a lost piece again.
-const RETRANSMITTED: Duration = Duration::from_millis(200);
+pub(super) const RETRANSMITTED: Duration = Duration::from_millis(200);
 /// Bytes read at once.
-const PIECE: usize = 16 * 1024;
+pub(super) const PIECE: usize = 16 * 1024;
 
 /// Where a relay stands, and between which zones.
 #[derive(Clone, Copy, Debug)]
--- a/lab/src/network/streams.rs
+++ b/lab/src/network/streams.rs
@@ -2,6 +2,7 @@
 //! address at which it listens, by which it is told apart.
 
 use super::datagrams::Post;
+use super::relay::{PIECE, PIECES, RETRANSMITTED};
 use super::{Network, Way, listen};
 use std::io;
 use std::sync::Arc;
@@ -12,11 +13,6 @@
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep, sleep_until};
 
-/// Bytes read at once, and pieces on their way through a relay.
-const PIECE: usize = 16 * 1024;
-const PIECES: usize = 256;
-/// The least time after which the system sends a lost piece again.
-const RETRANSMITTED: Duration = Duration::from_millis(200);
 /// How often a piece that is held back looks whether it may go on.
 const LOOK: Duration = Duration::from_millis(5);
 
--- a/lab/tests/agreement.rs
+++ b/lab/tests/agreement.rs
@@ -7,7 +7,7 @@
 use std::path::Path;
 use std::sync::Arc;
 use std::time::Duration;
-use support::{PATIENCE, TWO_ZONES, fault, program};
+use support::{PATIENCE, TWO_ZONES, all, fault, metric, program};
 use tokio::time::{Instant, sleep};
 
 /// Three zones with two copies each, the first of each a voter.
@@ -23,33 +23,16 @@
 const VOTERS: [usize; 3] = [0, 2, 4];
 const NAMES: [&str; 6] = ["a-0", "a-1", "b-0", "b-1", "c-0", "c-1"];
 
-async fn figure(deployment: &Deployment, copy: usize, name: &str) -> Option<f64> {
-    let text = deployment.copies[copy].metrics().await?;
-    let line = text.lines().find_map(|line| line.strip_prefix(&format!("gullpulley_fleet_log_{name} ")))?;
-    line.parse().ok()
-}
-
-/// Waits until these copies all say at least this; how long that took.
-async fn all_reach(deployment: &Deployment, copies: &[usize], name: &str, least: f64) -> Duration {
-    let begun = Instant::now();
-    loop {
-        let mut said = Vec::new();
-        for &copy in copies {
-            said.push(figure(deployment, copy, name).await);
-        }
-        if said.iter().all(|said| said.is_some_and(|said| said >= least)) {
-            return begun.elapsed();
-        }
-        assert!(begun.elapsed() < PATIENCE, "{name} of {copies:?} stays {said:?}, below {least}");
-        sleep(Duration::from_millis(20)).await;
-    }
+/// Waits until these copies all say at least this of the log.
+async fn all_reach(deployment: &Deployment, copies: &[usize], name: &str, least: f64) {
+    all(deployment, copies, &format!("fleet_log_{name}"), |said| said >= least).await;
 }
 
 /// Waits until no change of who votes is under way: until then a majority of those before is needed too.
 async fn changed(deployment: &Deployment) {
     let begun = Instant::now();
     for copy in VOTERS {
-        while figure(deployment, copy, "changing").await != Some(0.0) {
+        while metric(deployment, copy, "fleet_log_changing").await != Some(0.0) {
             assert!(begun.elapsed() < PATIENCE, "{copy} stays in a change of voters");
             sleep(Duration::from_millis(20)).await;
         }
@@ -61,7 +44,7 @@
     let begun = Instant::now();
     loop {
         for &copy in among {
-            if figure(deployment, copy, "leader").await == Some(1.0) {
+            if metric(deployment, copy, "fleet_log_leader").await == Some(1.0) {
                 return copy;
             }
         }
@@ -71,7 +54,7 @@
 }
 
 async fn applied(deployment: &Deployment, copy: usize) -> f64 {
-    figure(deployment, copy, "applied").await.unwrap()
+    metric(deployment, copy, "fleet_log_applied").await.unwrap()
 }
 
 fn kill(copy: usize) -> gullpulley_lab::experiment::Fault {
@@ -106,7 +89,7 @@
     let deployment = stand("", folder.path()).await;
     let first = leader(&deployment, &VOTERS).await;
     let (agreed, term) =
-        (applied(&deployment, first).await, figure(&deployment, first, "term").await.unwrap());
+        (applied(&deployment, first).await, metric(&deployment, first, "fleet_log_term").await.unwrap());
     for copy in VOTERS {
         deployment.strike(&kill(copy)).await.unwrap();
     }
@@ -143,16 +126,11 @@
     deployment.lift(&older).await.unwrap();
     let others: Vec<usize> = VOTERS.into_iter().filter(|copy| *copy != first).collect();
     leader(&deployment, &others).await;
-    let begun = Instant::now();
-    loop {
-        let text = deployment.copies[first].metrics().await.unwrap_or_default();
-        if text.contains("gullpulley_fleet_folder_older 2") {
-            break;
-        }
-        assert!(begun.elapsed() < PATIENCE, "nobody told it");
-        sleep(Duration::from_millis(20)).await;
-    }
+    all(&deployment, &[first], "fleet_folder_older", |said| said == 2.0).await;
     sleep(Duration::from_secs(2)).await;
-    let part = figure(&deployment, first, "voter").await;
-    assert!(part.is_none() || figure(&deployment, first, "mute").await == Some(1.0), "it votes: {part:?}");
+    let part = metric(&deployment, first, "fleet_log_voter").await;
+    assert!(
+        part.is_none() || metric(&deployment, first, "fleet_log_mute").await == Some(1.0),
+        "it votes: {part:?}"
+    );
 }
--- a/lab/tests/members.rs
+++ b/lab/tests/members.rs
@@ -7,7 +7,7 @@
 use std::path::Path;
 use std::sync::Arc;
 use std::time::Duration;
-use support::{PATIENCE, TWO_ZONES, fault, program};
+use support::{PATIENCE, TWO_ZONES, all, fault, metric, program};
 use tokio::time::{Instant, sleep};
 
 /// Three zones with two copies each, and what else an experiment may say.
@@ -19,27 +19,8 @@
     Deployment::stand(&experiment, program(), folder).await.unwrap()
 }
 
-/// A figure of its fleet, or of its state, at a copy's door.
-async fn figure(deployment: &Deployment, copy: usize, name: &str) -> Option<f64> {
-    let text = deployment.copies[copy].metrics().await?;
-    let line = text.lines().find_map(|line| line.strip_prefix(&format!("gullpulley_{name} ")))?;
-    line.parse().ok()
-}
-
-/// Waits until these copies all say this; how long that took.
-async fn all_say(deployment: &Deployment, copies: &[usize], name: &str, value: f64) -> Duration {
-    let begun = Instant::now();
-    loop {
-        let mut said = Vec::new();
-        for &copy in copies {
-            said.push(figure(deployment, copy, name).await);
-        }
-        if said.iter().all(|said| *said == Some(value)) {
-            return begun.elapsed();
-        }
-        assert!(begun.elapsed() < PATIENCE, "{name} of {copies:?} stays {said:?}, not {value}");
-        sleep(Duration::from_millis(20)).await;
-    }
+async fn all_say(deployment: &Deployment, copies: &[usize], name: &str, value: f64) {
+    all(deployment, copies, name, |said| said == value).await;
 }
 
 const ALL: [usize; 6] = [0, 1, 2, 3, 4, 5];
@@ -56,7 +37,7 @@
         all_say(&deployment, &others, "fleet_balancers", 5.0).await;
         let known = if what == "term" { 5.0 } else { 6.0 };
         assert_eq!(
-            figure(&deployment, 0, "fleet_known").await,
+            metric(&deployment, 0, "fleet_known").await,
             Some(known),
             "{what}: one that said so has left"
         );
@@ -77,7 +58,7 @@
     all_say(&deployment, &[4, 5], "fleet_split", 1.0).await;
     for copy in [4, 5] {
         assert_eq!(
-            figure(&deployment, copy, "fleet_balancers").await,
+            metric(&deployment, copy, "fleet_balancers").await,
             Some(6.0),
             "a minority counts all that it knew"
         );
@@ -118,8 +99,8 @@
     deployment.lift(&cut).await.unwrap();
     let begun = Instant::now();
     loop {
-        let set_aside = figure(&deployment, 2, "state_set_aside").await;
-        if set_aside == Some(1.0) || figure(&deployment, 2, "fleet_folder_older").await == Some(2.0) {
+        let set_aside = metric(&deployment, 2, "state_set_aside").await;
+        if set_aside == Some(1.0) || metric(&deployment, 2, "fleet_folder_older").await == Some(2.0) {
             break; // torn, or whole and old
         }
         assert!(begun.elapsed() < PATIENCE, "nobody noticed");
@@ -133,7 +114,7 @@
     all_say(&deployment, &[5], "state_set_aside", 1.0).await;
     all_say(&deployment, &ALL, "fleet_living", 6.0).await;
     assert_eq!(
-        figure(&deployment, 5, "fleet_folder_older").await,
+        metric(&deployment, 5, "fleet_folder_older").await,
         Some(0.0),
         "it began anew, as somebody else"
     );
--- a/lab/tests/support/mod.rs
+++ b/lab/tests/support/mod.rs
@@ -75,3 +75,26 @@
         sleep(Duration::from_millis(20)).await;
     }
 }
+
+/// A figure of its fleet, or of its state, at a copy's door, in OpenMetrics.
+pub async fn metric(deployment: &Deployment, copy: usize, name: &str) -> Option<f64> {
+    let text = deployment.copies[copy].metrics().await?;
+    let line = text.lines().find_map(|line| line.strip_prefix(&format!("gullpulley_{name} ")))?;
+    line.parse().ok()
+}
+
+/// Waits until this holds of a figure of all these copies.
+pub async fn all(deployment: &Deployment, copies: &[usize], name: &str, holds: impl Fn(f64) -> bool) {
+    let begun = Instant::now();
+    loop {
+        let mut said = Vec::new();
+        for &copy in copies {
+            said.push(metric(deployment, copy, name).await);
+        }
+        if said.iter().all(|said| said.is_some_and(&holds)) {
+            return;
+        }
+        assert!(begun.elapsed() < PATIENCE, "{name} of {copies:?} stays {said:?}");
+        sleep(Duration::from_millis(20)).await;
+    }
+}
--- a/src/fleet/host/keeper.rs
+++ b/src/fleet/host/log.rs
@@ -48,7 +48,7 @@
 pub(super) type Addresses = Arc<BTreeMap<String, SocketAddr>>;
 
 /// What the thread works with.
-pub(super) struct Keeper {
+pub(super) struct LogThread {
     pub(super) joining: Receiver<Joining>,
     /// Where others are: the newest word of membership.
     pub(super) peers: watch::Receiver<Addresses>,
@@ -68,7 +68,7 @@
     taken: VecDeque<(u64, u64)>,
 }
 
-impl Keeper {
+impl LogThread {
     /// Works until the process ends, from when it joins.
     pub(super) fn work(self, settings: impl FnOnce(u64) -> Settings) {
         let Ok(Joining { id, memory, writer }) = self.joining.recv() else { return };
--- a/src/fleet/host/agree.rs
+++ b/src/fleet/host/members.rs
@@ -1,8 +1,8 @@
 //! The thread that runs the core: datagrams, orders and the time in; datagrams, the log's lines and the view out.
 
-use super::keeper::Addresses;
+use super::log::Addresses;
 use super::{Figures, Order, publish};
-use crate::fleet::members::{Members, Output, Settings, Standing, Start, Statement, View};
+use crate::fleet::members::{Members, Output, Peer, Settings, Standing, Start, Statement, View};
 use crossbeam_channel::{Receiver, after, never, select_biased};
 use std::net::{SocketAddr, UdpSocket};
 use std::sync::Arc;
@@ -15,7 +15,7 @@
 const SEND_MOST: Duration = Duration::from_millis(20);
 
 /// What the thread works with.
-pub(super) struct Agree {
+pub(super) struct MembersThread {
     pub(super) datagrams: Receiver<Vec<u8>>,
     pub(super) ordered: Receiver<Order>,
     pub(super) figures: Arc<Figures>,
@@ -24,7 +24,7 @@
     pub(super) peers: watch::Sender<Addresses>,
 }
 
-impl Agree {
+impl MembersThread {
     /// Works until the process ends, from when the socket is there and the process is to join.
     pub(super) fn work(self, mut settings: Settings, bound: &Receiver<UdpSocket>) {
         let Ok(socket) = bound.recv() else { return };
@@ -90,13 +90,8 @@
                 self.peers.send_modify(|peers| {
                     Arc::make_mut(peers).insert(peer.name.clone(), peer.address);
                 });
-                info!(
-                    peer = peer.name,
-                    zone = peer.zone,
-                    "fleet: {} ({}) is here",
-                    peer.name,
-                    peer.address
-                );
+                let Peer { name, address, zone, .. } = &peer;
+                info!(peer = name, zone, "fleet: {name} ({address}) is here");
             }
             Statement::Left(peer) => {
                 self.peers.send_modify(|peers| {
@@ -104,14 +99,8 @@
                 });
                 info!(peer = peer.name, "fleet: {} has left", peer.name);
             }
-            Statement::Lost(peer) => {
-                warn!(
-                    peer = peer.name,
-                    zone = peer.zone,
-                    "fleet: {} ({}) is lost",
-                    peer.name,
-                    peer.address
-                );
+            Statement::Lost(Peer { name, address, zone, .. }) => {
+                warn!(peer = name, zone, "fleet: {name} ({address}) is lost");
             }
             Statement::Returned(peer) => {
                 warn!(
--- a/src/fleet/host/mod.rs
+++ b/src/fleet/host/mod.rs
@@ -1,17 +1,17 @@
 //! The threads around the cores, and what the serving thread may read of them. Nobody waits for either thread.
 //!
-//! `net` takes datagrams off the socket; `agree` runs the core of membership, sends, and says what has become known.
-//! `keeper` runs the core of the log, where there are voters, and `streams` carries its frames.
+//! `datagrams` takes them off the socket; `members` runs the core of membership, sends, and says what has become known.
+//! `log` runs the core of the log, where there are voters, and `streams` carries its frames.
 
-mod agree;
-mod keeper;
-mod net;
+mod datagrams;
+mod log;
+mod members;
 mod streams;
 
-pub use keeper::Joining;
+pub use log::Joining;
 pub use streams::PEER_DEPTH;
 
-use crate::fleet::log;
+use crate::fleet::log as core;
 use crate::fleet::members::{Counts, NAME_MOST, Peer, Settings, View};
 use crossbeam_channel::{Receiver, Sender, bounded};
 use std::collections::hash_map::RandomState;
@@ -67,12 +67,12 @@
     }
 
     /// The log's settings for the process that turns out to have this number.
-    fn log_settings(&self, name: &str) -> impl FnOnce(u64) -> log::Settings + Send + 'static {
+    fn log_settings(&self, name: &str) -> impl FnOnce(u64) -> core::Settings + Send + 'static {
         let (cluster, voters) = (self.cluster.clone(), self.voters.iter().cloned().collect());
         let (name, round_trip) = (name.to_owned(), self.round_trip);
         let half = || u128::from(RandomState::new().build_hasher().finish());
         let client = half() << 64 | half();
-        move |id| log::Settings { cluster, name, id, client, voters, round_trip, seed: client as u64 }
+        move |id| core::Settings { cluster, name, id, client, voters, round_trip, seed: client as u64 }
     }
 
     /// The core's settings for a process that starts now.
@@ -168,7 +168,7 @@
     view: watch::Receiver<Option<View>>,
     /// What the process brings to the log, where there is one.
     joining: Option<Sender<Joining>>,
-    log: watch::Receiver<Option<log::View>>,
+    log: watch::Receiver<Option<core::View>>,
 }
 
 impl Fleet {
@@ -194,7 +194,7 @@
             false => {
                 let (joining, joined) = bounded(1);
                 let (frames, posts) = carry(config.listen, &figures)?;
-                let keeper = keeper::Keeper {
+                let thread = log::LogThread {
                     joining: joined,
                     peers,
                     frames,
@@ -204,15 +204,15 @@
                     says: says_log,
                 };
                 let settings = config.log_settings(name);
-                thread::Builder::new().name("fleet-log".to_owned()).spawn(move || keeper.work(settings))?;
+                thread::Builder::new().name("fleet-log".to_owned()).spawn(move || thread.work(settings))?;
                 Some(joining)
             }
         };
         let counts = figures.clone();
         thread::Builder::new()
-            .name("fleet-net".to_owned())
-            .spawn(move || net::work(config.listen, &bound, &came, &counts))?;
-        let agree = agree::Agree {
+            .name("fleet-datagrams".to_owned())
+            .spawn(move || datagrams::work(config.listen, &bound, &came, &counts))?;
+        let core = members::MembersThread {
             datagrams: datagrams.clone(),
             ordered,
             figures: figures.clone(),
@@ -220,8 +220,8 @@
             peers: addresses,
         };
         thread::Builder::new()
-            .name("fleet-agree".to_owned())
-            .spawn(move || agree.work(settings, &taken))?;
+            .name("fleet-members".to_owned())
+            .spawn(move || core.work(settings, &taken))?;
         Ok(Fleet { orders, datagrams, figures, view, joining, log })
     }
 
@@ -251,7 +251,7 @@
     }
 
     /// How the log is: none where there are no voters, or until this process has joined.
-    pub fn log(&self) -> watch::Receiver<Option<log::View>> {
+    pub fn log(&self) -> watch::Receiver<Option<core::View>> {
         self.log.clone()
     }
 
--- a/src/fleet/log/agreed.rs
+++ b/src/fleet/log/agreed.rs
@@ -1,6 +1,7 @@
 //! The agreed state: cells that are changed by orders, each applied once however often it comes, in one order for all.
 
 use super::wire::Step;
+use crate::fleet::seen::{OVERTAKEN, Seen};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
@@ -10,8 +11,6 @@
 pub const STATE_MOST: usize = 8 << 20;
 /// Bytes of a cell's name and content together.
 pub const CELL_MOST: usize = 64 << 10;
-/// Orders of one client that may overtake each other: one further behind its newest is not carried out.
-const OVERTAKEN: u64 = 64;
 /// Clients that are remembered: beyond them the one that has ordered nothing for longest is forgotten.
 const CLIENTS_MOST: usize = 4096;
 
@@ -60,9 +59,7 @@
 /// What was carried out for a client.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 struct Client {
-    newest: u64,
-    /// A bit for each of those before the newest.
-    before: u64,
+    seen: Seen,
     /// The index of its last order.
     at: u64,
     /// What became of its latest, by number: for those that hear of it by a snapshot only.
@@ -139,19 +136,7 @@
         }
         let client = self.clients.entry(id).or_default();
         client.at = index;
-        let new = if number > client.newest {
-            let ahead = number - client.newest;
-            let shift = |bits: u64, by: u64| if by < OVERTAKEN { bits << by } else { 0 };
-            client.before = shift(client.before, ahead) | shift(1, ahead - 1);
-            client.newest = number;
-            true
-        } else {
-            let behind = client.newest - number;
-            let bit = if (1..=OVERTAKEN).contains(&behind) { 1 << (behind - 1) } else { 0 };
-            let new = bit != 0 && client.before & bit == 0;
-            client.before |= bit;
-            new
-        };
+        let new = client.seen.take(number);
         if self.clients.len() > CLIENTS_MOST {
             let quiet = self.clients.iter().min_by_key(|(_, client)| client.at).map(|(id, _)| *id);
             quiet.and_then(|quiet| self.clients.remove(&quiet));
--- a/src/fleet/log/wire.rs
+++ b/src/fleet/log/wire.rs
@@ -1,22 +1,14 @@
 //! The messages of the voters in a form of our own: the crate's are protobuf, whose old parser must never see bytes from
-//! outside. What is torn, of another cluster or of a later build is told apart before anything of it is read.
-//!
-//! | bytes | what |
-//! | --- | --- |
-//! | 4 | CRC-32 over the cluster's name, a zero byte, and all that follows |
-//! | 1 | version |
-//! | rest | [`Message`], by postcard |
+//! outside. What is torn, of another cluster or of a later build is told apart before anything of it is read. A
+//! frame is a record (`state/record.rs`) of a [`Message`] whose place is the cluster's name.
 
 use super::founding::Founding;
+use crate::state::record::{self, RecordFault};
 use raft::eraftpb;
 use raft::prelude::{ConfChangeSingle, ConfChangeTransition, ConfChangeType, ConfChangeV2, EntryType};
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
-/// The form of messages that this build speaks.
-const VERSION: u8 = 1;
-/// Bytes of the frame before the message.
-const HEAD: usize = 5;
 /// The longest frame, in bytes. A snapshot is the longest message.
 pub const FRAME_MOST: usize = 16 << 20;
 
@@ -165,33 +157,16 @@
 
 /// Seals a message for others of this cluster.
 pub fn seal(cluster: &str, message: &Message) -> Vec<u8> {
-    let content = postcard::to_stdvec(message).unwrap_or_default(); // writing to memory does not fail
-    let mut frame = vec![0; 4];
-    frame.push(VERSION);
-    frame.extend(content);
-    let sum = sum(cluster, &frame[4..]).to_le_bytes();
-    frame[..4].copy_from_slice(&sum);
-    frame
+    record::seal(cluster, message).unwrap_or_default() // writing to memory does not fail
 }
 
 /// Opens a frame as it came.
 pub fn open(cluster: &str, frame: &[u8]) -> Result<Message, Unheard> {
-    let (told, sealed) = frame.split_first_chunk::<4>().ok_or(Unheard::Torn)?;
-    if frame.len() < HEAD || u32::from_le_bytes(*told) != sum(cluster, sealed) {
-        return Err(Unheard::Torn);
-    }
-    if sealed[0] > VERSION {
-        return Err(Unheard::Newer);
-    }
-    postcard::from_bytes(&sealed[1..]).map_err(|_| Unheard::Senseless)
-}
-
-fn sum(cluster: &str, sealed: &[u8]) -> u32 {
-    let mut hasher = crc32fast::Hasher::new();
-    hasher.update(cluster.as_bytes());
-    hasher.update(&[0]);
-    hasher.update(sealed);
-    hasher.finalize()
+    record::open(cluster, frame).map_err(|fault| match fault {
+        RecordFault::Damaged(_) => Unheard::Torn,
+        RecordFault::Newer { .. } => Unheard::Newer,
+        RecordFault::Senseless(..) => Unheard::Senseless,
+    })
 }
 
 impl Said {
--- a/src/fleet/members/datagram.rs
+++ b/src/fleet/members/datagram.rs
@@ -10,6 +10,8 @@
 //! | 8 | number of the datagram in that life, from 1 |
 //! | rest | what foca says |
 
+use crate::fleet::seen::Seen;
+use crate::state::record::sum;
 use std::collections::HashMap;
 use std::collections::hash_map::Entry;
 use std::time::Duration;
@@ -21,8 +23,6 @@
 pub(super) const HEAD: usize = 25;
 /// The form of datagrams that this build speaks.
 const VERSION: u8 = 1;
-/// Datagrams of a life that may overtake each other: one further behind the newest counts as old.
-const OVERTAKEN: u64 = 64;
 /// A life of which nothing has come for so long is forgotten, if there are many.
 const FORGET: Duration = Duration::from_secs(600);
 /// Lives that are remembered in any case.
@@ -53,13 +53,12 @@
     cluster: String,
     life: u64,
     sent: u64,
-    lives: HashMap<u64, Window>,
+    lives: HashMap<u64, Life>,
 }
 
-/// Which datagrams of a life have come: the newest, and a bit for each of those before it.
-struct Window {
-    newest: u64,
-    before: u64,
+/// Which datagrams of a life have come, and when the last did.
+struct Life {
+    seen: Seen,
     heard: Duration,
 }
 
@@ -76,20 +75,20 @@
         datagram.extend(self.life.to_le_bytes());
         datagram.extend(self.sent.to_le_bytes());
         datagram.extend(content);
-        let sum = self.sum(&datagram[4..]).to_le_bytes();
+        let sum = sum(&self.cluster, &datagram[4..]).to_le_bytes();
         datagram[..4].copy_from_slice(&sum);
         datagram
     }
 
     /// What foca said, where it is to be heard.
     pub(super) fn open<'a>(&mut self, now: Duration, datagram: &'a [u8]) -> Result<&'a [u8], Dropped> {
-        let (sum, sealed) = datagram.split_first_chunk::<4>().ok_or(Dropped::Torn)?;
+        let (told, sealed) = datagram.split_first_chunk::<4>().ok_or(Dropped::Torn)?;
         let (version, rest) = sealed.split_first().ok_or(Dropped::Torn)?;
         let (cluster, rest) = rest.split_first_chunk::<4>().ok_or(Dropped::Torn)?;
         let (life, rest) = rest.split_first_chunk::<8>().ok_or(Dropped::Torn)?;
         let (number, content) = rest.split_first_chunk::<8>().ok_or(Dropped::Torn)?;
         let ours = u32::from_le_bytes(*cluster) == crc32fast::hash(self.cluster.as_bytes());
-        if self.sum(sealed) != u32::from_le_bytes(*sum) {
+        if sum(&self.cluster, sealed) != u32::from_le_bytes(*told) {
             // Another cluster's has another sum: it tells itself by the name's, where that came whole.
             return Err(if ours { Dropped::Torn } else { Dropped::Foreign });
         }
@@ -102,35 +101,18 @@
 
     fn is_new(&mut self, now: Duration, life: u64, number: u64) -> bool {
         if self.lives.len() > LIVES {
-            self.lives.retain(|_, window| now.saturating_sub(window.heard) < FORGET);
+            self.lives.retain(|_, life| now.saturating_sub(life.heard) < FORGET);
         }
-        let window = match self.lives.entry(life) {
+        match self.lives.entry(life) {
             Entry::Vacant(entry) => {
-                entry.insert(Window { newest: number, before: 0, heard: now });
-                return true;
+                entry.insert(Life { seen: Seen::first(number), heard: now });
+                true
+            }
+            Entry::Occupied(entry) => {
+                let life = entry.into_mut();
+                life.heard = now;
+                life.seen.take(number)
             }
-            Entry::Occupied(entry) => entry.into_mut(),
-        };
-        window.heard = now;
-        if number > window.newest {
-            let ahead = number - window.newest;
-            let shift = |bits: u64, by: u64| if by < OVERTAKEN { bits << by } else { 0 };
-            window.before = shift(window.before, ahead) | shift(1, ahead - 1);
-            window.newest = number;
-            return true;
         }
-        let behind = window.newest - number;
-        let bit = if (1..=OVERTAKEN).contains(&behind) { 1 << (behind - 1) } else { return false };
-        let new = window.before & bit == 0;
-        window.before |= bit;
-        new
-    }
-
-    fn sum(&self, sealed: &[u8]) -> u32 {
-        let mut hasher = crc32fast::Hasher::new();
-        hasher.update(self.cluster.as_bytes());
-        hasher.update(&[0]);
-        hasher.update(sealed);
-        hasher.finalize()
     }
 }
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -5,7 +5,7 @@
 //! frames, batches for the disk and statements. `host` is the only part that knows threads, rings, sockets and clocks.
 //!
 //! ```text
-//! datagram -> net thread -> ring -> agree thread (members) -> datagrams
+//! datagram -> datagrams thread -> ring -> members thread -> datagrams
 //!                                    ^      |
 //!            serving thread: order --+      +-> newest-wins cell -> serving thread -> policy event
 //!                                           +-> newest-wins cell: who is where
@@ -17,8 +17,8 @@
 //!
 //! | ring | holds | when it is full | who notices |
 //! | --- | --- | --- | --- |
-//! | net to agree | [`host::DEPTH`] datagrams | the newest is dropped, as any may be lost on its way | `fleet_dropped_total{reason="full"}` |
-//! | orders to agree | [`host::ORDERS`] | the order is refused; there is one, to leave, and it is given once | the log |
+//! | datagrams to members | [`host::DEPTH`] datagrams | the newest is dropped, as any may be lost on its way | `fleet_dropped_total{reason="full"}` |
+//! | orders to members | [`host::ORDERS`] | the order is refused; there is one, to leave, and it is given once | the log |
 //! | streams to log | [`host::FRAMES`] frames | the newest is dropped: whoever says it says it again | `fleet_log_frames_lost_total` |
 //! | log to streams | as many | the same | the same |
 //! | streams to a peer | [`host::PEER_DEPTH`] frames | the same; other peers' go on | the same |
@@ -35,3 +35,4 @@
 pub mod host;
 pub mod log;
 pub mod members;
+mod seen;
--- a/src/state/record.rs
+++ b/src/state/record.rs
@@ -1,5 +1,5 @@
-//! How a record lies on disk: a checksum over where it stands, its version and its content, so that one that was
-//! flipped, torn or put in another's place is found when it is read.
+//! How a record lies on disk, or goes to another process: a checksum over where it stands, or whose it is, its version
+//! and its content, so that one that was flipped, torn or put in another's place is found when it is read.
 
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -31,7 +31,8 @@
     Senseless(String, postcard::Error),
 }
 
-fn sum(place: &str, sealed: &[u8]) -> u32 {
+/// CRC-32 over a place, a zero byte, and what is sealed for it.
+pub fn sum(place: &str, sealed: &[u8]) -> u32 {
     let mut hasher = crc32fast::Hasher::new();
     hasher.update(place.as_bytes());
     hasher.update(&[0]);
