--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -113,6 +113,27 @@
     Unreadable(#[from] serde_json::Error),
 }
 
+/// A call that has begun. Dropped before it has ended, it says so in the log.
+struct PendingCall {
+    began: Instant,
+    address: SocketAddr,
+    ended: bool,
+}
+
+impl PendingCall {
+    fn ms(&self) -> u64 {
+        self.began.elapsed().as_millis() as u64
+    }
+}
+
+impl Drop for PendingCall {
+    fn drop(&mut self) {
+        if !self.ended {
+            info!(address = %self.address, outcome = "dropped", ms = self.ms(), "call");
+        }
+    }
+}
+
 /// What the node knows of discovery.
 pub struct Discovery {
     address: Cell<SocketAddr>,
@@ -283,13 +304,18 @@
         Ok(serde_json::from_slice(&body.to_bytes())?)
     }
 
-    /// Makes a call, and says what became of it. One that is dropped, as discovery has moved, has no outcome.
+    /// Makes a call, and logs what became of it. One that is dropped, as discovery has moved, has no outcome.
     async fn call(&self, path: &str) -> Result<(Response<Incoming>, Guard), CallError> {
-        let began = Instant::now();
+        let mut pending = PendingCall { began: Instant::now(), address: self.address.get(), ended: false };
         let answered = self.attempt(path).await;
+        pending.ended = true;
         let outcome = answered.as_ref().map_or_else(CallError::outcome, |_| Outcome::Answered);
         self.contact.called(outcome);
-        debug!(path, outcome = outcome.name(), ms = began.elapsed().as_millis() as u64, "call");
+        let (address, ms) = (pending.address, pending.ms());
+        match outcome {
+            Outcome::Answered => debug!(%address, path, outcome = outcome.name(), ms, "call"),
+            _ => info!(%address, path, outcome = outcome.name(), ms, "call"),
+        }
         answered
     }
 
--- a/src/policy/choice.rs
+++ b/src/policy/choice.rs
@@ -62,6 +62,18 @@
         None
     }
 
+    /// Logs that the list has become overdue, or is not any more.
+    pub(super) fn log_wariness(&self, before: bool, out: &mut Vec<Action>) {
+        let text = match (before, self.wary) {
+            (false, true) => "list overdue: sending only to endpoints that took a call of late",
+            (true, false) => {
+                "list no longer overdue, or no endpoint took a call of late: sending to all listed"
+            }
+            _ => return,
+        };
+        out.push(Action::Log(text.to_owned()));
+    }
+
     /// Asks one of those left out whether it takes calls: what refused for another reason has to come back,
     /// however long discovery is away.
     pub(super) fn probe_left_out(&mut self, now: Duration, out: &mut Vec<Action>) {
--- a/src/policy/requests.rs
+++ b/src/policy/requests.rs
@@ -85,7 +85,9 @@
         if !passing {
             self.set_timer(request.time_left, Timer::Deadline(id), out);
         }
+        let wary_before = self.wary;
         self.advance(now, id, out);
+        self.log_wariness(wary_before, out);
         self.probe_left_out(now, out);
     }
 
