--- a/src/lib.rs
+++ b/src/lib.rs
@@ -35,4 +35,4 @@
 
 pub use api::*;
 pub use names::EndpointNames;
-pub use policy::{Asking, Balancer};
+pub use policy::{Balancer, DiscoverySchedule};
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -4,8 +4,8 @@
 use super::guard::Guard;
 use gullpulley::config::{LIST_MOST, List, ListReader, Names, State};
 use gullpulley::{
-    Asking, CellId, Discovery as Mode, EndpointId, EndpointInfo, EndpointNames, EndpointState, KindId,
-    Membership, ZoneId,
+    CellId, Discovery as Mode, DiscoverySchedule, EndpointId, EndpointInfo, EndpointNames, EndpointState,
+    KindId, Membership, ZoneId,
 };
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::body::{Bytes, Incoming};
@@ -143,7 +143,7 @@
     rev: Cell<u64>,
     contact: Rc<Contact>,
     /// When it is asked, where lists are pushed; elsewhere the module says so.
-    asking: RefCell<Asking>,
+    schedule: RefCell<DiscoverySchedule>,
     began: Instant,
     /// What has come of it since the start.
     heard: watch::Sender<Heard>,
@@ -164,7 +164,7 @@
         report: impl Fn(News) + 'static,
     ) -> Rc<Self> {
         let began = Instant::now();
-        let asking = RefCell::new(Asking::new(mode, Duration::MAX, seed, Duration::ZERO));
+        let schedule = RefCell::new(DiscoverySchedule::new(mode, Duration::MAX, seed, Duration::ZERO));
         let (ids, rev) = Default::default();
         let address = Cell::new(address);
         let heard = watch::Sender::new(Heard::Nothing);
@@ -175,7 +175,7 @@
             ids,
             rev,
             contact,
-            asking,
+            schedule,
             began,
             heard,
             failing: RefCell::default(),
@@ -261,7 +261,7 @@
         loop {
             let over = self.follow().await;
             let unheard = self.failed(&over.to_string());
-            let wait = self.asking.borrow_mut().failed(self.began.elapsed(), unheard);
+            let wait = self.schedule.borrow_mut().failed(self.began.elapsed(), unheard);
             tokio::time::sleep(wait).await;
         }
     }
--- a/src/policy/choice.rs
+++ b/src/policy/choice.rs
@@ -38,8 +38,8 @@
     pub(super) fn pick(&mut self, now: Duration, id: RequestId) -> Option<usize> {
         self.common_heat = self.shared_heat(now);
         // A change may count as told that never came: those that take calls are left, while there are any.
-        let proof = self.asking.proof();
-        self.wary = self.asking.overdue(now)
+        let proof = self.schedule.proof();
+        self.wary = self.schedule.overdue(now)
             && self.endpoints.iter().any(|e| e.is_ready() && e.accepts(now, proof));
         // Of this balancer's part, or of all where too few of it can take the call.
         // With several times the mean it would crowd its part of a zone: beyond C calls each, all of it.
@@ -81,7 +81,7 @@
             return;
         }
         self.probe_at = now + PROBE_EVERY;
-        let proof = self.asking.proof();
+        let proof = self.schedule.proof();
         let left_out = self.endpoints.iter().filter(|e| e.is_ready() && !e.accepts(now, proof));
         let left_out: Vec<EndpointId> = left_out.map(|e| e.info.id).collect();
         if !left_out.is_empty() {
@@ -143,7 +143,7 @@
         let endpoint = &self.endpoints[i];
         let room = (endpoint.limit * self.warmth(now, i)).max(1.0);
         let overspent = self.warmth(now, i) < 1.0 && self.cold_tokens(now, i) < 1.0;
-        let leaving = self.wary && !endpoint.accepts(now, self.asking.proof());
+        let leaving = self.wary && !endpoint.accepts(now, self.schedule.proof());
         if !endpoint.is_ready() || leaving || self.load(now, i) + 1.0 > room || overspent {
             return false;
         }
--- a/src/policy/asking.rs
+++ b/src/policy/discovery_schedule.rs
@@ -27,7 +27,7 @@
 const SOON: Duration = Duration::from_millis(500);
 
 /// When one process asks discovery for a watch.
-pub struct Asking {
+pub struct DiscoverySchedule {
     mode: Discovery,
     draws: Draws,
     /// One of its turns, and how long it is to the next.
@@ -39,7 +39,7 @@
     lost: Option<Duration>,
 }
 
-impl Asking {
+impl DiscoverySchedule {
     /// A process that starts at `now` with no watch; its turn is drawn from the seed. `ask_within` is the
     /// settings'.
     pub fn new(mode: Discovery, ask_within: Duration, seed: u64, now: Duration) -> Self {
@@ -53,7 +53,7 @@
         let period = TURN.min(told * 4);
         // The list that it starts with may be old, where no agent beside it holds a newer one.
         let lost = (mode == Discovery::Ask).then(|| (now + CROWD).saturating_sub(told));
-        Asking { mode, draws, turn, period, told, lost }
+        DiscoverySchedule { mode, draws, turn, period, told, lost }
     }
 
     /// How long to wait before the first call; no time where no endpoint is known to serve by until then, nor
--- a/src/policy/list.rs
+++ b/src/policy/list.rs
@@ -41,7 +41,7 @@
     pub(super) fn on_membership(&mut self, now: Duration, news: Membership, out: &mut Vec<Action>) {
         match news {
             Membership::Failed { unheard } => {
-                let wait = self.asking.failed(now, unheard);
+                let wait = self.schedule.failed(now, unheard);
                 if self.settings.discovery == Discovery::Ask {
                     self.set_timer(wait, Timer::Ask, out);
                 }
@@ -56,9 +56,9 @@
             }
         }
         if self.started {
-            self.asking.heard();
+            self.schedule.heard();
         } else if self.settings.discovery == Discovery::Ask {
-            let wait = self.asking.first(now, self.endpoints.len(), self.processes > 1.0);
+            let wait = self.schedule.first(now, self.endpoints.len(), self.processes > 1.0);
             self.set_timer(wait, Timer::Ask, out);
         }
         if !std::mem::replace(&mut self.started, true) {
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -2,13 +2,13 @@
 //! numbers from its seed. Its interface (settings, events, actions) is in `api.rs`.
 //!
 //! A request comes in through `requests`, which asks `choice` for an endpoint among those that `list`
-//! holds, and `asking` says when discovery is asked for it; `cold` and `limits` narrow what is eligible,
+//! holds, and `discovery_schedule` says when discovery is asked for it; `cold` and `limits` narrow what is eligible,
 //! `retries` says whether a failed attempt is made again. Where there is no room `limits` holds the
 //! request, and lets the worthiest go first.
 
-mod asking;
 mod choice;
 mod cold;
+mod discovery_schedule;
 mod limits;
 mod list;
 mod requests;
@@ -16,7 +16,7 @@
 
 use crate::api::*;
 use crate::stats::{Draws, Fading, Latency};
-pub use asking::Asking;
+pub use discovery_schedule::DiscoverySchedule;
 use limits::Window;
 use list::Endpoint;
 use requests::Pending;
@@ -24,8 +24,8 @@
 use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
-/// What makes the asking's draws others than those of choices.
-const ASKING_SEED: u64 = 0x5bd1_e995;
+/// What makes the schedule's draws others than those of choices.
+const SCHEDULE_SEED: u64 = 0x5bd1_e995;
 
 enum Timer {
     Deadline(RequestId),
@@ -78,7 +78,7 @@
     /// How far silence goes with connections that lay idle, and from how long on.
     stale: f64,
     reaped_after: Duration,
-    asking: Asking,
+    schedule: DiscoverySchedule,
     started: bool,
 }
 
@@ -87,7 +87,12 @@
     pub fn new(settings: Settings, seed: u64, now: Duration) -> Result<Self, SettingsError> {
         settings.validate()?;
         let (classes, tenants) = (settings.classes.len(), settings.tenants.len());
-        let asking = Asking::new(settings.discovery, settings.rules.ask_within, seed ^ ASKING_SEED, now);
+        let schedule = DiscoverySchedule::new(
+            settings.discovery,
+            settings.rules.ask_within,
+            seed ^ SCHEDULE_SEED,
+            now,
+        );
         Ok(Balancer {
             settings,
             born: now,
@@ -118,7 +123,7 @@
             late_share: 0.0,
             stale: 0.0,
             reaped_after: Duration::MAX,
-            asking,
+            schedule,
             started: false,
         })
     }
--- a/tests/asking.rs
+++ b/tests/discovery_schedule.rs
@@ -188,8 +188,9 @@
     for (lost_after, answers_after) in [(0.0, 0.4), (2.0, 0.4), (3.0, 0.4)] {
         for seed in 0..40 {
             let settings = Settings { discovery: Discovery::Ask, ..Settings::default() };
-            let mut asking = Asking::new(settings.discovery, settings.rules.ask_within, seed, second(50.0));
-            let mut now = second(50.0) + asking.first(second(50.0), 8, false);
+            let mut schedule =
+                DiscoverySchedule::new(settings.discovery, settings.rules.ask_within, seed, second(50.0));
+            let mut now = second(50.0) + schedule.first(second(50.0), 8, false);
             assert!(now < second(56.0), "the first call");
             let back = second(60.0 + 0.5 * seed as f64);
             let known = loop {
@@ -197,7 +198,7 @@
                     break now + second(answers_after);
                 }
                 let lost = now + second(lost_after);
-                now = lost + asking.failed(lost, Duration::ZERO);
+                now = lost + schedule.failed(lost, Duration::ZERO);
             };
             let took = known - back;
             assert!(
@@ -213,16 +214,16 @@
     // A watch may end instead of telling: what it would have told counts 2 s later.
     for (ask_within, unheard) in [(ms(2100), ms(0)), (ms(10_000), ms(3000))] {
         for seed in 0..40 {
-            let mut asking = Asking::new(Discovery::Ask, ask_within, seed, ms(50_000));
-            assert!(asking.first(ms(50_000), 8, false) <= ask_within, "from its start");
-            assert_eq!(asking.first(ms(50_000), 0, false), ms(0), "nobody could be served");
-            assert_eq!(asking.first(ms(50_000), 8, true), ms(0), "beside an older process");
-            asking.heard();
-            let wait = asking.failed(ms(60_000), unheard);
+            let mut schedule = DiscoverySchedule::new(Discovery::Ask, ask_within, seed, ms(50_000));
+            assert!(schedule.first(ms(50_000), 8, false) <= ask_within, "from its start");
+            assert_eq!(schedule.first(ms(50_000), 0, false), ms(0), "nobody could be served");
+            assert_eq!(schedule.first(ms(50_000), 8, true), ms(0), "beside an older process");
+            schedule.heard();
+            let wait = schedule.failed(ms(60_000), unheard);
             assert!(wait <= ms(750), "{wait:?}");
             let counts = ms(60_000) - unheard + ask_within.min(ms(6000));
-            assert!(!asking.overdue(counts - ms(1)) && asking.overdue(counts));
-            let again = ms(60_000) + wait + asking.failed(ms(60_000) + wait, unheard);
+            assert!(!schedule.overdue(counts - ms(1)) && schedule.overdue(counts));
+            let again = ms(60_000) + wait + schedule.failed(ms(60_000) + wait, unheard);
             assert!(again <= ms(60_000 + 750 + 5500), "then in its turn");
         }
     }
