Call discovery again in time after a move, once, and trust an endpoint's last refusal

(1) After a move one call was made at the new address; refused there after 28 ms, the process waited for its slot, up to 5.5 s, as among hundreds, and what discovery says counts as known 4 s after the move. (3) The second line, by which a process with a stale list sends only where calls are taken, let an endpoint in again that had refused, as soon as a slower call from before was answered; with no call taken of late it was as if there were no line. Class of fault: a wait that is bounded by one term while another, shorter one holds; and timers that outlive their reason.

The schedule is told of a move (Membership::Moved) and of what failed (DiscoveryFailure): refused at once, for 4 s a process has three slots in a period, deterministic, so that no burst meets discovery's return; a call that was lost is made again promptly; one sent away by a crowd waits for its slot as before. One timer at the most, void once a watch is up or discovery moves. ANSWER is 3.1 s, so that a call sent away after 3 s isn't taken for a lost one. An endpoint that has refused its last call is left out of a stale list; where none takes calls, all but those that refused are sent to. Ruled out: the wall clock (all spans equal on both clocks); hedged calls (a crowded discovery works on each of them); prompt calls drawn anew (model of the queue, 350 processes refused for 3 s: all know after 3.2 s where it has room, but 13 s where it is crowded; with the three slots 3.2 and 9.5; before 5.5 and 6.3).

A failed call is logged at info now, and the test of its line no longer asks for the debug level.

--- a/src/adapter/main.rs
+++ b/src/adapter/main.rs
@@ -2,7 +2,9 @@
 #![forbid(unsafe_code)]
 
 use gullpulley::adapter::{self, Line, ListMode, WireError};
-use gullpulley::{Action, Balancer, EndpointInfo, EndpointNames, Event, Membership, RequestId};
+use gullpulley::{
+    Action, Balancer, DiscoveryFailure, EndpointInfo, EndpointNames, Event, Membership, RequestId,
+};
 use std::collections::HashMap;
 use std::io::{self, BufRead, BufWriter, Write};
 use std::panic::{AssertUnwindSafe, catch_unwind};
@@ -127,7 +129,10 @@
                         .ok_or_else(|| error("bank", format!("no table {bank} was sent")))
                 };
                 let news = match mode {
-                    ListMode::Failed => Membership::Failed { unheard: Duration::ZERO },
+                    ListMode::Failed => Membership::Failed {
+                        unheard: Duration::ZERO,
+                        failure: DiscoveryFailure::Unanswered,
+                    },
                     ListMode::Changes => Membership::Delta(listed(&self.tables)?),
                     ListMode::Full => Membership::Full(listed(&self.tables)?),
                     ListMode::Cached => Membership::Cached(listed(&self.tables)?),
--- a/src/api.rs
+++ b/src/api.rs
@@ -351,7 +351,22 @@
     Failed {
         /// How long the watch that broke had brought nothing; zero where that is not known.
         unheard: Duration,
+        /// What failed.
+        failure: DiscoveryFailure,
     },
+    /// Discovery is at another address from now on, and the watch at the old one is over; the list stays.
+    Moved,
+}
+
+/// What failed at discovery.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DiscoveryFailure {
+    /// A call was refused at once: it has taken nothing of discovery's time.
+    RefusedAtOnce,
+    /// A call was sent away after it had waited: others are served, in their turn.
+    SentAway,
+    /// A call got no whole answer, or the watch is over.
+    Unanswered,
 }
 
 /// Something that happened.
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -4,8 +4,8 @@
 use super::guard::Guard;
 use gullpulley::config::{LIST_MOST, List, ListReader, Names, State};
 use gullpulley::{
-    CellId, Discovery as Mode, DiscoverySchedule, EndpointId, EndpointInfo, EndpointNames, EndpointState,
-    KindId, Membership, ZoneId,
+    CellId, Discovery as Mode, DiscoveryFailure, DiscoverySchedule, EndpointId, EndpointInfo,
+    EndpointNames, EndpointState, KindId, Membership, Settings, ZoneId,
 };
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::body::{Bytes, Incoming};
@@ -27,13 +27,16 @@
 
 /// A connection to discovery that is not up after this long has failed.
 const CONNECT: Duration = Duration::from_secs(1);
-/// A call not answered after this long has failed. Discovery answers one call after another, and a crowd of
-/// callers waits: to give up sooner, again and again, would keep it busy with what nobody waits for.
-const ANSWER: Duration = Duration::from_secs(3);
+/// A call not answered after this long has failed. Discovery answers one call after another, a crowd of
+/// callers waits, and it sends away after 3 s: to give up sooner, again and again, would keep it busy with what nobody
+/// waits for, and leave unknown whether the call was lost.
+const ANSWER: Duration = Duration::from_millis(3100);
 /// A watch brings at least an empty line every 2 s: one silent for this long is dead, as that of a
 /// machine cut off is, which nothing else would ever tell. News counts as told after 6 s: what is left
 /// of them has to do for two calls, as the first may fail.
 const SILENCE: Duration = Duration::from_secs(3);
+/// A call refused sooner has not waited for its turn at discovery.
+const AT_ONCE: Duration = Duration::from_millis(250);
 /// News of the list in the module's terms, and where the endpoints are.
 pub struct News {
     /// For the module.
@@ -71,6 +74,17 @@
     Broken(String),
 }
 
+impl Over {
+    /// What a watch that lasted so long says of discovery.
+    fn failure(&self, lasted: Duration) -> DiscoveryFailure {
+        match self {
+            Over::Call(_) if lasted < AT_ONCE => DiscoveryFailure::RefusedAtOnce,
+            Over::Call(CallError::Status(StatusCode::SERVICE_UNAVAILABLE)) => DiscoveryFailure::SentAway,
+            _ => DiscoveryFailure::Unanswered,
+        }
+    }
+}
+
 /// Why a call has failed.
 #[derive(Debug, Error)]
 enum CallError {
@@ -142,7 +156,7 @@
     ids: RefCell<EndpointNames>,
     rev: Cell<u64>,
     contact: Rc<Contact>,
-    /// When it is asked, where lists are pushed; elsewhere the module says so.
+    /// When it is called, where lists are pushed; elsewhere the module says so.
     schedule: RefCell<DiscoverySchedule>,
     began: Instant,
     /// What has come of it since the start.
@@ -157,14 +171,15 @@
     /// Discovery at this address; what it tells goes to `report`.
     pub fn new(
         address: SocketAddr,
-        mode: Mode,
+        settings: &Settings,
         names: Names,
         seed: u64,
         contact: Rc<Contact>,
         report: impl Fn(News) + 'static,
     ) -> Rc<Self> {
         let began = Instant::now();
-        let schedule = RefCell::new(DiscoverySchedule::new(mode, Duration::MAX, seed, Duration::ZERO));
+        let mode = settings.discovery;
+        let schedule = RefCell::new(DiscoverySchedule::new(settings, seed, Duration::ZERO));
         let (ids, rev) = Default::default();
         let address = Cell::new(address);
         let heard = watch::Sender::new(Heard::Nothing);
@@ -224,8 +239,12 @@
                 Call::Move(address) => {
                     if self.address.replace(address) != address {
                         info!(%address, "discovery: now at {address}");
-                        // The old one says nothing more. No failure: what is being followed goes on there.
-                        watch = watch.take().map(|_| this.watch());
+                        // The old one says nothing more. What it had left to say counts as known 4 s from now.
+                        drop(watch.take());
+                        this.tell(News { membership: Membership::Moved, addresses: Vec::new() });
+                        if this.mode == Mode::Push {
+                            watch = Some(this.watch());
+                        }
                     }
                 }
                 Call::Fetch => {
@@ -234,7 +253,9 @@
                             // It may be older than what the watch has brought since.
                             Ok(list) if list.rev < this.rev.get() => this.tell(unchanged()),
                             Ok(list) => this.take(list),
-                            Err(error) => drop(this.failed(&error.to_string())),
+                            Err(error) => {
+                                this.failed(&error.to_string(), DiscoveryFailure::Unanswered);
+                            }
                         }
                     });
                 }
@@ -249,8 +270,9 @@
             if this.mode == Mode::Push {
                 this.keep_watch().await;
             } else {
+                let began = Instant::now();
                 let over = this.follow().await;
-                this.failed(&over.to_string());
+                this.failed(&over.to_string(), over.failure(began.elapsed()));
             }
         });
         Guard::new(task.abort_handle())
@@ -259,9 +281,11 @@
     /// Where lists are pushed, a watch must always be up: the module never asks for one.
     async fn keep_watch(&self) {
         loop {
+            let began = Instant::now();
             let over = self.follow().await;
-            let unheard = self.failed(&over.to_string());
-            let wait = self.schedule.borrow_mut().failed(self.began.elapsed(), unheard);
+            let failure = over.failure(began.elapsed());
+            let unheard = self.failed(&over.to_string(), failure);
+            let wait = self.schedule.borrow_mut().failed(self.began.elapsed(), unheard, failure);
             tokio::time::sleep(wait).await;
         }
     }
@@ -359,7 +383,7 @@
     }
 
     /// Tells that a call or watch has failed; for how long nothing had been heard.
-    fn failed(&self, reason: &str) -> Duration {
+    fn failed(&self, reason: &str, failure: DiscoveryFailure) -> Duration {
         let unheard = self.contact.unheard();
         // Said once for each reason until a list comes; the driver counts the others.
         if self.failing.replace(Some(reason.to_owned())).is_none_or(|before| before != reason) {
@@ -372,7 +396,7 @@
             }
             first
         });
-        self.tell(News { membership: Membership::Failed { unheard }, addresses: Vec::new() });
+        self.tell(News { membership: Membership::Failed { unheard, failure }, addresses: Vec::new() });
         unheard
     }
 
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -296,6 +296,7 @@
                 self.count("discovery failed");
                 return self.handle(Event::Membership(news.membership));
             }
+            Membership::Moved => return self.handle(Event::Membership(news.membership)),
         };
         let mut left: [Vec<String>; 2] = Default::default();
         // Nothing new goes to these.
--- a/src/policy/choice.rs
+++ b/src/policy/choice.rs
@@ -33,14 +33,22 @@
 /// Occupancy by which an endpoint of another zone must be better: a crossing costs time and money.
 const CROSS_MARGIN: f64 = 1.0;
 
+/// How far the list is believed: the longer nothing was heard of discovery, the more an endpoint has to show.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum ListTrust {
+    /// All that are listed as ready are sent to.
+    Listed,
+    /// Those whose last call was not refused.
+    NotRefusing,
+    /// Those that took a call of late.
+    Accepting,
+}
+
 impl Balancer {
     /// The eligible set, then d samples, then the least occupied, ties at random.
     pub(super) fn pick(&mut self, now: Duration, id: RequestId) -> Option<usize> {
         self.common_heat = self.shared_heat(now);
-        // A change may count as told that never came: those that take calls are left, while there are any.
-        let proof = self.schedule.proof();
-        self.wary = self.schedule.overdue(now)
-            && self.endpoints.iter().any(|e| e.is_ready() && e.accepts(now, proof));
+        self.trust = self.list_trust(now);
         // Of this balancer's part, or of all where too few of it can take the call.
         // With several times the mean it would crowd its part of a zone: beyond C calls each, all of it.
         let crowds =
@@ -62,14 +70,30 @@
         None
     }
 
-    /// Logs that the list has become overdue, or is not any more.
-    pub(super) fn log_wariness(&self, before: bool, out: &mut Vec<Action>) {
-        let text = match (before, self.wary) {
-            (false, true) => "list overdue: sending only to endpoints that took a call of late",
-            (true, false) => {
-                "list no longer overdue, or no endpoint took a call of late: sending to all listed"
+    /// Whom to send to: once a change may count as known that was never heard of, those that take calls, or, where
+    /// there are none, those that have not refused the last one.
+    fn list_trust(&self, now: Duration) -> ListTrust {
+        if !self.schedule.overdue(now) {
+            return ListTrust::Listed;
+        }
+        let proof = self.schedule.proof();
+        let some = |trust: &ListTrust| {
+            self.endpoints.iter().any(|e| e.is_ready() && e.is_trusted(now, *trust, proof))
+        };
+        [ListTrust::Accepting, ListTrust::NotRefusing].into_iter().find(some).unwrap_or(ListTrust::Listed)
+    }
+
+    /// Logs which endpoints are sent to from now on, where that has changed.
+    pub(super) fn log_trust(&self, before: ListTrust, out: &mut Vec<Action>) {
+        if self.trust == before {
+            return;
+        }
+        let text = match self.trust {
+            ListTrust::Listed => "sending to all that are listed",
+            ListTrust::NotRefusing => {
+                "list overdue: sending to endpoints that have not refused their last call"
             }
-            _ => return,
+            ListTrust::Accepting => "list overdue: sending only to endpoints that took a call of late",
         };
         out.push(Action::Log(text.to_owned()));
     }
@@ -77,12 +101,13 @@
     /// Asks one of those left out whether it takes calls: what refused for another reason has to come back,
     /// however long discovery is away.
     pub(super) fn probe_left_out(&mut self, now: Duration, out: &mut Vec<Action>) {
-        if !self.wary || !self.settings.limits.probes || now < self.probe_at {
+        if self.trust == ListTrust::Listed || !self.settings.limits.probes || now < self.probe_at {
             return;
         }
         self.probe_at = now + PROBE_EVERY;
         let proof = self.schedule.proof();
-        let left_out = self.endpoints.iter().filter(|e| e.is_ready() && !e.accepts(now, proof));
+        let taken = |e: &&Endpoint| !e.is_ready() || e.is_trusted(now, ListTrust::Accepting, proof);
+        let left_out = self.endpoints.iter().filter(|e| !taken(e));
         let left_out: Vec<EndpointId> = left_out.map(|e| e.info.id).collect();
         if !left_out.is_empty() {
             out.push(Action::Probe { endpoint: left_out[self.draws.below(left_out.len())] });
@@ -95,7 +120,7 @@
         let (mut best, mut found): (Option<(usize, f64)>, usize) = (None, 0);
         let room = self.has_room(now, self.value(id), pool % 2);
         let size = if room { self.pools[pool].len() } else { 0 };
-        let looks = if self.wary { size } else { size.min(DRAWS) };
+        let looks = if self.trust == ListTrust::Listed { size.min(DRAWS) } else { size };
         for k in 0..looks {
             let drawn = k + self.draws.below(size - k);
             self.pools[pool].swap(k, drawn);
@@ -143,7 +168,7 @@
         let endpoint = &self.endpoints[i];
         let room = (endpoint.limit * self.warmth(now, i)).max(1.0);
         let overspent = self.warmth(now, i) < 1.0 && self.cold_tokens(now, i) < 1.0;
-        let leaving = self.wary && !endpoint.accepts(now, self.schedule.proof());
+        let leaving = !endpoint.is_trusted(now, self.trust, self.schedule.proof());
         if !endpoint.is_ready() || leaving || self.load(now, i) + 1.0 > room || overspent {
             return false;
         }
@@ -159,9 +184,15 @@
 }
 
 impl Endpoint {
-    /// It has taken a call so lately, and refused none since, that its leaving can't count as told yet.
-    fn accepts(&self, now: Duration, proof: Duration) -> bool {
-        self.accepted.is_some_and(|at| now < at + proof)
+    /// Whether it may be sent to at this trust in the list. What has taken a call within the time of `proof`, and
+    /// refused none since, can't count as leaving yet.
+    fn is_trusted(&self, now: Duration, trust: ListTrust, proof: Duration) -> bool {
+        let refuses = self.refused.is_some() && self.refused >= self.accepted;
+        match trust {
+            ListTrust::Listed => true,
+            ListTrust::NotRefusing => !refuses,
+            ListTrust::Accepting => !refuses && self.accepted.is_some_and(|at| now < at + proof),
+        }
     }
 
     pub(super) fn add_heat(&mut self, now: Duration) {
--- a/src/policy/list.rs
+++ b/src/policy/list.rs
@@ -2,8 +2,8 @@
 //! balancer uses. It may know the list, the settings and its own place among the balancers; it asks
 //! nobody.
 
+use super::Balancer;
 use super::limits::{LIMIT_START, WINDOW_START};
-use super::{Balancer, Timer};
 use crate::api::*;
 use crate::stats::Fading;
 use std::time::Duration;
@@ -28,8 +28,9 @@
     /// Own calls it may hold: the paper's C, learned from late and timely answers.
     pub(super) limit: f64,
     pub(super) limit_cut_at: Duration,
-    /// When the last call that it served was sent; none where it has refused one sent since.
+    /// When the last call that it served was sent, and the last that it refused.
     pub(super) accepted: Option<Duration>,
+    pub(super) refused: Option<Duration>,
     /// When it last answered, and left a connection idle.
     pub(super) heard: Option<Duration>,
     /// Sends the cold budget still allows, as of `cold_at`.
@@ -40,10 +41,18 @@
 impl Balancer {
     pub(super) fn on_membership(&mut self, now: Duration, news: Membership, out: &mut Vec<Action>) {
         match news {
-            Membership::Failed { unheard } => {
-                let wait = self.schedule.failed(now, unheard);
+            Membership::Failed { unheard, failure } => {
+                let wait = self.schedule.failed(now, unheard, failure);
                 if self.settings.discovery == Discovery::Ask {
-                    self.set_timer(wait, Timer::Ask, out);
+                    self.call_discovery_after(wait, out);
+                }
+                return;
+            }
+            Membership::Moved => {
+                self.schedule.moved(now);
+                if self.settings.discovery == Discovery::Ask {
+                    self.cancel_discovery_call();
+                    out.push(Action::Watch(true));
                 }
                 return;
             }
@@ -57,9 +66,10 @@
         }
         if self.started {
             self.schedule.heard();
+            self.cancel_discovery_call();
         } else if self.settings.discovery == Discovery::Ask {
             let wait = self.schedule.first(now, self.endpoints.len(), self.processes > 1.0);
-            self.set_timer(wait, Timer::Ask, out);
+            self.call_discovery_after(wait, out);
         }
         if !std::mem::replace(&mut self.started, true) {
             let size = (WINDOW_START * self.part()).max(1.0);
@@ -136,6 +146,7 @@
                         limit: LIMIT_START,
                         limit_cut_at: now,
                         accepted: None,
+                        refused: None,
                         heard: None,
                         cold_tokens,
                         cold_at: now,
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -16,6 +16,7 @@
 
 use crate::api::*;
 use crate::stats::{Draws, Fading, Latency};
+use choice::ListTrust;
 pub use discovery_schedule::DiscoverySchedule;
 use limits::Window;
 use list::Endpoint;
@@ -30,7 +31,7 @@
 enum Timer {
     Deadline(RequestId),
     Overdue(RequestId, AttemptNo),
-    Ask,
+    CallDiscovery,
     Recheck,
 }
 
@@ -53,8 +54,8 @@
     /// Heat that three quarters of the endpoints share: it comes from below and is nobody's fault here.
     /// Not the median's, or a zone lost would pass for it.
     common_heat: f64,
-    /// The list may be wrong by more than counts as untold: what has accepted nothing of late is left out.
-    wary: bool,
+    /// Which of the listed endpoints are sent to: fewer while the list may be stale.
+    trust: ListTrust,
     probe_at: Duration,
     /// Of the own zone and of all others together: a crowded zone must not shut the others.
     windows: [Window; 2],
@@ -79,6 +80,8 @@
     stale: f64,
     reaped_after: Duration,
     schedule: DiscoverySchedule,
+    /// The timer of the next call at discovery: there is one at the most.
+    next_call: Option<u64>,
     started: bool,
 }
 
@@ -87,12 +90,7 @@
     pub fn new(settings: Settings, seed: u64, now: Duration) -> Result<Self, SettingsError> {
         settings.validate()?;
         let (classes, tenants) = (settings.classes.len(), settings.tenants.len());
-        let schedule = DiscoverySchedule::new(
-            settings.discovery,
-            settings.rules.ask_within,
-            seed ^ SCHEDULE_SEED,
-            now,
-        );
+        let schedule = DiscoverySchedule::new(&settings, seed ^ SCHEDULE_SEED, now);
         Ok(Balancer {
             settings,
             born: now,
@@ -106,7 +104,7 @@
             requests: HashMap::new(),
             held: Vec::new(),
             common_heat: 0.0,
-            wary: false,
+            trust: ListTrust::Listed,
             probe_at: now,
             windows: [Window { size: 1.0, out: 0, opening: true }; 2],
             recheck_set: false,
@@ -124,6 +122,7 @@
             stale: 0.0,
             reaped_after: Duration::MAX,
             schedule,
+            next_call: None,
             started: false,
         })
     }
@@ -149,7 +148,10 @@
             Event::Timer(token) => match self.timers.remove(&token.0) {
                 Some(Timer::Deadline(id)) => self.give_up(id, out),
                 Some(Timer::Overdue(id, attempt)) => self.on_overdue(now, id, attempt, out),
-                Some(Timer::Ask) => out.push(Action::Watch(true)),
+                Some(Timer::CallDiscovery) => {
+                    self.next_call = None;
+                    out.push(Action::Watch(true));
+                }
                 Some(Timer::Recheck) => {
                     self.recheck_set = false;
                     self.drop_late(now, out);
@@ -189,6 +191,19 @@
         }
     }
 
+    /// Calls discovery after so long, and not before: an earlier plan is void.
+    fn call_discovery_after(&mut self, wait: Duration, out: &mut Vec<Action>) {
+        self.cancel_discovery_call();
+        self.set_timer(wait, Timer::CallDiscovery, out);
+        self.next_call = Some(self.next_timer);
+    }
+
+    fn cancel_discovery_call(&mut self) {
+        if let Some(timer) = self.next_call.take() {
+            self.timers.remove(&timer);
+        }
+    }
+
     fn set_timer(&mut self, after: Duration, timer: Timer, out: &mut Vec<Action>) {
         self.next_timer += 1;
         self.timers.insert(self.next_timer, timer);
--- a/src/policy/requests.rs
+++ b/src/policy/requests.rs
@@ -4,6 +4,7 @@
 
 use super::cold::RATE_SECONDS;
 use super::limits::REPEAT_LEAST;
+use super::list::Endpoint;
 use super::retries::{OVERDUE_SPREADS, RETRY_EARN, RETRY_SAVED, SILENT_SPREADS, STALE_REFUTED};
 use super::{Balancer, Timer};
 use crate::api::*;
@@ -85,9 +86,9 @@
         if !passing {
             self.set_timer(request.time_left, Timer::Deadline(id), out);
         }
-        let wary_before = self.wary;
+        let trust_before = self.trust;
         self.advance(now, id, out);
-        self.log_wariness(wary_before, out);
+        self.log_trust(trust_before, out);
         self.probe_left_out(now, out);
     }
 
@@ -187,11 +188,11 @@
         let Attempt { endpoint, zone, idle, sent, counted, .. } = *attempt;
         let (class, spent, side) = (pending.class, pending.spent, self.settings.side(zone));
         if let Some(&i) = self.index.get(&endpoint) {
-            let accepted = &mut self.endpoints[i].accepted;
+            // A call sent before one that was refused says nothing against that, also if it is answered after it.
+            let Endpoint { accepted, refused, .. } = &mut self.endpoints[i];
             match ended.outcome {
                 Outcome::Ok => *accepted = (*accepted).max(Some(sent)),
-                // Sent later than what it had accepted: it may be leaving.
-                Outcome::Full | Outcome::ConnectFailed if *accepted <= Some(sent) => *accepted = None,
+                Outcome::Full | Outcome::ConnectFailed => *refused = (*refused).max(Some(sent)),
                 _ => {}
             }
         }
--- a/tests/discovery_failing.rs
+++ b/tests/discovery_failing.rs
@@ -136,17 +136,16 @@
 }
 
 #[test]
-fn a_refused_call_counts_and_each_has_a_line_at_debug() {
+fn a_refused_call_counts_and_each_has_a_line() {
     let (peer, shared) = (Peer::serving("ok"), Shared::new());
-    let mut config = config(&[&peer]); // its discovery refuses connections
-    config["log"] = json!({"level": "info,gullpulley::net::discovery=debug"});
+    let config = config(&[&peer]); // its discovery refuses connections
     let (sidecar, door) = shared.start(&config);
     wait_for("two calls", || contact(door).0["not_connected"] > 1);
     assert_eq!(contact(door).0["answered"], 0);
-    let lines = || sidecar.log().lines().filter(|line| line.contains("DEBUG")).count();
+    let lines = || sidecar.log().lines().filter(|line| line.contains("outcome=")).count();
     wait_for("a line for each", || lines() > 1);
     let log = sidecar.log();
-    let line = log.lines().find(|line| line.contains("DEBUG")).unwrap();
+    let line = log.lines().find(|line| line.contains("outcome=")).unwrap();
     for part in ["/api/targets?watch=1&after=7", "not_connected", "ms="] {
         assert!(line.contains(part), "{part} is not in {line}");
     }
--- a/tests/discovery_schedule.rs
+++ b/tests/discovery_schedule.rs
@@ -18,29 +18,47 @@
     news: f64,
     /// A call that waits longer is sent away.
     patience: f64,
+    /// For how long it is away.
+    outage: f64,
+    /// It is away as it moves, and refuses calls at the new address at once; processes hear of that one by one.
+    moves: bool,
 }
 
 /// The measured one: seed 4 of the operators' fullest day.
-const CROWDED: Queue = Queue { all_calls: 5.9, news: 0.2, patience: 2.0 };
+const CROWDED: Queue = Queue { all_calls: 5.9, news: 0.2, patience: 2.0, outage: 8.0, moves: false };
 /// One with room: what it takes on the operators' other days.
-const ROOMY: Queue = Queue { all_calls: 3.1, news: 0.2, patience: 3.0 };
+const ROOMY: Queue = Queue { all_calls: 3.1, news: 0.2, patience: 3.0, outage: 8.0, moves: false };
 
 const START: f64 = 100.0;
 const DOWN: f64 = START + 2.3;
-const BACK: f64 = DOWN + 8.0;
-const END: f64 = BACK + 14.0;
+/// The play goes on for so long after discovery's return.
+const AFTERWARDS: f64 = 14.0;
+/// All processes have heard of a move after so long.
+const MOVES: f64 = 4.0;
+/// A refusal is back after so long.
+const ROUND_TRIP: f64 = 0.03;
 
 #[derive(Clone, Copy, PartialEq)]
 enum Due {
     Timer(usize, u64),
-    Answer(usize, bool),
+    Call(usize),
+    Move(usize),
+    Answer(usize, Answer),
     Down,
     News,
 }
 
+/// What becomes of a call.
+#[derive(Clone, Copy, PartialEq)]
+enum Answer {
+    Served,
+    SentAway,
+    RefusedAtOnce,
+}
+
 #[derive(Default)]
 struct Played {
-    /// Seconds from the return until each process knew, sorted; those that never did are missing.
+    /// Seconds from the return, or from its own move where that is later, until each process knew, sorted; those that never did are missing.
     known: Vec<f64>,
     calls: Vec<f64>,
     failed_after_return: usize,
@@ -60,9 +78,11 @@
     }
 }
 
-/// Starts so many processes at once, takes discovery down for 8 s, and sees who knows what when it is back.
+/// Starts so many processes at once, takes discovery down for a while, and sees who knows what when it is back.
 fn play(processes: usize, queue: Queue, seed: u64) -> Played {
     let at = Duration::from_secs_f64;
+    let back = DOWN + queue.outage;
+    let move_at = |i: usize| if queue.moves { DOWN + MOVES * i as f64 / processes as f64 } else { DOWN };
     let settings =
         Settings { discovery: Discovery::Ask, balancers: processes as u32, ..Settings::default() };
     let mut balancers: Vec<Balancer> = Vec::new();
@@ -80,58 +100,79 @@
         told.push((i, START, Membership::Cached((1..=8).map(EndpointInfo::ready).collect())));
     }
     plan(&mut due, DOWN, Due::Down, &mut what);
-    (1..5).for_each(|n| plan(&mut due, BACK + 1.5 * f64::from(n), Due::News, &mut what));
+    (1..5).for_each(|n| plan(&mut due, back + 1.5 * f64::from(n), Due::News, &mut what));
     let (mut free_at, mut watching, mut known) = (START, vec![false; processes], vec![None; processes]);
     let mut played = Played::default();
     loop {
         for (i, now, news) in std::mem::take(&mut told) {
             balancers[i].handle(at(now), Event::Membership(news), &mut actions);
             for action in actions.drain(..) {
-                if let Action::SetTimer { token, after } = action {
-                    plan(&mut due, now + after.as_secs_f64(), Due::Timer(i, token.0), &mut what);
+                match action {
+                    Action::SetTimer { token, after } => {
+                        plan(&mut due, now + after.as_secs_f64(), Due::Timer(i, token.0), &mut what);
+                    }
+                    Action::Watch(true) => plan(&mut due, now, Due::Call(i), &mut what),
+                    _ => {}
                 }
             }
         }
         let Some(Reverse((now, number))) = due.pop() else { break };
         let now = now.as_secs_f64();
-        if now > END {
+        if now > back + AFTERWARDS {
             break;
         }
-        let down = (DOWN..BACK).contains(&now);
+        let down = (DOWN..back).contains(&now);
         match what[number as usize] {
             Due::Timer(i, token) => {
                 balancers[i].handle(at(now), Event::Timer(TimerToken(token)), &mut actions);
                 if actions.drain(..).any(|action| action == Action::Watch(true)) {
-                    played.calls.push(now);
-                    let (waits, done) =
-                        ((free_at - now).max(0.0), free_at.max(now) + queue.all_calls / processes as f64);
-                    let cut_off = now < DOWN && done > DOWN;
-                    let served = !down && !cut_off && waits <= queue.patience;
-                    if !down {
-                        free_at = done; // also what is sent away is worked on in its turn
-                    }
-                    let answered = if served { done } else { now + queue.patience };
-                    plan(&mut due, answered, Due::Answer(i, served), &mut what);
+                    plan(&mut due, now, Due::Call(i), &mut what);
+                }
+            }
+            Due::Call(i) => {
+                played.calls.push(now);
+                let (waits, done) =
+                    ((free_at - now).max(0.0), free_at.max(now) + queue.all_calls / processes as f64);
+                let cut_off = now < DOWN && done > DOWN;
+                let served = !down && !cut_off && waits <= queue.patience;
+                if !down {
+                    free_at = done; // also what is sent away is worked on in its turn
                 }
+                let (answered, answer) = match served {
+                    true => (done, Answer::Served),
+                    false if down && queue.moves => (now + ROUND_TRIP, Answer::RefusedAtOnce),
+                    false => (now + queue.patience, Answer::SentAway),
+                };
+                plan(&mut due, answered, Due::Answer(i, answer), &mut what);
             }
-            Due::Answer(i, true) => {
+            Due::Answer(i, Answer::Served) => {
                 watching[i] = true;
-                if now >= BACK {
-                    known[i].get_or_insert(now - BACK);
+                if now >= back.max(move_at(i)) {
+                    known[i].get_or_insert(now - back.max(move_at(i)));
                 }
                 told.push((i, now, Membership::Delta(vec![])));
             }
-            Due::Answer(i, false) => {
-                played.failed_after_return += usize::from(now > BACK + queue.patience);
-                told.push((i, now, Membership::Failed { unheard: Duration::ZERO }));
+            Due::Answer(i, answer) => {
+                played.failed_after_return += usize::from(now > back + queue.patience);
+                let failure = match answer {
+                    Answer::RefusedAtOnce => DiscoveryFailure::RefusedAtOnce,
+                    _ => DiscoveryFailure::SentAway,
+                };
+                told.push((i, now, Membership::Failed { unheard: Duration::ZERO, failure }));
             }
             Due::Down => {
                 free_at = now;
-                let broken = (0..processes).filter(|&i| std::mem::take(&mut watching[i]));
-                told.extend(
-                    broken.map(|i| (i, now, Membership::Failed { unheard: Duration::from_secs(1) })),
-                );
+                let broken: Vec<usize> = (0..processes).filter(|&i| watching[i]).collect();
+                watching.fill(false);
+                if queue.moves {
+                    (0..processes).for_each(|i| plan(&mut due, move_at(i), Due::Move(i), &mut what));
+                } else {
+                    let unheard = Duration::from_secs(1);
+                    let failed = Membership::Failed { unheard, failure: DiscoveryFailure::Unanswered };
+                    told.extend(broken.into_iter().map(|i| (i, now, failed.clone())));
+                }
             }
+            Due::Move(i) => told.push((i, now, Membership::Moved)),
             Due::News => {
                 let part = watching.iter().filter(|w| **w).count() as f64 / processes as f64;
                 free_at = free_at.max(now) + queue.news * part;
@@ -170,11 +211,27 @@
     }
 }
 
+#[test]
+fn after_a_move_to_where_calls_are_refused_at_first_all_know_soon() {
+    for processes in [10, 100, 350, 1000] {
+        for (outage, seed) in [(0.0, 0), (0.5, 1), (1.5, 2), (3.0, 3)] {
+            let played = play(processes, Queue { outage, moves: true, ..ROOMY }, seed);
+            println!(
+                "{processes} processes, refused for {outage} s: {} know, worst {:.2} s",
+                played.known.len(),
+                played.worst(),
+            );
+            assert_eq!(played.known.len(), processes, "{outage} s: all come to know");
+            assert!(played.worst() <= 4.0, "{processes} processes, {outage} s: {:.2} s", played.worst());
+        }
+    }
+}
+
 #[test]
 fn all_processes_together_ask_no_more_often_than_discovery_must_bear() {
     for processes in [10, 350] {
         // For ever down: no answer ever comes.
-        let queue = Queue { all_calls: 1e6, news: 0.0, patience: 2.0 };
+        let queue = Queue { all_calls: 1e6, news: 0.0, patience: 2.0, ..CROWDED };
         let played = play(processes, queue, 7);
         let most = played.most_within(5.4);
         // One each, and one more of each whose watch had been up: here of one, as no second call is served.
@@ -188,8 +245,7 @@
     for (lost_after, answers_after) in [(0.0, 0.4), (2.0, 0.4), (3.0, 0.4)] {
         for seed in 0..40 {
             let settings = Settings { discovery: Discovery::Ask, ..Settings::default() };
-            let mut schedule =
-                DiscoverySchedule::new(settings.discovery, settings.rules.ask_within, seed, second(50.0));
+            let mut schedule = DiscoverySchedule::new(&settings, seed, second(50.0));
             let mut now = second(50.0) + schedule.first(second(50.0), 8, false);
             assert!(now < second(56.0), "the first call");
             let back = second(60.0 + 0.5 * seed as f64);
@@ -198,7 +254,7 @@
                     break now + second(answers_after);
                 }
                 let lost = now + second(lost_after);
-                now = lost + schedule.failed(lost, Duration::ZERO);
+                now = lost + schedule.failed(lost, Duration::ZERO, DiscoveryFailure::Unanswered);
             };
             let took = known - back;
             assert!(
@@ -214,16 +270,20 @@
     // A watch may end instead of telling: what it would have told counts 2 s later.
     for (ask_within, unheard) in [(ms(2100), ms(0)), (ms(10_000), ms(3000))] {
         for seed in 0..40 {
-            let mut schedule = DiscoverySchedule::new(Discovery::Ask, ask_within, seed, ms(50_000));
+            let mut settings = Settings { discovery: Discovery::Ask, ..Settings::default() };
+            settings.rules.ask_within = ask_within;
+            let mut schedule = DiscoverySchedule::new(&settings, seed, ms(50_000));
             assert!(schedule.first(ms(50_000), 8, false) <= ask_within, "from its start");
             assert_eq!(schedule.first(ms(50_000), 0, false), ms(0), "nobody could be served");
             assert_eq!(schedule.first(ms(50_000), 8, true), ms(0), "beside an older process");
             schedule.heard();
-            let wait = schedule.failed(ms(60_000), unheard);
+            let wait = schedule.failed(ms(60_000), unheard, DiscoveryFailure::Unanswered);
             assert!(wait <= ms(750), "{wait:?}");
             let counts = ms(60_000) - unheard + ask_within.min(ms(6000));
             assert!(!schedule.overdue(counts - ms(1)) && schedule.overdue(counts));
-            let again = ms(60_000) + wait + schedule.failed(ms(60_000) + wait, unheard);
+            let again = ms(60_000)
+                + wait
+                + schedule.failed(ms(60_000) + wait, unheard, DiscoveryFailure::Unanswered);
             assert!(again <= ms(60_000 + 750 + 5500), "then in its turn");
         }
     }
@@ -253,7 +313,10 @@
         for tick in 0..400 {
             // Watched until 2 s; from 3 s on three are leaving, and nobody says so; all is told at 18 s.
             if tick == 40 {
-                d.list(Membership::Failed { unheard: Duration::ZERO });
+                d.list(Membership::Failed {
+                    unheard: Duration::ZERO,
+                    failure: DiscoveryFailure::Unanswered,
+                });
             }
             if tick == 60 {
                 leaving = vec![1, 2, 3];
@@ -278,7 +341,7 @@
 fn a_process_that_nobody_answers_any_more_still_tries_all_that_are_listed() {
     let settings = Settings { discovery: Discovery::Ask, ..Settings::default() };
     let mut d = Driver::new(settings, endpoints(6));
-    d.list(Membership::Failed { unheard: Duration::ZERO });
+    d.list(Membership::Failed { unheard: Duration::ZERO, failure: DiscoveryFailure::Unanswered });
     d.advance(ms(30_000));
     // Idle for long: no endpoint has taken anything of late, and all may be tried.
     assert_eq!(serve(&mut d, &[]).len(), 1);
@@ -297,7 +360,7 @@
         settings.limits.probes = probes;
         let mut d = Driver::new(settings, endpoints(8));
         d.list(Membership::Delta(vec![]));
-        d.list(Membership::Failed { unheard: Duration::ZERO });
+        d.list(Membership::Failed { unheard: Duration::ZERO, failure: DiscoveryFailure::Unanswered });
         let (mut probed, mut served_after) = (0, 0);
         for tick in 0..160 {
             // Endpoint 1 refuses from 5 s to 10 s; discovery stays away for all the 40 s.
@@ -322,3 +385,57 @@
         assert!(probed <= 41, "{probed} probes in 40 s: one a second at most");
     }
 }
+
+/// The calls at discovery that a balancer makes within a time.
+fn calls_within(d: &mut Driver, time: Duration) -> usize {
+    let until = d.now + time;
+    let mut calls = 0;
+    while d.now < until {
+        calls += d.advance(ms(10)).iter().filter(|action| **action == Action::Watch(true)).count();
+    }
+    calls
+}
+
+#[test]
+fn failures_in_a_row_leave_one_call_to_come_and_none_once_a_watch_is_up_or_discovery_moves() {
+    let failed = |failure| Membership::Failed { unheard: Duration::ZERO, failure };
+    let settings = Settings { discovery: Discovery::Ask, ..Settings::default() };
+    let mut d = Driver::new(settings, endpoints(4));
+    d.list(Membership::Delta(vec![]));
+    (0..5).for_each(|_| drop(d.list(failed(DiscoveryFailure::RefusedAtOnce))));
+    assert_eq!(calls_within(&mut d, ms(5600)), 1, "five failures, one call");
+    d.list(failed(DiscoveryFailure::SentAway));
+    d.list(Membership::Delta(vec![]));
+    assert_eq!(calls_within(&mut d, ms(12_000)), 0, "a watch is up");
+    d.list(failed(DiscoveryFailure::Unanswered));
+    let moved = d.list(Membership::Moved);
+    assert_eq!(moved.iter().filter(|action| **action == Action::Watch(true)).count(), 1, "at once");
+    assert_eq!(calls_within(&mut d, ms(5600)), 0, "that call is still out");
+}
+
+#[test]
+fn an_endpoint_that_has_refused_stays_out_though_an_earlier_call_is_served_after_that() {
+    let settings = Settings { discovery: Discovery::Ask, ..Settings::default() };
+    let mut d = Driver::new(settings, endpoints(2));
+    d.list(Membership::Failed { unheard: Duration::ZERO, failure: DiscoveryFailure::Unanswered });
+    d.advance(ms(9000));
+    // A slow call at each of the two, then 1 refuses, then the slow ones are served; the other takes what comes.
+    let mut slow = std::collections::BTreeMap::new();
+    while slow.len() < 2 {
+        let (id, actions) = d.request(ms(20_000));
+        slow.entry(sends(&actions)[0].0).or_insert(id);
+    }
+    d.advance(ms(100));
+    let mut refused = false;
+    while !refused {
+        let (id, actions) = d.request(ms(20_000));
+        refused = sends(&actions)[0].0 == 1;
+        d.end(id, if refused { Outcome::Full } else { Outcome::Ok }, ms(1));
+    }
+    slow.values().for_each(|id| drop(d.end(*id, Outcome::Ok, ms(100))));
+    for n in 0..20 {
+        let (id, actions) = d.request(ms(20_000));
+        assert_eq!(sends(&actions)[0].0, 2, "request {n}");
+        d.end(id, Outcome::Ok, ms(1));
+    }
+}
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -251,7 +251,7 @@
     let settings = Settings { discovery: Discovery::Ask, ..Settings::default() };
     let mut d = Driver::new(settings, endpoints(3));
     for _ in 0..10 {
-        d.list(Membership::Failed { unheard: Duration::ZERO });
+        d.list(Membership::Failed { unheard: Duration::ZERO, failure: DiscoveryFailure::Unanswered });
         d.advance(ms(20_000));
     }
     assert_eq!(sends(&d.request(ms(900)).1).len(), 1);
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -110,7 +110,10 @@
                 d.list(Membership::Full((1..=n).map(info).collect()));
             }
             Step::DiscoveryFails => {
-                d.list(Membership::Failed { unheard: Duration::ZERO });
+                d.list(Membership::Failed {
+                    unheard: Duration::ZERO,
+                    failure: DiscoveryFailure::Unanswered,
+                });
             }
             Step::Stray(n) => {
                 d.feed(Event::Timer(TimerToken(n)));
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -172,7 +172,7 @@
         assert!(first < ask_within);
         waits.push(first);
         assert!(d.advance(ask_within).contains(&Action::Watch(true)));
-        d.list(Membership::Failed { unheard: Duration::ZERO });
+        d.list(Membership::Failed { unheard: Duration::ZERO, failure: DiscoveryFailure::Unanswered });
         assert!(d.advance(ask_within).contains(&Action::Watch(true)), "a failed call is made again");
         d.list(Membership::Delta(vec![]));
         assert!(
