--- a/src/policy/choice.rs
+++ b/src/policy/choice.rs
@@ -70,8 +70,8 @@
         None
     }
 
-    /// Whom to send to: once a change may count as known that was never heard of, those that take calls, or, where
-    /// there are none, those that have not refused the last one.
+    /// Whom to send to: once a change may count as known that was never heard of, those that take calls,
+    /// or, where there are none, those that have not refused the last one.
     fn list_trust(&self, now: Duration) -> ListTrust {
         if !self.schedule.overdue(now) {
             return ListTrust::Listed;
@@ -91,7 +91,7 @@
         let text = match self.trust {
             ListTrust::Listed => "sending to all that are listed",
             ListTrust::NotRefusing => {
-                "list overdue: sending to endpoints that have not refused their last call"
+                "list overdue: sending to endpoints that did not refuse their last call"
             }
             ListTrust::Accepting => "list overdue: sending only to endpoints that took a call of late",
         };
@@ -184,8 +184,8 @@
 }
 
 impl Endpoint {
-    /// Whether it may be sent to at this trust in the list. What has taken a call within the time of `proof`, and
-    /// refused none since, can't count as leaving yet.
+    /// Whether it may be sent to at this trust in the list. What has taken a call within the time of
+    /// `proof`, and refused none since, can't count as leaving yet.
     fn is_trusted(&self, now: Duration, trust: ListTrust, proof: Duration) -> bool {
         let refuses = self.refused.is_some() && self.refused >= self.accepted;
         match trust {
--- a/src/policy/discovery_schedule.rs
+++ b/src/policy/discovery_schedule.rs
@@ -1,13 +1,14 @@
-//! When a process that has no watch calls discovery, and from when on the list that it has must count as stale. Time
-//! is handed in, and there is no I/O: where lists are asked for the balancer follows the schedule, where an agent
-//! beside the process pushes them the network side does.
+//! When a process that has no watch calls discovery, and from when on the list that it has must count as
+//! stale. Time is handed in, and there is no I/O: where lists are asked for the balancer follows the
+//! schedule, where an agent beside the process pushes them the network side does.
 //!
-//! Discovery takes callers in turn, and a call that it sends away for having waited too long has used up its turn all
-//! the same. N processes that each call every p seconds keep it busy for good once N / p calls a second are more than
-//! it can take: all of them are sent away, and all come again. What it can take was seen to grow with the number of
-//! processes. So each process has a slot of its own in a period, drawn once: it calls then, and again a period later,
-//! whatever fails. After a move the time is shorter than that: a process then has three slots in a period for as long as
-//! its calls are refused at once, which takes nothing of discovery's time, and the answer may still come in time.
+//! Discovery takes callers in turn, and a call that it sends away for having waited too long has used up
+//! its turn all the same. N processes that each call every p seconds keep it busy for good once N / p calls
+//! a second are more than it can take: all of them are sent away, and all come again. What it can take was
+//! seen to grow with the number of processes. So each process has a slot of its own in a period, drawn
+//! once: it calls then, and again a period later, whatever fails. After a move the time is shorter than
+//! that: a process then has three slots in a period for as long as its calls are refused at once, which
+//! takes nothing of discovery's time, and the answer may still come in time.
 
 use crate::stats::Draws;
 use crate::{Discovery, DiscoveryFailure, Settings};
@@ -19,16 +20,17 @@
 const KNOWN_AFTER_MOVE: Duration = Duration::from_secs(4);
 /// From one slot to the next: what `KNOWN_WITHIN` leaves when the answer takes half a second.
 const PERIOD: Duration = Duration::from_millis(5500);
-/// Slots in a period while calls are refused after a move: three of them lie within `KNOWN_AFTER_MOVE`. More, or waits
-/// that are drawn anew, bring all processes at once when calls are taken again, and most are sent away.
+/// Slots in a period while calls are refused after a move: three of them lie within `KNOWN_AFTER_MOVE`.
+/// More, or waits that are drawn anew, bring all processes at once when calls are taken again, and most are
+/// sent away.
 const SLOTS_AFTER_MOVE: u32 = 3;
 /// An answer takes no longer in a crowd: a process that has heard nothing so long after its start mistrusts
 /// the list that it started with.
 const CROWD: Duration = Duration::from_millis(2250);
 /// No period or term of the settings counts as shorter.
 const LEAST: Duration = Duration::from_millis(250);
-/// Before a call that is made again promptly, spread from half to one and a half: after a watch was lost, after a move,
-/// and always where an agent beside the process serves no crowd.
+/// Before a call that is made again promptly, spread from half to one and a half: after a watch was lost,
+/// after a move, and always where an agent beside the process serves no crowd.
 const PROMPTLY: Duration = Duration::from_millis(500);
 
 /// When one process calls discovery for a watch.
@@ -42,7 +44,8 @@
     known_within: Duration,
     /// No watch is up, and a change that was not heard of counts as known from then on.
     stale_at: Option<Duration>,
-    /// Discovery has moved, and what calls bring by then is known in time: a failed one is made again promptly.
+    /// Discovery has moved, and what calls bring by then is known in time: a failed one is made again
+    /// promptly.
     in_time_until: Duration,
 }
 
@@ -84,7 +87,8 @@
         self.stale_at = Some(stale_at.min(self.in_time_until));
     }
 
-    /// A call failed, or the watch is over, on which nothing had come for `unheard`: how long to wait before the next.
+    /// A call failed, or the watch is over, on which nothing had come for `unheard`: how long to wait
+    /// before the next.
     pub fn failed(&mut self, now: Duration, unheard: Duration, failure: DiscoveryFailure) -> Duration {
         let watched = self.stale_at.is_none();
         self.stale_at.get_or_insert((now + self.known_within).saturating_sub(unheard));
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -2,9 +2,9 @@
 //! numbers from its seed. Its interface (settings, events, actions) is in `api.rs`.
 //!
 //! A request comes in through `requests`, which asks `choice` for an endpoint among those that `list`
-//! holds, and `discovery_schedule` says when discovery is asked for it; `cold` and `limits` narrow what is eligible,
-//! `retries` says whether a failed attempt is made again. Where there is no room `limits` holds the
-//! request, and lets the worthiest go first.
+//! holds, and `discovery_schedule` says when discovery is asked for it; `cold` and `limits` narrow what is
+//! eligible, `retries` says whether a failed attempt is made again. Where there is no room `limits` holds
+//! the request, and lets the worthiest go first.
 
 mod choice;
 mod cold;
--- a/src/policy/requests.rs
+++ b/src/policy/requests.rs
@@ -188,7 +188,8 @@
         let Attempt { endpoint, zone, idle, sent, counted, .. } = *attempt;
         let (class, spent, side) = (pending.class, pending.spent, self.settings.side(zone));
         if let Some(&i) = self.index.get(&endpoint) {
-            // A call sent before one that was refused says nothing against that, also if it is answered after it.
+            // A call sent before one that was refused says nothing against that, also if it is answered
+            // after it.
             let Endpoint { accepted, refused, .. } = &mut self.endpoints[i];
             match ended.outcome {
                 Outcome::Ok => *accepted = (*accepted).max(Some(sent)),
