Call discovery in three slots of a period for as long as it refuses calls at once

A call refused at once cost the same wait as one that had kept a crowded discovery busy: up to 5.5 s, more than is left of the 6 s after which a change counts as known. One refusal says nothing of when the next call will be taken. While calls are refused at once a process has three slots in a period, each 1.83 s, at fixed places, so that no burst meets the return; calls that waited and were sent away go by the period as before.

--- a/src/policy/discovery_schedule.rs
+++ b/src/policy/discovery_schedule.rs
@@ -6,9 +6,9 @@
 //! its turn all the same. N processes that each call every p seconds keep it busy for good once N / p calls
 //! a second are more than it can take: all of them are sent away, and all come again. What it can take was
 //! seen to grow with the number of processes. So each process has a slot of its own in a period, drawn
-//! once: it calls then, and again a period later, whatever fails. After a move the time is shorter than
-//! that: a process then has three slots in a period for as long as its calls are refused at once, which
-//! takes nothing of discovery's time, and the answer may still come in time.
+//! once: it calls then, and again a period later, whatever fails. A call that is refused at once takes
+//! nothing of discovery's time, and says nothing of when the next will be taken: until then a process has
+//! three slots in a period, or one refusal would cost all that is left until a change counts as known.
 
 use crate::stats::Draws;
 use crate::{Discovery, DiscoveryFailure, Settings};
@@ -20,10 +20,9 @@
 const KNOWN_AFTER_MOVE: Duration = Duration::from_secs(4);
 /// From one slot to the next: what `KNOWN_WITHIN` leaves when the answer takes half a second.
 const PERIOD: Duration = Duration::from_millis(5500);
-/// Slots in a period while calls are refused after a move: three of them lie within `KNOWN_AFTER_MOVE`.
-/// More, or waits that are drawn anew, bring all processes at once when calls are taken again, and most are
-/// sent away.
-const SLOTS_AFTER_MOVE: u32 = 3;
+/// Slots in a period while calls are refused at once: two of them lie within `KNOWN_AFTER_MOVE`. More, or
+/// waits that are drawn anew, bring all processes at once when calls are taken again, and most are sent away.
+const SLOTS_WHILE_REFUSED: u32 = 3;
 /// An answer takes no longer in a crowd: a process that has heard nothing so long after its start mistrusts
 /// the list that it started with.
 const CROWD: Duration = Duration::from_millis(2250);
@@ -44,8 +43,7 @@
     known_within: Duration,
     /// No watch is up, and a change that was not heard of counts as known from then on.
     stale_at: Option<Duration>,
-    /// Discovery has moved, and what calls bring by then is known in time: a failed one is made again
-    /// promptly.
+    /// Discovery has moved, and what calls bring by then is known in time: a lost one is made again promptly.
     in_time_until: Duration,
 }
 
@@ -92,14 +90,11 @@
     pub fn failed(&mut self, now: Duration, unheard: Duration, failure: DiscoveryFailure) -> Duration {
         let watched = self.stale_at.is_none();
         self.stale_at.get_or_insert((now + self.known_within).saturating_sub(unheard));
-        let in_time = now < self.in_time_until;
         match failure {
             // A watch may end instead of telling, and what it would have told counts 2 s later.
             _ if watched || self.mode == Discovery::Push => self.promptly(),
-            DiscoveryFailure::Unanswered if in_time => self.promptly(),
-            DiscoveryFailure::RefusedAtOnce if in_time => {
-                self.until_slot(now, self.period / SLOTS_AFTER_MOVE)
-            }
+            DiscoveryFailure::Unanswered if now < self.in_time_until => self.promptly(),
+            DiscoveryFailure::RefusedAtOnce => self.until_slot(now, self.period / SLOTS_WHILE_REFUSED),
             _ => self.until_slot(now, self.period),
         }
     }
