Lab: let copies' system calls and clocks fail as Linux documents, and show what short reads break

What the lab lacked: failures inside a copy. lab/faults is a library for LD_PRELOAD, the one place of unsafe code, steered by [inject] in an experiment and by seed; each fault is noted with time and call. accept, socket, connect, epoll_wait, recv, send, writev, write, pwrite, fsync, fdatasync, rename, open and the wall clock; short reads and writes, broken connections, hold-ups of up to 0.15 s. An injection that was not loaded ends the run. New faults: reload, signals in series; term kills at the platform's earliest. New checks that hold everywhere: the time told to an endpoint, and attempts after a client has gone. [draw] can draw deployments and injections (lab/experiments/soak.toml).

--- a/lab/src/check.rs
+++ b/lab/src/check.rs
@@ -24,8 +24,16 @@
 
 /// The four rules, which hold in every experiment, and its own checks.
 pub fn verdicts(run: &Run) -> Vec<Verdict> {
-    let rules = [That::Lost, That::RepeatedEffects, That::SentToDraining, That::PushedOver, That::Crashes]
-        .map(Check::never);
+    let rules = [
+        That::Lost,
+        That::RepeatedEffects,
+        That::SentToDraining,
+        That::PushedOver,
+        That::ToldTooMuchTime,
+        That::SentAfterClientLeft,
+        That::Crashes,
+    ]
+    .map(Check::never);
     let own = &run.experiment.check;
     // An experiment that states a bound of its own for a rule knows what it does.
     let stated = |check: &&Check| !own.iter().any(|stated| stated.that == check.that);
@@ -62,6 +70,8 @@
         That::RepeatedEffects => breaches(|breach| matches!(breach, Breach::Repeated { .. })),
         That::SentToDraining => breaches(|breach| matches!(breach, Breach::Draining { .. })),
         That::PushedOver => breaches(|breach| matches!(breach, Breach::PushedOver { .. })),
+        That::ToldTooMuchTime => breaches(|breach| matches!(breach, Breach::TooMuchTime { .. })),
+        That::SentAfterClientLeft => breaches(|breach| matches!(breach, Breach::AfterClientLeft { .. })),
         That::Crashes => Some(run.crashes as f64),
         That::Lost => {
             let between = breaches(|breach| matches!(breach, Breach::Unanswered { .. })).unwrap_or(0.0);
--- a/lab/src/check/tests.rs
+++ b/lab/src/check/tests.rs
@@ -32,8 +32,12 @@
         }
     };
     let records = (0..480).map(record).collect();
-    let (breaches, faults, relay_adds) =
-        (vec![Breach::PushedOver { endpoint: "b/x-0".into() }], vec![], Duration::ZERO);
+    let breaches = vec![
+        Breach::PushedOver { endpoint: "b/x-0".into() },
+        Breach::TooMuchTime { request: "q1-7".into(), by_ms: 260.0 },
+        Breach::AfterClientLeft { request: "q1-8".into(), after_ms: 180.0 },
+    ];
+    let (faults, relay_adds) = (vec![], Duration::ZERO);
     Run {
         experiment,
         records,
@@ -62,7 +66,10 @@
     });
     assert_eq!(measure(&run, &check(That::LeftZoneWithin)), Some(1.0));
     assert_eq!(measure(&run, &check(That::ReturnedWithin)), Some(2.25), "the step that ends so late");
-    assert_eq!(measure(&run, &check(That::PushedOver)), Some(1.0));
+    for that in [That::PushedOver, That::ToldTooMuchTime, That::SentAfterClientLeft] {
+        assert_eq!(measure(&run, &check(that)), Some(1.0));
+        assert!(!verdict(&run, &Check::never(that)).holds);
+    }
 }
 
 #[test]
--- a/lab/src/copies.rs
+++ b/lab/src/copies.rs
@@ -4,6 +4,7 @@
 
 use crate::experiment::DescribedCopy;
 use crate::http::{self, Pool};
+use crate::plan::{self, Plan};
 use crate::seeds::{Part, draws};
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
@@ -35,6 +36,15 @@
 /// A copy's state folder in its own, and where that is kept to be put back.
 pub const STATE: &str = "state";
 const KEPT: &str = "state.kept";
+/// Where the faults injected into a copy are noted, and how many of them are shown of one that ended.
+pub const INJECTED: &str = "injected";
+const LAST_INJECTED: usize = 5;
+/// The platform kills a copy no earlier after SIGTERM than its longest deadline, counted as this at most, ...
+const LONGEST_MOST: Duration = Duration::from_secs(3);
+/// ... and so much more.
+const KILLED_AFTER: Duration = Duration::from_millis(700);
+/// Between two signals in a series.
+const SIGNALS_APART: Duration = Duration::from_millis(50);
 /// A flip changes a bit in each piece of a file of so many bytes: much of a store is not in use.
 const FLIP_EACH: u64 = 512;
 
@@ -47,6 +57,11 @@
     /// It ended before it was ready.
     #[error("{0}: it ended before it was ready; its log ends: {1}")]
     Ended(String, String),
+    /// What was to be injected is not.
+    #[error(
+        "{0}: the library that injects faults was not loaded, so the run says nothing: is the program linked statically?"
+    )]
+    NotInjected(String),
     /// It never got ready.
     #[error("{0}: not ready within {1} s; its log ends: {2}")]
     NeverReady(String, u64, String),
@@ -94,20 +109,22 @@
     pub clients: SocketAddr,
     /// Its operators' door.
     pub door: SocketAddr,
-    /// Where it asks for the list.
-    pub discovery: SocketAddr,
+    /// Where it asks for the list, and where it does so after discovery has moved.
+    pub discovery: [SocketAddr; 2],
     /// Clients' connections to it.
     pub pool: Pool,
     /// Whether the front sends clients to it.
     pub fronted: AtomicBool,
     /// Times that it ended though nobody had it end.
     pub crashes: AtomicU64,
-    /// A ward stands between it and its disk.
-    pub warded: bool,
+    /// How it is started and ended.
+    handling: Handling,
     binary: PathBuf,
     folder: PathBuf,
     keeper: Arc<Keeper>,
     process: Mutex<Process>,
+    /// When it was last killed or stopped: what breaks then is not its own doing.
+    struck_at: Mutex<Option<Instant>>,
     ended: watch::Sender<u64>,
     /// What its disk does from now on, by word: it holds for the next process too.
     disk: Mutex<BTreeMap<String, String>>,
@@ -124,13 +141,33 @@
     well_since: Option<Instant>,
 }
 
+/// Where a copy's parts listen.
+pub struct Places {
+    /// For clients.
+    pub clients: SocketAddr,
+    /// For operators.
+    pub door: SocketAddr,
+    /// Its discovery, before and after a move.
+    pub discovery: [SocketAddr; 2],
+}
+
+/// How a copy is started and ended.
+pub struct Handling {
+    /// A ward stands between it and its disk.
+    pub warded: bool,
+    /// What is injected into its calls, if anything.
+    pub injected: Option<Plan>,
+    /// The longest deadline of a class: by then, and a little, it may be killed after it was told to end.
+    pub longest: Duration,
+}
+
 impl Copy {
     /// One that has not been started; its configuration is in its folder as `copy.toml`.
     pub fn new(
         (number, described): (usize, &DescribedCopy),
-        [clients, door, discovery]: [SocketAddr; 3],
+        Places { clients, door, discovery }: Places,
         [binary, folder]: [&Path; 2],
-        warded: bool,
+        handling: Handling,
         keeper: Arc<Keeper>,
     ) -> Arc<Self> {
         Arc::new(Copy {
@@ -144,11 +181,12 @@
             pool: Pool::new(clients),
             fronted: AtomicBool::new(false),
             crashes: AtomicU64::new(0),
-            warded,
+            handling,
             binary: binary.to_owned(),
             folder: folder.to_owned(),
             keeper,
             process: Mutex::default(),
+            struck_at: Mutex::default(),
             ended: watch::Sender::new(0),
             disk: Mutex::default(),
         })
@@ -167,7 +205,7 @@
         let log =
             OpenOptions::new().create(true).append(true).open(self.folder.join("log")).map_err(failed)?;
         std::fs::create_dir_all(self.folder.join("tmp")).map_err(failed)?;
-        let mut command = match self.warded {
+        let mut command = match self.handling.warded {
             true => {
                 let mut command = tokio::process::Command::new(ward().map_err(failed)?);
                 let standing = self.disk.lock().unwrap_or_else(PoisonError::into_inner).clone();
@@ -184,6 +222,9 @@
         };
         command.arg("run").arg("--config").arg(self.folder.join("copy.toml"));
         command.env_clear().env("TMPDIR", self.folder.join("tmp"));
+        if let Some(plan) = &self.handling.injected {
+            command.env("LD_PRELOAD", library().map_err(failed)?).env(plan::VARIABLE, plan.text());
+        }
         let mut child = command.stderr(log).kill_on_drop(true).spawn().map_err(failed)?;
         let started = child.id().unwrap_or_default();
         self.keeper.note('+', started);
@@ -202,6 +243,12 @@
             let mut process = this.process();
             if !process.ending {
                 this.crashes.fetch_add(1, Ordering::SeqCst);
+                eprintln!(
+                    "lab: {} ended by itself; its log ends: {}; injected last: {}",
+                    this.name,
+                    this.last_lines(),
+                    this.last_injected()
+                );
             }
             *process = Process::default();
             this.pool.clear();
@@ -211,7 +258,7 @@
         while Instant::now() < until {
             if self.is_ready().await {
                 self.process().well_since = Some(Instant::now());
-                return Ok(());
+                return self.injection_holds();
             }
             if self.process().pid.is_none() {
                 return Err(CopyError::Ended(self.name.clone(), self.last_lines()));
@@ -221,6 +268,66 @@
         Err(CopyError::NeverReady(self.name.clone(), READY_WITHIN.as_secs(), self.last_lines()))
     }
 
+    /// Whether what is to be injected is: the library notes that it was loaded.
+    fn injection_holds(&self) -> Result<(), CopyError> {
+        if self.handling.injected.is_none() {
+            return Ok(());
+        }
+        let noted = std::fs::read_to_string(self.folder.join(INJECTED)).unwrap_or_default();
+        if noted.contains("loaded") { Ok(()) } else { Err(CopyError::NotInjected(self.name.clone())) }
+    }
+
+    /// The last faults that were injected into it.
+    fn last_injected(&self) -> String {
+        let noted = std::fs::read_to_string(self.folder.join(INJECTED)).unwrap_or_default();
+        let last: Vec<&str> = noted.lines().rev().take(LAST_INJECTED).collect();
+        last.into_iter().rev().collect::<Vec<_>>().join(" | ")
+    }
+
+    /// Moves its discovery to its other address: a new configuration, and SIGHUP.
+    pub fn reload(&self) -> io::Result<()> {
+        let file = self.folder.join("copy.toml");
+        let text = std::fs::read_to_string(&file)?;
+        let [one, other] = self.discovery.map(|address| address.to_string());
+        let (from, to) = if text.contains(&one) { (one, other) } else { (other, one) };
+        // Whole or not at all, as the platform replaces it.
+        let fresh = self.folder.join("copy.new");
+        std::fs::write(&fresh, text.replace(&from, &to))?;
+        std::fs::rename(fresh, file)?;
+        self.signal(Signal::SIGHUP);
+        Ok(())
+    }
+
+    /// Tells it to end, so often, and kills it as early as the platform may; waits until it has ended.
+    pub async fn terminate(&self, times: u32) {
+        let before = self.is_to_end();
+        for _ in 0..times {
+            self.signal(Signal::SIGTERM);
+            sleep(SIGNALS_APART).await;
+        }
+        let grace = self.handling.longest.min(LONGEST_MOST) + KILLED_AFTER;
+        if timeout(grace, self.ended(before)).await.is_err() {
+            self.strike();
+            self.signal(Signal::SIGKILL);
+            self.ended(before).await;
+        }
+    }
+
+    /// Whether it is as it should be.
+    pub fn is_well(&self) -> bool {
+        self.process().well_since.is_some()
+    }
+
+    /// It is killed or stopped.
+    fn strike(&self) {
+        *self.struck_at.lock().unwrap_or_else(PoisonError::into_inner) = Some(Instant::now());
+    }
+
+    /// Whether it was killed or stopped since then.
+    pub fn struck_since(&self, then: Instant) -> bool {
+        self.struck_at.lock().unwrap_or_else(PoisonError::into_inner).is_some_and(|at| at >= then)
+    }
+
     /// Flips bits of what it keeps, at places by the seed, as a disk at rest may.
     pub fn flip(&self, seed: u64) -> io::Result<()> {
         let mut draws = draws(seed, Part::Disk, 1);
@@ -290,8 +397,16 @@
         self.ended(ended).await;
     }
 
+    /// It is to end by itself; how often it had ended before, none where it does not run.
+    fn is_to_end(&self) -> Option<u64> {
+        let mut process = self.process();
+        process.ending = true;
+        process.pid.map(|_| *self.ended.borrow())
+    }
+
     /// Its end is wanted from now on; how often it had ended before, none where it does not run.
     fn ending(&self) -> Option<u64> {
+        self.strike();
         let mut process = self.process();
         (process.ending, process.well_since) = (true, None);
         process.pid.map(|_| *self.ended.borrow())
@@ -305,8 +420,9 @@
 
     /// Stands still, or goes on.
     pub fn pause(&self, on: bool) {
+        self.strike();
         self.process().well_since = (!on).then(Instant::now);
-        if self.warded {
+        if self.handling.warded {
             return self.order(if on { "pause on" } else { "pause off" });
         }
         self.signal(if on { Signal::SIGSTOP } else { Signal::SIGCONT });
@@ -342,19 +458,33 @@
         }
     }
 
+    /// Whether a ward stands between it and its disk.
+    pub fn is_warded(&self) -> bool {
+        self.handling.warded
+    }
+
     /// Whether it has been as it should be since then.
     pub fn well_since(&self, then: Instant) -> bool {
         self.process().well_since.is_some_and(|since| since <= then)
     }
 }
 
-/// Where the ward is: beside this program, or above it where this is a test.
+/// Where the ward is.
 fn ward() -> io::Result<PathBuf> {
+    beside("gullpulley-lab-ward", "build the whole package")
+}
+
+/// Where the library that injects faults is.
+fn library() -> io::Result<PathBuf> {
+    beside(plan::LIBRARY, "cargo build -p gullpulley-faults, with --release where this is a release build")
+}
+
+/// A file beside this program, or above it where this is a test.
+fn beside(name: &str, remedy: &str) -> io::Result<PathBuf> {
     let this = std::env::current_exe()?;
-    let beside = this.ancestors().skip(1).take(2).map(|folder| folder.join("gullpulley-lab-ward"));
-    let missing =
-        || io::Error::other("there is no gullpulley-lab-ward beside this program: build the whole package");
-    beside.into_iter().find(|ward| ward.is_file()).ok_or_else(missing)
+    let files: Vec<PathBuf> = this.ancestors().skip(1).take(2).map(|folder| folder.join(name)).collect();
+    let missing = || io::Error::other(format!("there is no {name} beside this program: {remedy}"));
+    files.into_iter().find(|file| file.is_file()).ok_or_else(missing)
 }
 
 /// The process number that a ward says.
--- a/lab/src/deployment/addresses.rs
+++ b/lab/src/deployment/addresses.rs
@@ -17,6 +17,7 @@
 pub(super) const DOOR: usize = 202;
 pub(super) const DISCOVERY: usize = 203;
 pub(super) const ECHO: usize = 204;
+pub(super) const DISCOVERY_MOVED: usize = 205;
 pub(super) const KNOWN: usize = 206;
 /// Below them, a copy's own: so many can be told apart by where they connect from.
 const COPIES: usize = 20;
--- a/lab/src/deployment/faults.rs
+++ b/lab/src/deployment/faults.rs
@@ -11,13 +11,24 @@
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 
+/// Between two signals in a series.
+const SIGNALS_APART: Duration = Duration::from_millis(100);
+
 impl Deployment {
     /// Lets a fault begin.
     pub async fn strike(&self, fault: &Fault) -> Result<(), DeploymentError> {
         self.turn(fault, true);
         match fault.what {
             What::Kill => self.end(self.copy(&fault.of).cloned(), Signal::SIGKILL).await,
-            What::Term => self.end(self.copy(&fault.of).cloned(), Signal::SIGTERM).await,
+            What::Term => self.terminate(fault, 1).await,
+            What::Signals => {
+                for _ in 0..2 {
+                    self.reload(fault)?;
+                    sleep(SIGNALS_APART).await;
+                }
+                self.terminate(fault, 2).await;
+            }
+            What::Reload => self.reload(fault)?,
             What::PowerCut => {
                 let struck = self.struck(fault);
                 struck.iter().for_each(|endpoint| endpoint.stop());
@@ -65,7 +76,7 @@
     pub async fn lift(&self, fault: &Fault) -> Result<(), DeploymentError> {
         self.turn(fault, false);
         match fault.what {
-            What::Kill | What::Term => self.start(self.copy(&fault.of).cloned()).await?,
+            What::Kill | What::Term | What::Signals => self.start(self.copy(&fault.of).cloned()).await?,
             What::PowerCut => {
                 let struck = self.struck(fault);
                 struck.iter().for_each(|endpoint| endpoint.start());
@@ -174,6 +185,17 @@
         Some(rev)
     }
 
+    async fn terminate(&self, fault: &Fault, times: u32) {
+        if let Some(copy) = self.copy(&fault.of) {
+            copy.terminate(times).await;
+        }
+    }
+
+    fn reload(&self, fault: &Fault) -> Result<(), DeploymentError> {
+        let Some(copy) = self.copy(&fault.of) else { return Ok(()) };
+        copy.reload().map_err(|e| DeploymentError::Io(copy.name.clone(), e))
+    }
+
     async fn end(&self, copies: impl IntoIterator<Item = Arc<Copy>>, how: Signal) {
         let mut ending: JoinSet<()> = JoinSet::new();
         for copy in copies {
--- a/lab/src/deployment/mod.rs
+++ b/lab/src/deployment/mod.rs
@@ -4,7 +4,7 @@
 mod configuration;
 mod faults;
 
-use crate::copies::{Copy, CopyError, Keeper, STATE, front};
+use crate::copies::{Copy, CopyError, Handling, INJECTED, Keeper, Places, STATE, front};
 use crate::discovery::{self, Behind, Caller, Desk, Entry, Table};
 use crate::endpoint::{Endpoint, World, mean_work};
 use crate::experiment::{DescribedCopy, Experiment};
@@ -13,9 +13,11 @@
 use crate::network::relay::{self, Place};
 use crate::network::{self, Network, streams};
 use crate::schedule::TraceError;
+use crate::seeds::{Part, draws};
 use crate::telling::Tellings;
-use addresses::{Addresses, CLIENTS, DISCOVERY, DOOR, ECHO, ENDPOINT, KNOWN, PORTS};
+use addresses::{Addresses, CLIENTS, DISCOVERY, DISCOVERY_MOVED, DOOR, ECHO, ENDPOINT, KNOWN, PORTS};
 use configuration::configuration;
+use rand::Rng;
 use std::io;
 use std::net::SocketAddr;
 use std::path::Path;
@@ -153,10 +155,12 @@
         let table = Arc::new(watch::Sender::new(Table { rev: 1, entries, ..Table::default() }));
         let desk = Arc::new(Desk::new(&experiment.discovery, table.subscribe()));
         for copy in &copies {
-            let listener = bind("discovery", copy.discovery).await?;
-            let caller = Caller { copy: copy.number, zone: copy.zone, tier: copy.tier };
-            let (table, desk, tellings) = (table.subscribe(), desk.clone(), tellings.clone());
-            tasks.spawn(discovery::serve(listener, caller, Behind { table, desk, tellings }));
+            for address in copy.discovery {
+                let listener = bind("discovery", address).await?;
+                let caller = Caller { copy: copy.number, zone: copy.zone, tier: copy.tier };
+                let (table, desk, tellings) = (table.subscribe(), desk.clone(), tellings.clone());
+                tasks.spawn(discovery::serve(listener, caller, Behind { table, desk, tellings }));
+            }
         }
         let measured = relay::overhead(addresses.at(ECHO, 0), addresses.at(ECHO, 1), TRIPS).await;
         let relay_adds = measured.map_err(|e| DeploymentError::Io("a relay".to_owned(), e))?;
@@ -222,8 +226,9 @@
     let mut copies = Vec::new();
     for (number, copy) in described.iter().enumerate() {
         let here = folder.join(&copy.name);
-        let discovery = addresses.at(DISCOVERY, number);
-        let places = [addresses.at(CLIENTS, number), addresses.at(DOOR, number), discovery];
+        let discovery = [DISCOVERY, DISCOVERY_MOVED].map(|sort| addresses.at(sort, number));
+        let [clients, door] = [CLIENTS, DOOR].map(|sort| addresses.at(sort, number));
+        let places = [clients, door, discovery[0]];
         let mut table = configuration(experiment, &described, copy, places);
         if experiment.copy.contains_key("state") {
             let dir = here.join(STATE).display().to_string();
@@ -234,11 +239,16 @@
         std::fs::create_dir_all(&here)
             .and_then(|()| std::fs::write(here.join("copy.toml"), text))
             .map_err(|e| DeploymentError::Io(here.display().to_string(), e))?;
+        let longest = experiment.class.iter().map(|class| class.deadline).max().unwrap_or_default();
+        let injected = experiment.inject.as_ref().map(|inject| {
+            let mut draws = draws(experiment.seed, Part::Injected, number as u64);
+            inject.plan(draws.random(), &here.join(INJECTED))
+        });
         copies.push(Copy::new(
             (number, copy),
-            places,
+            Places { clients, door, discovery },
             [program, &here],
-            experiment.warded(copy),
+            Handling { warded: experiment.warded(copy), injected, longest },
             keeper.clone(),
         ));
     }
--- a/lab/src/endpoint.rs
+++ b/lab/src/endpoint.rs
@@ -4,7 +4,7 @@
 
 use crate::copies::Copy;
 use crate::experiment::{Class, Described, Group, Kind, Repeats, Spread, Tier};
-use crate::http::{COPY, NoAnswer};
+use crate::http::{COPY, NoAnswer, UNTIL, left_until, until_text};
 use crate::ledger::{Breach, Ledger};
 use crate::load::ANSWER_SLACK;
 use crate::seeds::{Part, draws};
@@ -130,6 +130,30 @@
     pub calls: AtomicU64,
 }
 
+/// An endpoint may be told of so much more time than its client has left.
+const TIME_SLACK: Duration = Duration::from_millis(150);
+/// An attempt may begin so long after its client has gone.
+const LEFT_SLACK: Duration = Duration::from_millis(100);
+/// What the lab itself may be late by.
+const LAB_SLACK: Duration = Duration::from_millis(50);
+
+impl World {
+    /// Holds a request to what its client has left: the time that the endpoint is told, and that the client is there.
+    fn check_clients_time(&self, request: &str, told: &str, until: &str) {
+        if let (Some(told), Some(left)) = (time_left(told), left_until(until)) {
+            let over = told.saturating_sub(left);
+            if over > TIME_SLACK + LAB_SLACK {
+                let by_ms = over.as_secs_f64() * 1e3;
+                self.ledger.breach(Breach::TooMuchTime { request: request.to_owned(), by_ms });
+            }
+        }
+        if let Some(gone) = self.ledger.gone_for(request).filter(|gone| *gone > LEFT_SLACK + LAB_SLACK) {
+            let after_ms = gone.as_secs_f64() * 1e3;
+            self.ledger.breach(Breach::AfterClientLeft { request: request.to_owned(), after_ms });
+        }
+    }
+}
+
 impl Endpoint {
     /// One that has been there for long.
     pub fn new(
@@ -222,6 +246,7 @@
         let until = Instant::now() + time_left(left).unwrap_or(class.deadline);
         let number = id.rsplit('-').next().and_then(|number| number.parse().ok()).unwrap_or(0);
         self.world.ledger.attempt();
+        self.world.check_clients_time(id, left, header(UNTIL));
         let condition = self.condition();
         let copy = header(COPY).parse().ok();
         let told = condition.draining.and_then(|rev| self.world.tellings.counts(rev, copy));
@@ -286,7 +311,8 @@
         let id = format!("t{}-{number}", self.world.calls.fetch_add(1, Ordering::Relaxed));
         let left = until.saturating_duration_since(Instant::now());
         let request =
-            class.request(&id, &id, left).header(COPY, behind.number).body(Full::new(Bytes::new()));
+            class.request(&id, &id, left).header(COPY, behind.number).header(UNTIL, until_text(until));
+        let request = request.body(Full::new(Bytes::new()));
         let Ok(request) = request else { return false };
         let sent = Instant::now();
         match timeout_at(until + ANSWER_SLACK, behind.pool.ask(request)).await {
--- a/lab/src/experiment/draw.rs
+++ b/lab/src/experiment/draw.rs
@@ -1,6 +1,6 @@
 //! Fault schedules drawn from a seed over an experiment: what goes wrong, to which, when and for how long.
 
-use super::{Experiment, Fault, What};
+use super::{Experiment, Fault, Inject, What};
 use crate::seeds::{Part, draws};
 use rand::Rng;
 use rand::seq::IndexedRandom;
@@ -31,6 +31,12 @@
     pub longest: Duration,
     /// The sorts of faults; one that stands twice is drawn twice as often.
     pub what: Vec<What>,
+    /// Draw also what is injected into the copies' system calls and clocks.
+    #[serde(default)]
+    pub inject: bool,
+    /// Draw also the deployment: how many copies, what may be repeated, deadlines, windows, how lists come.
+    #[serde(default)]
+    pub vary: bool,
 }
 
 impl Experiment {
@@ -39,10 +45,16 @@
         let draw = self.draw.as_ref()?;
         let mut draws = draws(seed, Part::Faults, 0);
         let mut drawn = Experiment { seed, ..self.clone() };
+        if draw.vary {
+            drawn.vary(seed);
+        }
+        if draw.inject {
+            drawn.inject = Some(Inject::drawn(seed, self.lasts));
+        }
         for _ in 0..draw.faults {
             let fitting = (0..TRIES).find_map(|_| {
-                let fault = self.one(draw, &mut draws)?;
-                drawn.fault.iter().all(|other| !self.clash(other, &fault)).then_some(fault)
+                let fault = drawn.one(draw, &mut draws)?;
+                drawn.fault.iter().all(|other| !drawn.clash(other, &fault)).then_some(fault)
             });
             drawn.fault.extend(fitting);
         }
--- a/lab/src/experiment/faults.rs
+++ b/lab/src/experiment/faults.rs
@@ -33,8 +33,12 @@
 pub enum What {
     /// A copy is killed; started again at the end.
     Kill,
-    /// A copy is told to end; started again at the end.
+    /// A copy is told to end, and killed as early as the platform may; started again at the end.
     Term,
+    /// The same, with signals in series: its discovery moves twice, and it is told to end twice.
+    Signals,
+    /// A copy's discovery moves: a new configuration and SIGHUP.
+    Reload,
     /// A copy stands still.
     Pause,
     /// Power is cut under a copy, or under a zone with all that is in it: killed, and of its disk only what was durable
@@ -212,6 +216,10 @@
     SentToDraining,
     /// Rule 4: cold endpoints pushed over.
     PushedOver,
+    /// Requests whose endpoint was told of more time than their client had left, by more than 0.15 s.
+    ToldTooMuchTime,
+    /// Attempts that came to an endpoint over 0.1 s after their client had gone.
+    SentAfterClientLeft,
     /// Worth served in time, of the worth asked for.
     Served,
     /// Part of the requests refused.
--- a/lab/src/experiment/fits.rs
+++ b/lab/src/experiment/fits.rs
@@ -36,6 +36,9 @@
         for (number, fault) in self.fault.iter().enumerate() {
             self.target(fault).map_err(|problem| format!("fault[{number}]: {problem}"))?;
         }
+        if let Some(inject) = &self.inject {
+            inject.fits()?;
+        }
         if let Some(draw) = &self.draw {
             let room = draw.until.saturating_sub(draw.from);
             if draw.what.is_empty() || draw.faults == 0 {
@@ -126,12 +129,8 @@
             return Err("say with `lasts` when the older folder is put back".to_owned());
         }
         match fault.what {
-            What::Kill | What::Term | What::Pause => {
-                if copies.contains(&fault.of) {
-                    Ok(())
-                } else {
-                    missing("copy", copies)
-                }
+            What::Kill | What::Term | What::Signals | What::Reload | What::Pause => {
+                if copies.contains(&fault.of) { Ok(()) } else { missing("copy", copies) }
             }
             What::PowerCut
             | What::DiskFull
--- a/lab/src/experiment/mod.rs
+++ b/lab/src/experiment/mod.rs
@@ -4,10 +4,13 @@
 mod draw;
 mod faults;
 mod fits;
+mod inject;
+mod vary;
 mod world;
 
 pub use draw::Draw;
 pub use faults::{Check, Fault, Over, That, What};
+pub use inject::{Inject, Step as ClockStep, Window};
 pub use world::{
     Abandoned, Arrivals, Burst, Class, Described, DescribedCopy, Discovery, Group, Kind, Link, Load,
     Repeats, Spread, Step, Tenant, Tier, WhileDown, Zone,
@@ -71,6 +74,9 @@
     /// What goes wrong, and when.
     #[serde(default)]
     pub fault: Vec<Fault>,
+    /// What is injected into the copies' system calls and clocks; nothing where nothing is said.
+    #[serde(default)]
+    pub inject: Option<Inject>,
     /// From what fault schedules are drawn, for `--schedules`.
     #[serde(default)]
     pub draw: Option<Draw>,
--- a/lab/src/experiment/world.rs
+++ b/lab/src/experiment/world.rs
@@ -229,6 +229,9 @@
     /// Arrivals: independent of each other, or evenly spaced.
     #[serde(default)]
     pub arrivals: Arrivals,
+    /// Part of the clients that leave early, each at a time of its own within half of its deadline.
+    #[serde(default)]
+    pub leaving: f64,
     /// Times that a client asks again after a failure or a refusal.
     #[serde(default)]
     pub retries: u32,
--- a/lab/src/http.rs
+++ b/lab/src/http.rs
@@ -8,10 +8,10 @@
 use hyper::{Method, Request, StatusCode, header};
 use hyper_util::rt::TokioIo;
 use std::net::SocketAddr;
-use std::sync::{Mutex, PoisonError};
+use std::sync::{LazyLock, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 
 /// No answer is longer.
 const ANSWER_MOST: usize = 4 << 20;
@@ -19,6 +19,23 @@
 /// Which copy the lab sent a request to, by its number: copies pass it on, and the endpoint sees whose request it is.
 pub const COPY: &str = "x-lab-copy";
 
+/// Until when a request's client waits, in microseconds of the lab's own clock; passed on like [`COPY`].
+pub const UNTIL: &str = "x-lab-until";
+
+/// A time as [`UNTIL`] has it.
+pub fn until_text(until: Instant) -> String {
+    until.saturating_duration_since(*CLOCK).as_micros().to_string()
+}
+
+/// What is left until a time of [`UNTIL`]; none where it is no such time.
+pub fn left_until(text: &str) -> Option<Duration> {
+    let until = *CLOCK + Duration::from_micros(text.parse().ok()?);
+    Some(until.saturating_duration_since(Instant::now()))
+}
+
+/// Where the lab's own clock begins.
+static CLOCK: LazyLock<Instant> = LazyLock::new(Instant::now);
+
 /// An answer.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Answer {
--- a/lab/src/ledger.rs
+++ b/lab/src/ledger.rs
@@ -3,6 +3,8 @@
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
 use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::time::Instant;
 
 /// A breach, with what it concerns.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -25,6 +27,20 @@
         /// The copy.
         copy: String,
     },
+    /// An endpoint was told of more time than the client had left, beyond the slack.
+    TooMuchTime {
+        /// The request's X-Request-ID.
+        request: String,
+        /// By how many milliseconds.
+        by_ms: f64,
+    },
+    /// A request came to an endpoint though its client had gone, beyond the slack.
+    AfterClientLeft {
+        /// Its X-Request-ID.
+        request: String,
+        /// So many milliseconds after that.
+        after_ms: f64,
+    },
     /// A cold endpoint was pushed over.
     PushedOver {
         /// The endpoint.
@@ -39,6 +55,8 @@
 #[derive(Default)]
 struct Seen {
     effects: HashMap<String, u32>,
+    /// When clients gave up, by request.
+    left: HashMap<String, Instant>,
     breaches: Vec<Breach>,
     attempts: u64,
 }
@@ -63,6 +81,16 @@
         }
     }
 
+    /// The client of a request has gone.
+    pub fn client_left(&self, request: &str) {
+        self.seen().left.insert(request.to_owned(), Instant::now());
+    }
+
+    /// For how long the client of a request has been gone; none while it waits.
+    pub fn gone_for(&self, request: &str) -> Option<Duration> {
+        self.seen().left.get(request).map(Instant::elapsed)
+    }
+
     /// A rule was broken.
     pub fn breach(&self, breach: Breach) {
         self.seen().breaches.push(breach);
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -21,6 +21,10 @@
 pub mod ledger;
 pub mod load;
 pub mod network;
+/// The plan of injected faults, as the library that is loaded into copies reads it: its own file, as to link that
+/// library would put its calls in front of the lab's.
+#[path = "../faults/src/plan.rs"]
+pub mod plan;
 pub mod report;
 pub mod run;
 pub mod schedule;
--- a/lab/src/load.rs
+++ b/lab/src/load.rs
@@ -3,7 +3,8 @@
 
 use crate::copies::Copy;
 use crate::experiment::Experiment;
-use crate::http::{Answer, COPY, NoAnswer};
+use crate::http::{Answer, COPY, NoAnswer, UNTIL, until_text};
+use crate::ledger::Ledger;
 use crate::schedule::Planned;
 use crate::seeds::{Part, draws};
 use http_body_util::Full;
@@ -72,6 +73,8 @@
     pub copies: Vec<Arc<Copy>>,
     /// Whose turn it is.
     pub turn: AtomicUsize,
+    /// Where it is noted that a client has gone.
+    pub ledger: Arc<Ledger>,
 }
 
 /// How one try ended.
@@ -136,12 +139,21 @@
         }
     }
 
+    /// After how long a client leaves early, if it does.
+    fn leaves(&self, planned: &Planned) -> Option<Duration> {
+        let mut draws = draws(self.experiment.seed, Part::Leaving, planned.number);
+        let leaves = draws.random::<f64>() < self.experiment.load.leaving;
+        let deadline = self.experiment.class[planned.class].deadline;
+        leaves.then(|| deadline.mul_f64(0.5 * draws.random::<f64>()))
+    }
+
     async fn attempt(&self, planned: &Planned, number: u32, until: Instant) -> Try {
         let Some(copy) = self.fronted(planned.zone) else { return Try::None };
         let class = &self.experiment.class[planned.class];
         let left = until.saturating_duration_since(Instant::now());
         let (id, key) = (format!("q{number}-{}", planned.number), format!("k{}", planned.number));
-        let mut request = class.request(&id, &key, left).header(COPY, copy.number);
+        let mut request =
+            class.request(&id, &key, left).header(COPY, copy.number).header(UNTIL, until_text(until));
         if number > 1 {
             request = request.header("x-retried", "1");
         }
@@ -149,12 +161,19 @@
             request = request.header("x-tenant-id", &tenant.name);
         }
         let Ok(request) = request.body(Full::new(Bytes::new())) else { return Try::None };
-        let sent = Instant::now();
-        match timeout_at(until + ANSWER_SLACK, copy.pool.ask(request)).await {
+        let (sent, was_well) = (Instant::now(), copy.is_well());
+        let leaves = self.leaves(planned).map(|after| sent + after);
+        let waits_until = leaves.unwrap_or(until + ANSWER_SLACK);
+        let asked = timeout_at(waits_until, copy.pool.ask(request)).await;
+        if asked.is_err() {
+            self.ledger.client_left(&id);
+        }
+        match asked {
+            Err(_) if leaves.is_some() => Try::None, // it did not wait for what it is owed
             Ok(Ok(answer)) => Try::Answered(answer),
             Ok(Err(NoAnswer::Unreached)) => Try::None,
             // What a copy took and lives to answer, it owes an answer.
-            Ok(Err(NoAnswer::Broken)) | Err(_) if copy.well_since(sent) => Try::Lost,
+            Ok(Err(NoAnswer::Broken)) | Err(_) if was_well && !copy.struck_since(sent) => Try::Lost,
             _ => Try::None,
         }
     }
--- a/lab/src/run.rs
+++ b/lab/src/run.rs
@@ -107,6 +107,7 @@
         experiment: experiment.clone(),
         copies: deployment.copies.clone(),
         turn: AtomicUsize::new(0),
+        ledger: deployment.ledger.clone(),
     });
     let (told, mut ended) = mpsc::unbounded_channel();
     let count = planned.len();
--- a/lab/src/seeds.rs
+++ b/lab/src/seeds.rs
@@ -22,6 +22,12 @@
     Retry,
     /// What goes wrong, where that is drawn.
     Faults,
+    /// When a client leaves early, by the request's number.
+    Leaving,
+    /// What a copy's calls do, by its number.
+    Injected,
+    /// The deployment, where that is drawn.
+    Deployment,
 }
 
 /// The draws of one part, for one thing among many.
--- a/lab/tests/deployment.rs
+++ b/lab/tests/deployment.rs
@@ -49,7 +49,7 @@
     deployment.strike(&torn).await.unwrap();
     deployment.lift(&missing).await.unwrap();
     let asked = |copy: usize| {
-        let discovery = deployment.copies[copy].discovery;
+        let discovery = deployment.copies[copy].discovery[0];
         gullpulley_lab::http::get(discovery, "/api/targets", PATIENCE)
     };
     assert_eq!(asked(0).await, None, "half a list, and then its end");
@@ -75,7 +75,7 @@
         wait(&deployment, copy, "members", |members| members == 4.0).await;
     }
     deployment.strike(&fault("what = \"drain\"\nof = \"a\"")).await.unwrap();
-    let list = gullpulley_lab::http::get(deployment.copies[0].discovery, "/api/targets", PATIENCE).await;
+    let list = gullpulley_lab::http::get(deployment.copies[0].discovery[0], "/api/targets", PATIENCE).await;
     assert!(list.unwrap().body.contains("draining"));
     let counts = |copy| deployment.tellings.counts(2, Some(copy)).unwrap();
     let begun = Instant::now();
@@ -130,7 +130,7 @@
         let cut = "at = \"0s\"\nwhat = \"power-cut\"\nof = \"a\"\n";
         let more = format!("[copy.state]\n[copy.stand_in]\n{breaks}\n[[fault]]\n{cut}");
         let deployment = stand(&more, folder.path()).await;
-        assert!(deployment.copies[0].warded && !deployment.copies[1].warded);
+        assert!(deployment.copies[0].is_warded() && !deployment.copies[1].is_warded());
         wait(&deployment, 0, "kept", |kept| kept >= 5.0).await;
         let told = figure(&deployment, 0, "kept").await;
         let cut: Fault = toml::from_str(cut).unwrap();
--- /dev/null
+++ b/lab/tests/injected.rs
@@ -0,0 +1,97 @@
+//! Copies whose system calls and clocks fail as Linux documents keep the rules; what is wrong with an injection is said.
+
+mod support;
+
+use gullpulley_lab::check::verdicts;
+use gullpulley_lab::experiment::Experiment;
+use gullpulley_lab::plan::Plan;
+use gullpulley_lab::run::run;
+use std::path::Path;
+use std::sync::Arc;
+use support::{build_injection, program};
+
+const RULES: &str = include_str!("../experiments/rules.toml");
+const SOAK: &str = include_str!("../experiments/soak.toml");
+
+/// The rules that did not hold under an injection, and how many faults were injected.
+fn play(inject: &str, seed: u64) -> (Vec<String>, usize) {
+    build_injection();
+    let folder = tempfile::tempdir().unwrap();
+    let mut experiment = Experiment::parse("test", &format!("{RULES}\n[inject]\n{inject}\n")).unwrap();
+    experiment.seed = seed;
+    let copies = experiment.copies();
+    let runtime = tokio::runtime::Runtime::new().unwrap();
+    let run = runtime.block_on(run(Arc::new(experiment), program(), folder.path(), |_| {})).unwrap();
+    let noted = copies.iter().map(|copy| {
+        let file = folder.path().join(&copy.name).join("injected");
+        std::fs::read_to_string(file).unwrap().lines().filter(|line| !line.contains("loaded")).count()
+    });
+    let broken = verdicts(&run).into_iter().filter(|verdict| !verdict.holds);
+    (broken.map(|verdict| verdict.check).collect(), noted.sum())
+}
+
+/// Half of all reads brought at most 40 bytes, and requests went to an endpoint long after its drain had been written
+/// to the copies: 1 to 8 of them on four seeds of six. The runtime takes a read that is shorter than its buffer to mean
+/// that the socket is empty, and waits for the next event; the rest of a line of the list then lay unread until the
+/// empty line 2 s later. Clients' connections already read until the system said that nothing was left.
+#[test]
+fn short_reads_and_writes_lose_nothing_and_delay_nothing() {
+    for seed in [4, 5, 7] {
+        let (broken, injected) = play("short_read = 0.5\nshort_write = 0.3", seed);
+        assert_eq!(broken, Vec::<String>::new(), "seed {seed}");
+        assert!(injected > 100, "seed {seed}: {injected} short reads and writes");
+    }
+}
+
+#[test]
+fn failing_calls_broken_connections_hold_ups_and_stepped_clocks_break_no_rule() {
+    let clock = "clock = [{ at = \"300ms\", forward = \"1h\" }, { at = \"1s\", back = \"2h\" }, \
+                 { at = \"2s\", forward = \"9s\" }]";
+    let calls = "accept = 0.2\nsocket = 0.03\nconnect = 0.06\nwait = 0.1";
+    for (inject, least) in [(calls, 5), ("broken = 0.01\nhold_up = 0.004", 3), (clock, 0)] {
+        let (broken, injected) = play(inject, 3);
+        assert_eq!(broken, Vec::<String>::new(), "{inject}");
+        assert!(injected >= least, "{inject}: {injected} faults");
+    }
+}
+
+#[test]
+fn an_injection_that_makes_no_sense_is_named_with_its_line_and_what_there_is() {
+    for (inject, told) in [
+        ("acept = 0.1", "unknown field `acept`, expected one of `accept`, `socket`"),
+        ("accept = 2.0", "inject: accept = 2: say which part, from 0 to 1"),
+        (
+            "clock = [{ at = \"1s\", ahead = \"1h\" }]",
+            "unknown field `ahead`, expected one of `at`, `forward`",
+        ),
+    ] {
+        let text = format!("{RULES}\n[inject]\n{inject}\n");
+        let error = Experiment::parse("test", &text).expect_err(told).to_string();
+        assert!(error.contains(told), "{error}");
+    }
+    for (plan, told) in [
+        ("accept=0.1;acept=0.2", "faults: there is no `acept`"),
+        ("accept", "faults: `accept` is no key=value"),
+        ("accept=7", "faults: accept: `7` is no part from 0 to 1"),
+        ("clock=5", "faults: clock: `5` is no list of steps in milliseconds"),
+    ] {
+        assert_eq!(plan.parse::<Plan>().expect_err(told).to_string(), told);
+    }
+}
+
+#[test]
+fn a_seed_draws_the_same_deployment_and_injection_each_time_and_the_plan_can_be_read_again() {
+    let experiment = Experiment::parse("soak", SOAK).unwrap();
+    let (mut copies, mut steps) = (std::collections::BTreeSet::new(), 0);
+    for seed in 1..=100 {
+        let drawn = experiment.drawn(seed).unwrap();
+        assert_eq!(drawn.text(), experiment.drawn(seed).unwrap().text());
+        Experiment::parse("drawn", &drawn.text()).expect("a drawn experiment can be read again");
+        copies.insert(drawn.copies().len());
+        let plan = drawn.inject.unwrap().plan(seed, Path::new("log"));
+        assert_eq!(plan.text().parse::<Plan>().unwrap().text(), plan.text());
+        steps += plan.clock.len();
+    }
+    assert!(copies.first() <= Some(&6) && copies.last() >= Some(&24), "{copies:?}");
+    assert!(steps > 50, "{steps} steps of the clock in 100 seeds");
+}
--- a/lab/tests/program.rs
+++ b/lab/tests/program.rs
@@ -50,7 +50,7 @@
         if around == "before" {
             let calls_fail = async || {
                 let told =
-                    gullpulley_lab::http::get(deployment.copies[0].discovery, "/api/targets", PATIENCE);
+                    gullpulley_lab::http::get(deployment.copies[0].discovery[0], "/api/targets", PATIENCE);
                 told.await.is_some_and(|answer| answer.status == 503)
             };
             deployment.strike(&down).await.unwrap();
--- a/lab/tests/support/mod.rs
+++ b/lab/tests/support/mod.rs
@@ -98,3 +98,14 @@
         sleep(Duration::from_millis(20)).await;
     }
 }
+
+/// Builds the library that injects faults, next to the lab's own programs.
+pub fn build_injection() {
+    static BUILT: OnceLock<()> = OnceLock::new();
+    BUILT.get_or_init(|| {
+        let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("..");
+        let mut build = Command::new(env!("CARGO"));
+        build.args(["build", "--locked", "-p", "gullpulley-faults"]).current_dir(root);
+        assert!(build.status().unwrap().success());
+    });
+}
