One type for every TCP connection, which waits only when the system says that nothing is there

Tokio's TcpStream clears its readiness after a read or write shorter than the buffer; Linux may return less than there is, and no further event comes for bytes that already lie there. Connections to endpoints, to discovery, between processes and at the admin API used it. Class of fault: an edge-triggered wait on a guess. Clients' connections did not: stream.rs read until WouldBlock. Change. src/connection.rs, TcpConnection, reads and writes until the system says WouldBlock, and goes on after EINTR; clients, endpoints, discovery, admin API, its command-line client and the fleet's frames use it. stream.rs keeps what only clients need.

--- a/src/door.rs
+++ b/src/door.rs
@@ -1,5 +1,6 @@
 //! Calls at the operators' door of a running sidecar, for the command line.
 
+use gullpulley::TcpConnection;
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::body::Bytes;
 use hyper::client::conn::http1;
@@ -73,7 +74,7 @@
 ) -> Result<(StatusCode, String), String> {
     let stream = TcpStream::connect(door).await.map_err(|e| e.to_string())?;
     let (mut sender, connection) =
-        http1::handshake(TokioIo::new(stream)).await.map_err(|e| e.to_string())?;
+        http1::handshake(TokioIo::new(TcpConnection::new(stream))).await.map_err(|e| e.to_string())?;
     tokio::spawn(connection); // ends with the runtime
     let response = sender.send_request(request).await.map_err(|e| e.to_string())?;
     let status = response.status();
--- a/src/fleet/host/streams.rs
+++ b/src/fleet/host/streams.rs
@@ -2,6 +2,7 @@
 //! A peer that does not read holds up what is for it, and nothing else.
 
 use super::Figures;
+use crate::TcpConnection;
 use crate::fleet::log::FRAME_MOST;
 use crossbeam_channel::{Sender, TrySendError};
 use futures_util::{SinkExt, StreamExt};
@@ -76,7 +77,7 @@
         taken.set(taken.get() + 1);
         let (taken, came, figures) = (taken.clone(), came.clone(), figures.clone());
         spawn_local(async move {
-            let mut frames = FramedRead::new(stream, codec());
+            let mut frames = FramedRead::new(TcpConnection::new(stream), codec());
             // A frame that is too long, or cut short, ends its connection.
             while let Ok(Some(Ok(frame))) = timeout(IDLE, frames.next()).await {
                 figures.frames[0].fetch_add(1, Relaxed);
@@ -151,7 +152,7 @@
             sleep(PAUSE).await;
             continue;
         };
-        let (mut frames, mut next) = (FramedWrite::new(stream, codec()), Some(first));
+        let (mut frames, mut next) = (FramedWrite::new(TcpConnection::new(stream), codec()), Some(first));
         while let Some(frame) = next {
             figures.frames[1].fetch_add(1, Relaxed);
             if !matches!(timeout(WRITE, frames.send(Bytes::from(frame))).await, Ok(Ok(()))) {
@@ -169,7 +170,5 @@
     if own.is_ipv4() == to.is_ipv4() && !own.ip().is_unspecified() {
         socket.bind(SocketAddr::new(own.ip(), 0))?;
     }
-    let stream = socket.connect(to).await?;
-    stream.set_nodelay(true)?;
-    Ok(stream)
+    socket.connect(to).await
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod adapter;
 mod api;
 pub mod config;
+mod connection;
 pub mod fleet;
 mod names;
 mod policy;
@@ -34,5 +35,6 @@
 mod stats;
 
 pub use api::*;
+pub use connection::TcpConnection;
 pub use names::EndpointNames;
 pub use policy::{Balancer, DiscoverySchedule};
--- a/src/net/control.rs
+++ b/src/net/control.rs
@@ -5,8 +5,8 @@
 use super::guard::Guard;
 use super::inbound::Inbound;
 use super::message::{Inbox, Input};
-use gullpulley::Census;
 use gullpulley::config::DOOR_MOST;
+use gullpulley::{Census, TcpConnection};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::{Bytes, Incoming};
 use hyper::header::{self, HeaderValue};
@@ -149,14 +149,13 @@
     }
 
     async fn talk(&self, stream: TcpStream, asked: &Cell<bool>) {
-        let _ = stream.set_nodelay(true);
         let service = service_fn(|request| self.answer(request, asked));
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(CALL_MOST)
             .keep_alive(false)
             .max_buf_size(BUFFER_MOST)
-            .serve_connection(TokioIo::new(stream), service);
+            .serve_connection(TokioIo::new(TcpConnection::new(stream)), service);
         let _ = connection.await; // an error here is the caller's
     }
 
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -5,7 +5,7 @@
 use gullpulley::config::{LIST_MOST, List, ListReader, Names, State};
 use gullpulley::{
     CellId, Discovery as Mode, DiscoveryFailure, DiscoverySchedule, EndpointId, EndpointInfo,
-    EndpointNames, EndpointState, KindId, Membership, Settings, ZoneId,
+    EndpointNames, EndpointState, KindId, Membership, Settings, TcpConnection, ZoneId,
 };
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::body::{Bytes, Incoming};
@@ -347,7 +347,8 @@
         let address = self.address.get();
         let connect = timeout(CONNECT, TcpStream::connect(address)).await;
         let stream = connect.map_err(|_| CallError::ConnectTimedOut)?.map_err(CallError::NotConnected)?;
-        let (mut sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await?;
+        let connection = TokioIo::new(TcpConnection::new(stream));
+        let (mut sender, connection) = hyper::client::conn::http1::handshake(connection).await?;
         let task = spawn_local(connection);
         let guard = Guard::new(task.abort_handle());
         let request =
--- a/src/net/outbound.rs
+++ b/src/net/outbound.rs
@@ -5,7 +5,7 @@
 use super::guard::Guard;
 use super::passing::{LARGE_MOST, Payload, Pieces};
 use super::progress::Progress;
-use gullpulley::{EndpointId, LoadField, Outcome, Settings};
+use gullpulley::{EndpointId, LoadField, Outcome, Settings, TcpConnection};
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Bytes, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
@@ -324,8 +324,8 @@
         let until = Instant::now() + self.connect_timeout;
         let until = by.map_or(until, |by| by.min(until));
         let stream = timeout_at(until, TcpStream::connect(address)).await.ok()?.ok()?;
-        stream.set_nodelay(true).ok()?;
-        let handshake = http1::Builder::new().max_buf_size(BUFFER_MOST).handshake(TokioIo::new(stream));
+        let connection = TokioIo::new(TcpConnection::new(stream));
+        let handshake = http1::Builder::new().max_buf_size(BUFFER_MOST).handshake(connection);
         let (sender, connection) = handshake.await.ok()?;
         let task = spawn_local(connection);
         Some(Link {
--- a/src/net/stream.rs
+++ b/src/net/stream.rs
@@ -1,11 +1,11 @@
 //! A client's connection below HTTP: it is served through one handle, and its end is seen through another.
 
+use gullpulley::TcpConnection;
 use std::future::poll_fn;
 use std::io;
-use std::net::Shutdown;
 use std::pin::{Pin, pin};
 use std::rc::Rc;
-use std::task::{Context, Poll, ready};
+use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
@@ -22,13 +22,12 @@
 
 /// One handle of a client's connection, which closes with the last of them.
 #[derive(Clone)]
-pub struct ClientStream(Rc<TcpStream>);
+pub struct ClientStream(Rc<TcpConnection>);
 
 impl ClientStream {
     /// The first handle; what is written goes out at once.
     pub fn new(stream: TcpStream) -> Self {
-        let _ = stream.set_nodelay(true); // fails only where the client has gone
-        ClientStream(Rc::new(stream))
+        ClientStream(Rc::new(TcpConnection::new(stream)))
     }
 
     /// Waits until the client has closed or reset it, or ended its side, while `matters` holds. The HTTP library
@@ -48,19 +47,16 @@
     pub async fn close(self) {
         let most = Instant::now() + LINGER_MOST;
         let mut scratch = [0; SCRATCH];
-        let _ = self.end_writing(); // fails where the client has gone, which the next read tells
-        while let Ok(Ok(())) = timeout_at(most.min(Instant::now() + LINGER_GAP), self.0.readable()).await {
+        let _ = self.0.end_writing(); // fails where the client has gone, which the next read tells
+        let readable = || self.0.ready(Interest::READABLE);
+        while let Ok(Ok(_)) = timeout_at(most.min(Instant::now() + LINGER_GAP), readable()).await {
             match self.0.try_read(&mut scratch) {
                 Ok(1..) => yield_now().await, // a flood must not hold up others
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted) => {}
                 Ok(0) | Err(_) => return,
             }
         }
     }
-
-    fn end_writing(&self) -> io::Result<()> {
-        socket2::SockRef::from(&*self.0).shutdown(Shutdown::Write)
-    }
 }
 
 impl AsyncRead for ClientStream {
@@ -69,19 +65,13 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        loop {
-            ready!(self.0.poll_read_ready(context))?;
-            match self.0.try_read_buf(buffer) {
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-                read => return Poll::Ready(read.map(drop)),
-            }
-        }
+        self.0.poll_read_some(context, buffer)
     }
 }
 
 impl AsyncWrite for ClientStream {
     fn poll_write(self: Pin<&mut Self>, context: &mut Context<'_>, data: &[u8]) -> Poll<io::Result<usize>> {
-        self.write(context, |stream| stream.try_write(data))
+        self.0.poll_write_some(context, &[io::IoSlice::new(data)])
     }
 
     fn poll_write_vectored(
@@ -89,7 +79,7 @@
         context: &mut Context<'_>,
         data: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        self.write(context, |stream| stream.try_write_vectored(data))
+        self.0.poll_write_some(context, data)
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -101,22 +91,6 @@
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(self.end_writing())
-    }
-}
-
-impl ClientStream {
-    fn write(
-        &self,
-        context: &mut Context<'_>,
-        write: impl Fn(&TcpStream) -> io::Result<usize>,
-    ) -> Poll<io::Result<usize>> {
-        loop {
-            ready!(self.0.poll_write_ready(context))?;
-            match write(&self.0) {
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-                written => return Poll::Ready(written),
-            }
-        }
+        Poll::Ready(self.0.end_writing())
     }
 }
