Try again what this machine lacks for a moment, and take all that waits before a listener closes

Cause, read: close_listener ended at any error of accept, ECONNABORTED among them, and closing then resets what still waits behind it; accept took every error for a lack of descriptors, closed an idle endpoint connection and slept 10 ms; a connect that failed with EADDRNOTAVAIL, ENETUNREACH or ENOBUFS counted as the endpoint's refusal, or cost discovery's slot; ENFILE at the bind ended a start. Class: an error of one call taken for one of the other side, or of all calls. Change: is_local names what this machine lacks; connects are tried four times, 10 ms apart; accept closes idle connections for a lack only; a bind is tried for its second; a listener closes once accept says WouldBlock, or after 64 failures.

--- a/src/connection.rs
+++ b/src/connection.rs
@@ -1,11 +1,18 @@
 //! A TCP connection as every part of the program uses it: short reads and writes lose nothing.
 
 use std::io;
-use std::net::Shutdown;
+use std::net::{Shutdown, SocketAddr};
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
+use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::time::sleep;
+
+/// A connect that this machine fails is tried so often, ...
+const CONNECT_TRIES: u32 = 4;
+/// ... so far apart: what lacks for a moment is there again, and nothing is told of the other side by then.
+const CONNECT_PAUSE: Duration = Duration::from_millis(10);
 
 /// A connection that is only taken for empty or full when the system says so.
 ///
@@ -22,6 +29,23 @@
         TcpConnection(stream)
     }
 
+    /// Connects. What this machine lacks for a moment says nothing of the other side, and is tried again.
+    ///
+    /// # Errors
+    /// Those of `socket` and `connect`, where they last.
+    pub async fn connect(address: SocketAddr) -> io::Result<Self> {
+        let mut tries = 1;
+        loop {
+            match TcpStream::connect(address).await {
+                Err(e) if tries < CONNECT_TRIES && is_local(&e) => {
+                    tries += 1;
+                    sleep(CONNECT_PAUSE).await;
+                }
+                connected => return connected.map(TcpConnection::new),
+            }
+        }
+    }
+
     /// Waits for what the system tells of it.
     ///
     /// # Errors
@@ -77,6 +101,20 @@
     }
 }
 
+/// Whether a call failed for what this machine lacks: descriptors, memory, ports, or a way out.
+pub fn is_local(error: &io::Error) -> bool {
+    let lacking = [
+        libc::EMFILE,
+        libc::ENFILE,
+        libc::ENOBUFS,
+        libc::ENOMEM,
+        libc::EADDRNOTAVAIL,
+        libc::ENETUNREACH,
+        libc::ENETDOWN,
+    ];
+    error.raw_os_error().is_some_and(|code| lacking.contains(&code))
+}
+
 /// Whether a call is to be made again: at once after a signal, and once the socket is ready again otherwise.
 fn must_wait(error: &io::Error) -> bool {
     matches!(error.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted)
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -35,6 +35,6 @@
 mod stats;
 
 pub use api::*;
-pub use connection::TcpConnection;
+pub use connection::{TcpConnection, is_local};
 pub use names::EndpointNames;
 pub use policy::{Balancer, DiscoverySchedule};
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -18,7 +18,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 use thiserror::Error;
-use tokio::net::TcpStream;
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::watch;
 use tokio::task::spawn_local;
@@ -345,10 +344,10 @@
 
     async fn attempt(&self, path: &str) -> Result<(Response<Incoming>, Guard), CallError> {
         let address = self.address.get();
-        let connect = timeout(CONNECT, TcpStream::connect(address)).await;
-        let stream = connect.map_err(|_| CallError::ConnectTimedOut)?.map_err(CallError::NotConnected)?;
-        let connection = TokioIo::new(TcpConnection::new(stream));
-        let (mut sender, connection) = hyper::client::conn::http1::handshake(connection).await?;
+        let connect = timeout(CONNECT, TcpConnection::connect(address)).await;
+        let connection = connect.map_err(|_| CallError::ConnectTimedOut)?.map_err(CallError::NotConnected)?;
+        let (mut sender, connection) =
+            hyper::client::conn::http1::handshake(TokioIo::new(connection)).await?;
         let task = spawn_local(connection);
         let guard = Guard::new(task.abort_handle());
         let request =
--- a/src/net/inbound.rs
+++ b/src/net/inbound.rs
@@ -9,7 +9,7 @@
 use super::request::{Wording, drop_hop_headers, hold};
 use super::stream::ClientStream;
 use super::turn::{FIRST_MOST, Turn};
-use gullpulley::RequestId;
+use gullpulley::{RequestId, is_local};
 use http_body_util::Full;
 use hyper::body::{Body, Incoming};
 use hyper::header::{self, HeaderValue};
@@ -20,6 +20,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashSet;
 use std::convert::Infallible;
+use std::io;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
@@ -40,6 +41,8 @@
 const UPLOAD_MOST: Duration = Duration::from_secs(1100);
 /// Wait after a failed accept: out of descriptors it would fail again at once, and spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+/// Failed accepts after which a listener is closed all the same: what lacks that often does not come back at once.
+const CLOSE_TRIES: u32 = 64;
 /// New connections come for up to 0.4 s after SIGTERM, so we accept for a little longer.
 const DRAIN_ACCEPT: Duration = Duration::from_millis(500);
 /// The backlog is empty once nothing has come out of it for this long.
@@ -167,10 +170,25 @@
     /// to the process that listens beside this one. A wait in between would let more in, only to be reset.
     fn close_listener(self: &Rc<Self>, listener: TcpListener) {
         let Ok(listener) = listener.into_std() else { return };
-        while let Ok((stream, _)) = listener.accept() {
-            let taken = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream));
-            if let Ok(stream) = taken {
-                self.admit(stream, self.budget.take(Holder::Client));
+        let mut lacking = 0;
+        loop {
+            match listener.accept() {
+                Ok((stream, _)) => {
+                    let taken = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream));
+                    if let Ok(stream) = taken {
+                        self.admit(stream, self.budget.take(Holder::Client));
+                    }
+                }
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
+                // Of one connection, or of the call: behind it others may wait, which a close would reset.
+                Err(e) if !is_local(&e) => lacking += 1,
+                Err(_) => {
+                    lacking += 1;
+                    self.outbound.close_oldest_idle();
+                }
+            }
+            if lacking > CLOSE_TRIES {
+                return;
             }
         }
     }
@@ -189,6 +207,8 @@
                 self.failing.set(false);
                 self.admit(stream, permit.or_else(|| self.budget.take(Holder::Client)));
             }
+            // Of one connection that is gone, or a signal: nothing is lacking, and the next one waits.
+            Err(e) if !is_local(&e) => debug!("accept: {e}"),
             Err(e) => {
                 if !self.failing.replace(true) {
                     error!("accept: {e}; said once until it works again");
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -41,10 +41,10 @@
 use counters::Counters;
 use discovery::{Call, Discovery};
 use driver::{Around, Driver};
-use gullpulley::Balancer;
 use gullpulley::config::{
     Config, ConfigError, DOOR_RESERVE, Difference, Fault, Named, Vars, differences, keys,
 };
+use gullpulley::{Balancer, is_local};
 use inbound::Inbound;
 use keeping::Keeping;
 use message::{Inbox, Input};
@@ -217,13 +217,19 @@
     }
 }
 
-/// Binds, and tries again for a while where the address is in use: a process that was killed holds it until the last
-/// of its threads has ended, and its successor may be there before.
+/// Whether a bind may succeed a moment later: a process that was killed holds its address until the last of its threads
+/// has ended, and its successor may be there before; or the machine lacks descriptors or memory for a moment.
+fn is_passing(error: &io::Error) -> bool {
+    let kind = error.kind();
+    kind == io::ErrorKind::AddrInUse || kind != io::ErrorKind::AddrNotAvailable && is_local(error)
+}
+
+/// Binds, and tries again for a while where that may help.
 async fn patiently(bind: impl Fn() -> io::Result<TcpListener>) -> io::Result<TcpListener> {
     let until = Instant::now() + BIND_PATIENCE;
     loop {
         match bind() {
-            Err(e) if e.kind() == io::ErrorKind::AddrInUse && Instant::now() < until => {
+            Err(e) if is_passing(&e) && Instant::now() < until => {
                 tokio::time::sleep(BIND_LOOK).await;
             }
             bound => return bound,
--- a/src/net/outbound.rs
+++ b/src/net/outbound.rs
@@ -16,7 +16,6 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::TcpStream;
 use tokio::task::spawn_local;
 use tokio::time::{Instant, timeout, timeout_at};
 
@@ -323,8 +322,8 @@
         // A machine that is cut off never answers: without a limit of ours the attempt would hang.
         let until = Instant::now() + self.connect_timeout;
         let until = by.map_or(until, |by| by.min(until));
-        let stream = timeout_at(until, TcpStream::connect(address)).await.ok()?.ok()?;
-        let connection = TokioIo::new(TcpConnection::new(stream));
+        let connection = timeout_at(until, TcpConnection::connect(address)).await.ok()?.ok()?;
+        let connection = TokioIo::new(connection);
         let handshake = http1::Builder::new().max_buf_size(BUFFER_MOST).handshake(connection);
         let (sender, connection) = handshake.await.ok()?;
         let task = spawn_local(connection);
