Tell an endpoint the time that is left as an attempt is written

Cause: X-Timeout was set as an attempt was decided, and connecting took up to the connect time of what it said. Change: what is held is told its time just before it is written, on each connection anew; what passes through says the whole time of its body's end, as before.

--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -412,15 +412,16 @@
         let (cancel, mut cancelled) = oneshot::channel();
         open.tries.push(Try { endpoint, sent: now, cancel: Some(cancel), progress: progress.clone() });
         open.out += 1;
-        let request = open.forward.request(address, until - now, &progress);
+        let request = open.forward.request(address, &progress);
         let upload = match &open.forward.body {
             Content::Held(_) => None,
             Content::Passed(upload) => Some(upload.clone()),
         };
         let (outbound, inbox) = (self.around.outbound.clone(), self.around.inbox.clone());
         let write_by = write_within.map(|within| now + within);
-        let dispatch = Dispatch { endpoint, address, decided: now, write_by };
         let may_time_out = upload.is_none();
+        let told = may_time_out.then_some(until);
+        let dispatch = Dispatch { endpoint, address, decided: now, write_by, until: told };
         spawn_local(async move {
             let out_of_time = async {
                 match upload {
--- a/src/net/message.rs
+++ b/src/net/message.rs
@@ -2,13 +2,13 @@
 
 use super::bans::Standing;
 use super::discovery::News;
-use super::outbound::{Ended, Passing};
+use super::outbound::{Ended, Passing, set_time_left};
 use super::passing::{Payload, Upload};
 use super::progress::Progress;
 use gullpulley::{AttemptNo, Census, EndpointId, RequestId};
 use http_body_util::Full;
 use hyper::body::Bytes;
-use hyper::header::{self, HeaderName, HeaderValue};
+use hyper::header::{self, HeaderValue};
 use hyper::{HeaderMap, Method, Request, Uri};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -112,18 +112,13 @@
         self.headers.get("x-request-id").and_then(|id| id.to_str().ok()).unwrap_or_default()
     }
 
-    /// As an attempt: to this address, with so much time left.
-    pub fn request(
-        &self,
-        address: SocketAddr,
-        left: Duration,
-        progress: &Rc<Progress>,
-    ) -> Request<Payload> {
-        let (body, left) = match &self.body {
-            Content::Held(body) => (Payload::Held(Full::new(body.clone())), left),
+    /// As an attempt: to this address. One that is held is told its time as it is written.
+    pub fn request(&self, address: SocketAddr, progress: &Rc<Progress>) -> Request<Payload> {
+        let body = match &self.body {
+            Content::Held(body) => Payload::Held(Full::new(body.clone())),
             Content::Passed(upload) => {
                 let (pieces, progress) = (None, progress.clone());
-                (Payload::Passed { upload: upload.clone(), pieces, progress }, upload.time)
+                Payload::Passed { upload: upload.clone(), pieces, progress }
             }
         };
         let mut request = Request::new(body);
@@ -131,10 +126,11 @@
         *request.uri_mut() = self.uri.clone();
         *request.headers_mut() = self.headers.clone();
         let headers = request.headers_mut();
-        let text = |text: String| HeaderValue::from_str(&text).unwrap_or(HeaderValue::from_static(""));
-        headers.insert(header::HOST, text(address.to_string()));
-        let timeout = text(format!("{}u", left.as_micros()));
-        headers.insert(HeaderName::from_static("x-timeout"), timeout);
+        let host = HeaderValue::from_str(&address.to_string()).unwrap_or(HeaderValue::from_static(""));
+        headers.insert(header::HOST, host);
+        if let Content::Passed(upload) = &self.body {
+            set_time_left(headers, upload.time);
+        }
         request
     }
 }
--- a/src/net/outbound.rs
+++ b/src/net/outbound.rs
@@ -9,7 +9,8 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Bytes, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
-use hyper::{HeaderMap, Request, Response, StatusCode, header};
+use hyper::header::{self, HeaderName, HeaderValue};
+use hyper::{HeaderMap, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -54,6 +55,15 @@
     pub decided: Instant,
     /// Not to be written later than this, if that is stated.
     pub write_by: Option<Instant>,
+    /// How long its answer is waited for, which the endpoint is told; none where the request says so itself.
+    pub until: Option<Instant>,
+}
+
+/// Tells an endpoint for how long it is waited for.
+pub fn set_time_left(headers: &mut HeaderMap, left: Duration) {
+    let text = format!("{}u", left.as_micros());
+    let value = HeaderValue::from_str(&text).unwrap_or(HeaderValue::from_static("")); // digits are allowed
+    headers.insert(HeaderName::from_static("x-timeout"), value);
 }
 
 /// How an attempt or a probe ended.
@@ -144,7 +154,7 @@
         mut request: Request<Payload>,
         progress: &Progress,
     ) -> Ended {
-        let Dispatch { endpoint, address, decided, write_by } = dispatch;
+        let Dispatch { endpoint, address, decided, write_by, until } = dispatch;
         let too_late = || write_by.is_some_and(|by| Instant::now() >= by);
         let (link, response) = loop {
             let (mut link, fresh) = match self.take_idle(endpoint, address) {
@@ -170,6 +180,10 @@
                 self.keep(endpoint, link);
                 return Ended::bare(Outcome::Moot);
             }
+            // Connecting took a part of what the client has left: the endpoint is told what there is now.
+            if let Some(until) = until {
+                set_time_left(request.headers_mut(), until.saturating_duration_since(Instant::now()));
+            }
             // What passes through is written only with its last piece, which sets this itself.
             let held = matches!(request.body(), Payload::Held(_));
             progress.set(held);
@@ -241,7 +255,7 @@
             return Ended::bare(Outcome::Error);
         };
         let (progress, decided) = (Progress::default(), Instant::now());
-        let dispatch = Dispatch { endpoint, address, decided, write_by: None };
+        let dispatch = Dispatch { endpoint, address, decided, write_by: None, until: None };
         match timeout(PROBE, self.attempt(dispatch, request, &progress)).await {
             Ok(mut ended) => {
                 let body = std::mem::take(&mut ended.body);
