Count an endpoint's age from when its start is first told, on the monotonic clock

Cause: net/clock.rs anchored Unix time once, at the process's start, and boot_ms was compared with it; endpoints called back by hand carried the wall time of the call. Class of fault: spans reckoned between two machines' wall clocks, or two times of one. Change: the module's clock knows no wall time; discovery.rs keeps each endpoint's boot_ms with the time at which it was first told, at a start also for those of the known list; a call back counts from when this process learns of it. That is colder than it need be by the time news takes, and at a start by all of an endpoint's age, for warmWithinMs at most. Not taken: the wall clock's age for the first list, warmer where it is right; nothing tells a process that it is.

--- a/src/net/clock.rs
+++ b/src/net/clock.rs
@@ -1,20 +1,18 @@
 //! The time that the module is told.
 
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 use tokio::time::Instant;
 
-/// One monotonic clock, anchored once to Unix time so that endpoints' start times compare with it.
+/// A monotonic clock. It knows nothing of the wall clock, which may be stepped at any time.
 #[derive(Clone, Copy)]
 pub struct Clock {
     start: Instant,
-    unix: Duration,
 }
 
 impl Clock {
     /// A clock that starts now.
     pub fn start() -> Self {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Clock { start: Instant::now(), unix }
+        Clock { start: Instant::now() }
     }
 
     /// The time now.
@@ -24,6 +22,6 @@
 
     /// The time at an instant.
     pub fn at(&self, instant: Instant) -> Duration {
-        self.unix + instant.duration_since(self.start)
+        instant.duration_since(self.start)
     }
 }
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -1,5 +1,6 @@
 //! The endpoint list: asks discovery for it, and follows its changes.
 
+use super::clock::Clock;
 use super::contact::{Contact, Outcome};
 use super::guard::Guard;
 use gullpulley::config::{LIST_MOST, List, ListReader, Names, State};
@@ -12,7 +13,7 @@
 use hyper::{Request, Response, StatusCode, header};
 use hyper_util::rt::TokioIo;
 use std::cell::{Cell, RefCell};
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -153,6 +154,10 @@
     mode: Mode,
     names: Names,
     ids: RefCell<EndpointNames>,
+    clock: Clock,
+    /// The start that each endpoint was last told with, and when this process was first told of it. Its age counts from
+    /// then, on the monotonic clock: this machine's wall clock may be stepped, and says nothing of another's start.
+    starts: RefCell<HashMap<EndpointId, (u64, Duration)>>,
     rev: Cell<u64>,
     contact: Rc<Contact>,
     /// When it is called, where lists are pushed; elsewhere the module says so.
@@ -174,12 +179,13 @@
         names: Names,
         seed: u64,
         contact: Rc<Contact>,
+        clock: Clock,
         report: impl Fn(News) + 'static,
     ) -> Rc<Self> {
         let began = Instant::now();
         let mode = settings.discovery;
         let schedule = RefCell::new(DiscoverySchedule::new(settings, seed, Duration::ZERO));
-        let (ids, rev) = Default::default();
+        let (ids, rev, starts) = Default::default();
         let address = Cell::new(address);
         let heard = watch::Sender::new(Heard::Nothing);
         Rc::new(Discovery {
@@ -187,6 +193,8 @@
             mode,
             names,
             ids,
+            clock,
+            starts,
             rev,
             contact,
             schedule,
@@ -345,7 +353,8 @@
     async fn attempt(&self, path: &str) -> Result<(Response<Incoming>, Guard), CallError> {
         let address = self.address.get();
         let connect = timeout(CONNECT, TcpConnection::connect(address)).await;
-        let connection = connect.map_err(|_| CallError::ConnectTimedOut)?.map_err(CallError::NotConnected)?;
+        let connection =
+            connect.map_err(|_| CallError::ConnectTimedOut)?.map_err(CallError::NotConnected)?;
         let (mut sender, connection) =
             hyper::client::conn::http1::handshake(TokioIo::new(connection)).await?;
         let task = spawn_local(connection);
@@ -400,6 +409,24 @@
         unheard
     }
 
+    /// When an endpoint counts as started; none where that was long ago.
+    fn started(&self, id: EndpointId, boot_ms: f64) -> Option<Duration> {
+        let mut starts = self.starts.borrow_mut();
+        if boot_ms <= 0.0 {
+            starts.remove(&id);
+            return None;
+        }
+        let boot = boot_ms as u64;
+        match starts.get(&id) {
+            Some((told, at)) if *told == boot => Some(*at),
+            _ => {
+                let now = self.clock.now();
+                starts.insert(id, (boot, now));
+                Some(now)
+            }
+        }
+    }
+
     fn tell(&self, news: News) {
         (self.report)(news);
     }
@@ -428,8 +455,7 @@
                     State::Removed => EndpointState::Gone,
                 },
                 weight: target.capacity_hint,
-                started: (target.boot_ms > 0.0)
-                    .then(|| Duration::from_micros((target.boot_ms * 1e3) as u64)),
+                started: self.started(id, target.boot_ms),
             });
         }
         entries.reverse();
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -275,9 +275,10 @@
             self.around.outbound.bar(id);
             self.handle(Event::Suspend(id));
         }
-        for (uid, at) in standing.resumed.iter().filter(|(uid, at)| before.resumed.get(*uid) != Some(at)) {
+        for (uid, _) in standing.resumed.iter().filter(|(uid, at)| before.resumed.get(*uid) != Some(at)) {
             info!(endpoint = uid, "operators: {uid} is resumed");
-            let (endpoint, at) = (self.around.discovery.id(uid), Duration::from_millis(*at));
+            // Counted from when this process learns of it: its wall clock may have been stepped since.
+            let (endpoint, at) = (self.around.discovery.id(uid), self.clock.now());
             self.handle(Event::Resume { endpoint, at });
         }
     }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -157,7 +157,7 @@
         inbox.clone(),
     );
     let news = inbox.clone();
-    let discovery = Discovery::new(discovery, &settings, names, seed, contact, move |said| {
+    let discovery = Discovery::new(discovery, &settings, names, seed, contact, clock, move |said| {
         let _ = news.send(Input::List(said)); // fails only while the process ends
     });
     let bans = Bans::new(&std::env::temp_dir(), &name);
