Keep operators' returns in their order by number, and say when an order is not durable

Cause: a return was kept with its wall time and dropped ten minutes later by the wall clock: a step forward of an hour forgot all, so that a later process took those endpoints for warm; a step back made a second return look older. An order whose folder could not be synced was answered as not in force, and every process follows the file that was already renamed. Change: returns carry a number above all before it, and the latest 256 are kept; such an order is in force, and its answer says that a power cut may lose it. A file half written by a kill is written over.

--- a/src/net/bans.rs
+++ b/src/net/bans.rs
@@ -8,11 +8,12 @@
 use std::fs::{self, File, OpenOptions};
 use std::io::{self, Write};
 use std::path::{Path, PathBuf};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{SystemTime, UNIX_EPOCH};
 use thiserror::Error;
 
-/// A return is remembered for so long: by then any endpoint is warm.
-const RETURN_KEPT: Duration = Duration::from_secs(600);
+/// So many returns are remembered, the latest: another process of this sidecar learns of them within a moment, and
+/// a later one takes those endpoints for cold at its start.
+const RETURNS_KEPT: usize = 256;
 
 /// What the operators have said of endpoints, by their uid.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
@@ -20,11 +21,45 @@
     /// Taken out.
     #[serde(default)]
     pub suspended: BTreeSet<String>,
-    /// Called back, and when, in milliseconds of Unix time: each has been restarted and is cold.
+    /// Called back, each with a number above all before it: the order of the calls, whatever a wall clock says. An older
+    /// build takes it for the time of the call, so it is no less than that in milliseconds of Unix time.
     #[serde(default)]
     pub resumed: BTreeMap<String, u64>,
 }
 
+impl Standing {
+    /// Takes an order.
+    fn take(&mut self, uid: &str, order: Order) {
+        match order {
+            Order::Suspend => {
+                self.suspended.insert(uid.to_owned());
+                self.resumed.remove(uid);
+            }
+            Order::Resume => {
+                if self.suspended.remove(uid) {
+                    let number = self.next_number();
+                    self.resumed.insert(uid.to_owned(), number);
+                    self.forget_oldest();
+                }
+            }
+        }
+    }
+
+    /// The number of the next return.
+    fn next_number(&self) -> u64 {
+        let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64;
+        let last = self.resumed.values().max().copied().unwrap_or(0);
+        wall.max(last + 1)
+    }
+
+    fn forget_oldest(&mut self) {
+        while self.resumed.len() > RETURNS_KEPT {
+            let oldest = self.resumed.iter().min_by_key(|(_, number)| **number).map(|(uid, _)| uid.clone());
+            oldest.map(|uid| self.resumed.remove(&uid));
+        }
+    }
+}
+
 /// An order of the operators.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Order {
@@ -40,6 +75,9 @@
     /// The file system refused.
     #[error("{0}")]
     Io(#[from] io::Error),
+    /// The order is in force, and a power cut may lose it.
+    #[error("in force, and not yet durable: {1}")]
+    NotDurable(Standing, io::Error),
     /// The file holds something else.
     #[error("not a list of suspended endpoints: {0}")]
     Content(#[from] serde_json::Error),
@@ -88,27 +126,19 @@
         lock.lock()?; // let go when the file is closed
         // What can't be read is lost already, and has been logged: it must not stand in the way of orders.
         let mut standing = self.read().unwrap_or_default();
-        let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        let oldest = now.saturating_sub(RETURN_KEPT).as_millis() as u64;
-        standing.resumed.retain(|_, at| *at >= oldest);
-        match order {
-            Order::Suspend => {
-                standing.suspended.insert(uid.to_owned());
-                standing.resumed.remove(uid);
-            }
-            Order::Resume => {
-                if standing.suspended.remove(uid) {
-                    standing.resumed.insert(uid.to_owned(), now.as_millis() as u64);
-                }
-            }
-        }
+        standing.take(uid, order);
         let mut new = File::create(&self.new)?;
         new.write_all(&serde_json::to_vec(&standing)?)?;
         new.sync_all()?;
         fs::rename(&self.new, &self.file)?;
-        if let Some(directory) = self.file.parent() {
-            File::open(directory)?.sync_all()?;
+        // From here on it is in force: every process follows the file.
+        let synced = self.file.parent().map_or(Ok(()), |directory| File::open(directory)?.sync_all());
+        match synced {
+            Ok(()) => Ok(standing),
+            Err(problem) => Err(BansError::NotDurable(standing, problem)),
         }
-        Ok(standing)
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/net/control.rs
+++ b/src/net/control.rs
@@ -1,6 +1,6 @@
 //! The operators' door: readiness, figures, and taking endpoints out and back. One call to a connection.
 
-use super::bans::{Bans, Order, Standing};
+use super::bans::{Bans, BansError, Order, Standing};
 use super::counters::Counters;
 use super::guard::Guard;
 use super::inbound::Inbound;
@@ -228,6 +228,11 @@
                 self.enforce(standing).await;
                 text(StatusCode::OK, if order == Order::Suspend { "suspended\n" } else { "in use\n" })
             }
+            Ok(Err(BansError::NotDurable(standing, problem))) => {
+                error!(endpoint = uid, "operators: {uid}: in force, and not durable: {problem}");
+                self.enforce(standing).await;
+                text(StatusCode::INTERNAL_SERVER_ERROR, "this is in force, and a power cut may lose it\n")
+            }
             Ok(Err(problem)) => {
                 error!(endpoint = uid, "operators: {uid}: {problem}");
                 text(StatusCode::INTERNAL_SERVER_ERROR, "this could not be recorded, and is not in force\n")
