Show that voters whose disks fail for a while never vote again

Three voters, disks that refuse for 7 s, the leader killed meanwhile: none of the two others leads within 30 s, as a write that failed ends keeping until the next start.

--- a/lab/tests/injected.rs
+++ b/lab/tests/injected.rs
@@ -3,12 +3,15 @@
 mod support;
 
 use gullpulley_lab::check::verdicts;
+use gullpulley_lab::deployment::Deployment;
 use gullpulley_lab::experiment::Experiment;
 use gullpulley_lab::plan::Plan;
 use gullpulley_lab::run::run;
 use std::path::Path;
 use std::sync::Arc;
-use support::{build_injection, program};
+use std::time::Duration;
+use support::{PATIENCE, TWO_ZONES, all, build_injection, fault, metric, program};
+use tokio::time::{Instant, sleep, sleep_until};
 
 const RULES: &str = include_str!("../experiments/rules.toml");
 const SOAK: &str = include_str!("../experiments/soak.toml");
@@ -55,6 +58,45 @@
     }
 }
 
+/// While the disks of three voters refused for 7 s their leader was killed. Each vote is written before it is said, the
+/// write failed, and the two that were left voted no more until they were started again: the log had no leader for good.
+#[tokio::test(flavor = "multi_thread")]
+async fn voters_whose_disks_fail_for_a_while_vote_again_once_the_disks_take_a_fresh_file() {
+    build_injection();
+    let folder = tempfile::tempdir().unwrap();
+    let third = "[[zone]]\nname = \"c\"\ncopies = 1\nendpoints = { plain = 1 }\n[copy.state]\n[copy.fleet]\n\
+                 round_trip = \"100ms\"\nvoters = [\"a-0\", \"b-0\", \"c-0\"]\n";
+    let inject = "[inject]\ndisk = [{ at = \"12s\", lasts = \"7s\" }]\n";
+    let experiment = Experiment::parse("disks", &format!("{TWO_ZONES}{third}{inject}")).unwrap();
+    let program = program(); // built before the clock runs
+    let began = Instant::now();
+    let deployment = Deployment::stand(&Arc::new(experiment), program, folder.path()).await.unwrap();
+    let leads = |copy| metric(&deployment, copy, "fleet_log_leader");
+    let mut leader = None;
+    while leader.is_none() {
+        assert!(began.elapsed() < Duration::from_secs(12), "no leader before the disks fail");
+        for copy in 0..3 {
+            leader = leader.or(leads(copy).await.filter(|said| *said == 1.0).map(|_| copy));
+        }
+    }
+    let leader = leader.unwrap();
+    sleep_until(began + Duration::from_secs(13)).await;
+    let killed = deployment.copies[leader].name.clone();
+    deployment.strike(&fault(&format!("what = \"kill\"\nof = \"{killed}\""))).await.unwrap();
+    let others: Vec<usize> = (0..3).filter(|copy| *copy != leader).collect();
+    let begun = Instant::now();
+    while leads(others[0]).await != Some(1.0) && leads(others[1]).await != Some(1.0) {
+        assert!(begun.elapsed() < PATIENCE, "none of {others:?} ever leads");
+        sleep(Duration::from_millis(50)).await;
+    }
+    all(&deployment, &others, "state_kept", |kept| kept == 1.0).await;
+    let noted = |copy: &usize| {
+        let file = folder.path().join(&deployment.copies[*copy].name).join("injected");
+        std::fs::read_to_string(file).unwrap().lines().count() - 1
+    };
+    assert!(others.iter().map(noted).sum::<usize>() > 0, "a disk failed");
+}
+
 #[test]
 fn an_injection_that_makes_no_sense_is_named_with_its_line_and_what_there_is() {
     for (inject, told) in [
