Write a fresh file from memory after a write that failed, and confirm nothing until it is durable

Cause: state/writer.rs ended with its first failed write or sync, and with a folder that could not be opened for a moment; the file was rightly never synced again, but nothing took its place. Class: a passing failure taken for a lasting one. Change: state/fresh.rs writes all of the memory to a new file, syncs it, renames it over the old one, syncs the folder and only then takes the mark of suspicion away; the writer tries that every 0.1 to 2 s and then says durable. Opening is tried again while the disk is full or refuses. The old file is never written or synced again; a start in between sets it aside as before, and what a kill leaves of a fresh one is written over. The metric state_kept is 0 meanwhile.

--- a/src/net/keeping.rs
+++ b/src/net/keeping.rs
@@ -38,6 +38,8 @@
     incarnation: Cell<u64>,
     set_aside: Cell<u64>,
     over: Cell<bool>,
+    /// The disk refuses; what is handed to it waits.
+    failing: Cell<bool>,
 }
 
 impl Keeping {
@@ -52,7 +54,7 @@
             let told = match &statement {
                 Statement::Durable(number) => Some(DiskSays::Durable(*number)),
                 Statement::Over(_) => Some(DiskSays::Over),
-                Statement::Waiting(_) | Statement::Opened(_) => None,
+                Statement::Waiting(_) | Statement::Opened(_) | Statement::Failing(_) => None,
             };
             // Both fail only while the process ends.
             if let (Some(log), Some(told)) = (&log, told) {
@@ -61,9 +63,10 @@
             let _ = says.blocking_send(statement);
         };
         let writer = Arc::new(Mutex::new(Writer::start(folder, name.to_owned(), say)?));
-        let (found, told, start, incarnation, set_aside, over) = Default::default();
+        let (found, told, start, incarnation, set_aside, over, failing) = Default::default();
         let name = name.to_owned();
-        Ok((Rc::new(Keeping { name, writer, found, told, start, incarnation, set_aside, over }), said))
+        let keeping = Keeping { name, writer, found, told, start, incarnation, set_aside, over, failing };
+        Ok((Rc::new(keeping), said))
     }
 
     fn writer(&self) -> MutexGuard<'_, Writer> {
@@ -83,7 +86,16 @@
                     info!("state: {why}; this process waits for it, and serves meanwhile")
                 }
                 Statement::Opened(found) => self.opened(found),
+                Statement::Failing(e) => {
+                    self.failing.set(true);
+                    error!(
+                        "state: {e}; nothing is confirmed until the disk takes a fresh file, and serving goes on"
+                    );
+                }
                 Statement::Durable(number) => {
+                    if self.failing.take() {
+                        info!("state: kept again, all of it");
+                    }
                     if let Some((batch, Identity { folder, incarnation, .. })) = *self.told.borrow()
                         && number >= batch
                         && self.incarnation.replace(incarnation) != incarnation
@@ -138,7 +150,11 @@
         let figures = writer.figures();
         let state = registry.sub_registry_with_prefix("state");
         for (name, help, value) in [
-            ("kept", "1 while what is said here is kept", u64::from(!self.over.get())),
+            (
+                "kept",
+                "1 while what is said here is kept",
+                u64::from(!self.over.get() && !self.failing.get()),
+            ),
             ("incarnation", "Starts on this folder, as far as they are durable", self.incarnation.get()),
             ("set_aside", "Memories found at this start that could not be trusted", self.set_aside.get()),
             ("waiting", "Batches that wait for the disk", writer.waiting() as u64),
--- a/src/state/memory.rs
+++ b/src/state/memory.rs
@@ -140,6 +140,21 @@
 }
 
 impl Memory {
+    /// All of it as changes to an empty one.
+    pub fn changes(&self) -> Vec<Change> {
+        let identity = self.identity.clone().map(Change::Identity);
+        let first = self.snapshot.index + 1;
+        let log = Change::Log { first, entries: self.log.values().cloned().collect() };
+        let fixed = [Change::Promise(self.promise), Change::Snapshot(self.snapshot.clone()), log];
+        let epochs =
+            self.epochs.iter().map(|(duty, epoch)| Change::Epoch { duty: duty.clone(), epoch: *epoch });
+        let grants = self
+            .grants
+            .iter()
+            .map(|(name, bytes)| Change::Grant { name: name.clone(), bytes: Some(bytes.clone()) });
+        identity.into_iter().chain(fixed).chain(epochs).chain(grants).collect()
+    }
+
     /// Takes a change.
     pub fn apply(&mut self, change: Change) {
         match change {
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -5,10 +5,11 @@
 //! with a checksum; `store` is the file behind it, opened with distrust (`trial`); `writer` is the one thread that has it.
 //!
 //! The rules: nothing is spoken of before it is durable. A write that failed is never tried again on the same file,
-//! in this life or the next. What can't be trusted is set aside under another name as it was found, and the process
+//! in this life or the next: a `fresh` one is written whole from memory, and nothing is confirmed until it is durable. What can't be trusted is set aside under another name as it was found, and the process
 //! begins anew as somebody else: its peers decide when it may vote again. A folder that is merely older than it was
 //! can't be told from here; peers remember, and are asked.
 
+pub mod fresh;
 pub mod memory;
 pub mod record;
 pub mod store;
--- a/src/state/store.rs
+++ b/src/state/store.rs
@@ -114,6 +114,18 @@
     Error(StoreError),
 }
 
+impl StoreError {
+    /// Whether it may be over in a while: the disk is full, or refuses, or descriptors lack.
+    pub fn may_pass(&self) -> bool {
+        let passing = [libc::ENOSPC, libc::EDQUOT, libc::EIO, libc::EMFILE, libc::ENFILE, libc::ENOMEM];
+        match self {
+            StoreError::Unreachable(_, e) => e.raw_os_error().is_some_and(|code| passing.contains(&code)),
+            StoreError::Failed(_) => true,
+            StoreError::Taken(_) | StoreError::Newer(_) => false,
+        }
+    }
+}
+
 impl From<RecordFault> for Trouble {
     fn from(fault: RecordFault) -> Self {
         match fault {
@@ -174,6 +186,15 @@
         }
     }
 
+    /// A new and empty store in a file that is not there yet.
+    pub(super) fn create(file: &Path) -> Result<Self, StoreError> {
+        match open(file, Memory::default()) {
+            Ok((store, _)) => Ok(store),
+            Err(Trouble::Error(error)) => Err(error),
+            Err(Trouble::Distrust(why)) => Err(StoreError::Failed(why.to_string())),
+        }
+    }
+
     /// A store on a disk of one's own making, empty or as it was left.
     pub fn on(disk: impl StorageBackend, name: &str) -> Result<(Self, Memory), Distrust> {
         let length = disk.len().unwrap_or_default() as usize;
@@ -442,6 +463,6 @@
 }
 
 /// Makes the entries of a folder durable.
-fn durable_folder(folder: &Path) -> io::Result<()> {
+pub(super) fn durable_folder(folder: &Path) -> io::Result<()> {
     File::open(folder)?.sync_all()
 }
--- a/src/state/writer.rs
+++ b/src/state/writer.rs
@@ -6,7 +6,8 @@
 //! | to the disk | [`DEPTH`] batches | the batch is refused, and its sender holds back | [`Figures::refused`] |
 //! | from the disk | the caller's own | `say` may wait: the disk's thread then does | [`Writer::waiting`] |
 
-use super::memory::Change;
+use super::fresh;
+use super::memory::{Change, Memory};
 use super::store::{self, Found, Store, StoreError};
 use crossbeam_channel::{Receiver, Sender, TrySendError, bounded};
 use std::path::{Path, PathBuf};
@@ -23,6 +24,11 @@
 /// Batches written as one at most: what waits while the disk is busy shares its next sync.
 const TOGETHER: usize = 64;
 
+/// After a write that failed a fresh file is tried after this, and each time after twice as long, ...
+const RETRY_FIRST: Duration = Duration::from_millis(100);
+/// ... up to this.
+const RETRY_MOST: Duration = Duration::from_secs(2);
+
 /// What the disk has to say.
 #[derive(Debug)]
 pub enum Statement {
@@ -32,6 +38,8 @@
     Opened(Found),
     /// All batches up to this number are durable.
     Durable(u64),
+    /// A write failed, or the folder can't be opened for now. Nothing is confirmed until a later [`Statement::Durable`].
+    Failing(StoreError),
     /// Nothing is kept, from the start or from now on. Said last: no batch after the last durable one may be spoken of.
     Over(StoreError),
 }
@@ -134,44 +142,83 @@
     fn work(mut self, folder: &Path, name: &str, taken: Receiver<Batch>) {
         // Colons are no part of a name that every tool takes.
         let stamp = humantime::format_rfc3339_seconds(SystemTime::now()).to_string().replace(':', "-");
-        let mut opened = Store::open(folder, name, &stamp);
-        if let Err(error @ StoreError::Taken(_)) = &opened {
-            (self.say)(Statement::Waiting(error.to_string()));
-        }
-        // During an upgrade the older process has the folder until it ends. A lock wakes nobody.
-        while let Err(StoreError::Taken(_)) = opened {
-            thread::sleep(LOCK_LOOK);
-            if Arc::strong_count(&self.figures) == 1 {
-                return; // nobody wants it any more
-            }
-            opened = Store::open(folder, name, &stamp);
-        }
-        let mut store = match opened {
-            Ok((store, found)) => {
-                (self.say)(Statement::Opened(found));
-                store
-            }
-            Err(error) => return (self.say)(Statement::Over(error)),
-        };
+        let Some((mut store, mut memory)) = self.open(folder, name, &stamp) else { return };
         while let Ok(first) = taken.recv() {
             let batches: Vec<Batch> =
                 std::iter::once(first).chain(taken.try_iter().take(TOGETHER - 1)).collect();
-            match self.commit(&mut store, &batches) {
-                Ok(last) => (self.say)(Statement::Durable(last)),
-                Err(error) => {
-                    if let Err(e) = store::suspect(folder) {
-                        tracing::error!(
-                            "{}: that a write failed could not be noted: {e}",
-                            folder.display()
-                        );
-                    }
-                    return (self.say)(Statement::Over(error));
+            let committed = self.commit(&mut store, &batches);
+            let last = batches.last().map_or(0, |(number, _)| *number);
+            batches.into_iter().flat_map(|(_, changes)| changes).for_each(|change| memory.apply(change));
+            if let Err(error) = committed {
+                if let Err(e) = store::suspect(folder) {
+                    tracing::error!("{}: that a write failed could not be noted: {e}", folder.display());
                 }
+                (self.say)(Statement::Failing(error));
+                match self.begin_anew(folder, &memory) {
+                    Some(fresh) => store = fresh,
+                    None => return,
+                }
+                self.figures.durable.store(last, Relaxed);
+            }
+            (self.say)(Statement::Durable(last));
+        }
+    }
+
+    /// Opens the folder as soon as no other process has it and the disk lets it; none where it can't be had at all, or
+    /// nobody wants it any more.
+    fn open(&mut self, folder: &Path, name: &str, stamp: &str) -> Option<(Store, Memory)> {
+        let mut told = None;
+        loop {
+            let error = match Store::open(folder, name, stamp) {
+                Ok((store, found)) => {
+                    let memory = match &found {
+                        Found::Kept(memory) => memory.clone(),
+                        Found::Nothing | Found::SetAside(..) => Memory::default(),
+                    };
+                    (self.say)(Statement::Opened(found));
+                    return Some((store, memory));
+                }
+                Err(error) => error,
+            };
+            // During an upgrade the older process has the folder until it ends. A lock wakes nobody.
+            let taken = matches!(error, StoreError::Taken(_));
+            if !taken && !error.may_pass() {
+                (self.say)(Statement::Over(error));
+                return None;
+            }
+            if told.replace(taken) != Some(taken) {
+                (self.say)(match taken {
+                    true => Statement::Waiting(error.to_string()),
+                    false => Statement::Failing(error),
+                });
+            }
+            thread::sleep(LOCK_LOOK);
+            if self.is_unwanted() {
+                return None;
+            }
+        }
+    }
+
+    /// Nobody holds the writer any more.
+    fn is_unwanted(&self) -> bool {
+        Arc::strong_count(&self.figures) == 1
+    }
+
+    /// Writes a fresh file until one is durable; none where nobody wants it any more.
+    fn begin_anew(&self, folder: &Path, memory: &Memory) -> Option<Store> {
+        let mut wait = RETRY_FIRST;
+        while !self.is_unwanted() {
+            thread::sleep(wait);
+            match fresh::write(folder, memory) {
+                Ok(store) => return Some(store),
+                Err(error) => tracing::debug!("{}: {error}", folder.display()),
             }
+            wait = (wait * 2).min(RETRY_MOST);
         }
+        None
     }
 
-    fn commit(&self, store: &mut Store, batches: &[Batch]) -> Result<u64, StoreError> {
+    fn commit(&self, store: &mut Store, batches: &[Batch]) -> Result<(), StoreError> {
         let (begun, figures) = (Instant::now(), &self.figures);
         figures.busy_us.store((begun.duration_since(self.began).as_micros() as u64).max(1), Relaxed);
         let committed = store.commit(batches.iter().flat_map(|(_, changes)| changes));
@@ -183,6 +230,6 @@
         committed?;
         let last = batches.last().map_or(0, |(number, _)| *number);
         figures.durable.store(last, Relaxed);
-        Ok(last)
+        Ok(())
     }
 }
--- a/tests/state.rs
+++ b/tests/state.rs
@@ -5,6 +5,7 @@
 mod disk;
 
 use disk::{Disk, Step};
+use gullpulley::state::fresh;
 use gullpulley::state::memory::{Change, Contradiction, Entry, Identity, Memory, Promise, Snapshot};
 use gullpulley::state::record::{self, RecordFault};
 use gullpulley::state::store::{Distrust, FILE, Found, Store, StoreError, suspect};
@@ -298,3 +299,31 @@
     assert!(said.recv_timeout(wait).is_err());
     assert_eq!(writer.submit(Vec::new()), Err(Refused::Over));
 }
+
+/// A write that failed ended all keeping until the next start, though a disk may be full or refuse for a moment only.
+#[test]
+fn after_a_failed_write_a_fresh_file_holds_all_of_the_memory_and_the_old_one_is_not_touched() {
+    let folder = tempfile::tempdir().unwrap();
+    let here = folder.path();
+    let (mut old, _) = Store::open(here, NAME, "t").unwrap();
+    let mut memory = Memory::default();
+    for batch in life() {
+        old.commit(&batch).unwrap();
+        batch.into_iter().for_each(|change| memory.apply(change));
+    }
+    let before = std::fs::read(here.join(FILE)).unwrap();
+    std::fs::hard_link(here.join(FILE), here.join("old")).unwrap();
+    // The last batch is in memory alone; what a kill left of an earlier try is in the way.
+    memory.apply(Change::Epoch { duty: "guard".to_owned(), epoch: 99 });
+    suspect(here).unwrap();
+    std::fs::write(here.join(fresh::FRESH), "half").unwrap();
+    let mut store = fresh::write(here, &memory).unwrap();
+    assert!(std::fs::read(here.join("old")).unwrap() == before, "the old file is as it was");
+    store.commit(&[Change::Epoch { duty: "guard".to_owned(), epoch: 100 }]).unwrap();
+    drop((old, store));
+    memory.apply(Change::Epoch { duty: "guard".to_owned(), epoch: 100 });
+    std::fs::remove_file(here.join("old")).unwrap();
+    let (_, found) = Store::open(here, NAME, "t").unwrap();
+    assert!(matches!(found, Found::Kept(kept) if kept == memory));
+    assert_eq!(files(here), [FILE]);
+}
