Leave time for another call at discovery after one that was lost

Cause: a call with no answer was followed by the slot of a crowd: after a lost watch the second call came up to 9.6 s later, 3.6 s after a change counts as known. A crowd answers with 503 after 3 s at the latest in all settings at hand, so what is unanswered after 3.1 s was lost. Change: three slots in a period then, as after a refusal at once.

--- a/src/policy/discovery_schedule.rs
+++ b/src/policy/discovery_schedule.rs
@@ -6,9 +6,10 @@
 //! its turn all the same. N processes that each call every p seconds keep it busy for good once N / p calls
 //! a second are more than it can take: all of them are sent away, and all come again. What it can take was
 //! seen to grow with the number of processes. So each process has a slot of its own in a period, drawn
-//! once: it calls then, and again a period later, whatever fails. A call that is refused at once takes
-//! nothing of discovery's time, and says nothing of when the next will be taken: until then a process has
-//! three slots in a period, or one refusal would cost all that is left until a change counts as known.
+//! once: it calls then, and again a period later, where discovery sent its call away. A call that is
+//! refused at once takes nothing of discovery's time, and one that is lost says nothing of a crowd: after
+//! these a process has three slots in a period, or one of them would cost all that is left until a change
+//! counts as known.
 
 use crate::stats::Draws;
 use crate::{Discovery, DiscoveryFailure, Settings};
@@ -20,9 +21,10 @@
 const KNOWN_AFTER_MOVE: Duration = Duration::from_secs(4);
 /// From one slot to the next: what `KNOWN_WITHIN` leaves when the answer takes half a second.
 const PERIOD: Duration = Duration::from_millis(5500);
-/// Slots in a period while calls are refused at once: two of them lie within `KNOWN_AFTER_MOVE`. More, or
-/// waits that are drawn anew, bring all processes at once when calls are taken again, and most are sent away.
-const SLOTS_WHILE_REFUSED: u32 = 3;
+/// Slots in a period after a call that no crowd has sent away: so two of them lie within `KNOWN_AFTER_MOVE`,
+/// and a call that was lost leaves time for another. More, or waits that are drawn anew, bring all processes
+/// at once when calls are taken again, and most are sent away.
+const SLOTS_WITHOUT_CROWD: u32 = 3;
 /// An answer takes no longer in a crowd: a process that has heard nothing so long after its start mistrusts
 /// the list that it started with.
 const CROWD: Duration = Duration::from_millis(2250);
@@ -94,8 +96,10 @@
             // A watch may end instead of telling, and what it would have told counts 2 s later.
             _ if watched || self.mode == Discovery::Push => self.promptly(),
             DiscoveryFailure::Unanswered if now < self.in_time_until => self.promptly(),
-            DiscoveryFailure::RefusedAtOnce => self.until_slot(now, self.period / SLOTS_WHILE_REFUSED),
-            _ => self.until_slot(now, self.period),
+            DiscoveryFailure::RefusedAtOnce | DiscoveryFailure::Unanswered => {
+                self.until_slot(now, self.period / SLOTS_WITHOUT_CROWD)
+            }
+            DiscoveryFailure::SentAway => self.until_slot(now, self.period),
         }
     }
 
--- a/tests/discovery_schedule.rs
+++ b/tests/discovery_schedule.rs
@@ -290,6 +290,24 @@
     }
 }
 
+#[test]
+fn one_lost_call_after_a_lost_watch_leaves_time_for_another() {
+    let (lost_after, answer) = (ms(3100), ms(300));
+    for seed in 0..200 {
+        let settings = Settings { discovery: Discovery::Ask, ..Settings::default() };
+        let mut schedule = DiscoverySchedule::new(&settings, seed, ms(50_000));
+        schedule.heard();
+        let watch_lost = ms(60_000);
+        let first = watch_lost + schedule.failed(watch_lost, ms(0), DiscoveryFailure::Unanswered);
+        let given_up = first + lost_after;
+        let second = given_up + schedule.failed(given_up, ms(0), DiscoveryFailure::Unanswered);
+        let known = second + answer - watch_lost;
+        assert!(known <= ms(6000), "seed {seed}: {known:?}");
+        // Where a crowd had sent it away the whole period stays.
+        assert!(schedule.failed(second, ms(0), DiscoveryFailure::SentAway) <= ms(5500));
+    }
+}
+
 /// A request that ends as each endpoint it reaches does; where it went.
 fn serve(d: &mut Driver, refusing: &[u64]) -> Vec<EndpointId> {
     let (id, actions) = d.request(ms(2000));
