--- a/lab/src/copies.rs
+++ b/lab/src/copies.rs
@@ -2,18 +2,17 @@
 //! Whatever becomes of the lab, they end with it: a keeper, a shell that reads their process numbers from a pipe,
 //! kills what is left once that pipe closes.
 
+mod state_folder;
+
 use crate::experiment::DescribedCopy;
 use crate::http::{self, Pool};
 use crate::plan::{self, Plan};
-use crate::seeds::{Part, draws};
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
-use rand::Rng;
 use std::collections::BTreeMap;
 use std::fs::{File, OpenOptions};
 use std::io::{self, Write};
 use std::net::SocketAddr;
-use std::os::unix::fs::FileExt;
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -33,9 +32,8 @@
 /// A copy that is not ready by then never will be.
 const READY_WITHIN: Duration = Duration::from_secs(15);
 
-/// A copy's state folder in its own, and where that is kept to be put back.
+/// A copy's state folder in its own.
 pub const STATE: &str = "state";
-const KEPT: &str = "state.kept";
 /// Where the faults injected into a copy are noted, and how many of them are shown of one that ended.
 pub const INJECTED: &str = "injected";
 const LAST_INJECTED: usize = 5;
@@ -45,8 +43,6 @@
 const KILLED_AFTER: Duration = Duration::from_millis(700);
 /// Between two signals in a series.
 const SIGNALS_APART: Duration = Duration::from_millis(50);
-/// A flip changes a bit in each piece of a file of so many bytes: much of a store is not in use.
-const FLIP_EACH: u64 = 512;
 
 /// What went wrong with a copy.
 #[derive(Debug, Error)]
@@ -328,40 +324,6 @@
         self.struck_at.lock().unwrap_or_else(PoisonError::into_inner).is_some_and(|at| at >= then)
     }
 
-    /// Flips bits of what it keeps, at places by the seed, as a disk at rest may.
-    pub fn flip(&self, seed: u64) -> io::Result<()> {
-        let mut draws = draws(seed, Part::Disk, 1);
-        let mut files: Vec<PathBuf> =
-            std::fs::read_dir(self.folder.join(STATE))?.flatten().map(|entry| entry.path()).collect();
-        files.sort();
-        for path in files {
-            let file = OpenOptions::new().read(true).write(true).open(path)?;
-            let length = file.metadata()?.len();
-            for piece in 0..length.div_ceil(FLIP_EACH) {
-                let (first, mut byte) = (piece * FLIP_EACH, [0]);
-                let at = draws.random_range(first..length.min(first + FLIP_EACH));
-                file.read_exact_at(&mut byte, at)?;
-                file.write_all_at(&[byte[0] ^ 1 << draws.random_range(0..8)], at)?;
-            }
-        }
-        Ok(())
-    }
-
-    /// Keeps its state folder as it stands, to be put back later; it stands still meanwhile.
-    pub fn keep_state(&self) -> io::Result<()> {
-        self.pause(true);
-        let kept = copied(&self.folder.join(STATE), &self.folder.join(KEPT));
-        self.pause(false);
-        kept
-    }
-
-    /// Puts its state folder back to what was kept; it must not run.
-    pub fn put_state_back(&self) -> io::Result<()> {
-        let (state, kept) = (self.folder.join(STATE), self.folder.join(KEPT));
-        std::fs::remove_dir_all(&state)?;
-        std::fs::rename(kept, state)
-    }
-
     /// The end of its log.
     pub fn last_lines(&self) -> String {
         let log = std::fs::read_to_string(self.folder.join("log")).unwrap_or_default();
@@ -507,16 +469,3 @@
         sleep(READY_LOOK).await;
     }
 }
-
-/// Copies the files of a folder into another, in place of what is there.
-fn copied(from: &Path, to: &Path) -> io::Result<()> {
-    if to.exists() {
-        std::fs::remove_dir_all(to)?;
-    }
-    std::fs::create_dir_all(to)?;
-    for entry in std::fs::read_dir(from)? {
-        let entry = entry?;
-        std::fs::copy(entry.path(), to.join(entry.file_name()))?;
-    }
-    Ok(())
-}
--- /dev/null
+++ b/src/api/endpoints.rs
@@ -0,0 +1,80 @@
+//! What discovery brings: endpoints, changes of the list, and how a call fails.
+
+use super::{CellId, EndpointId, KindId, ZoneId};
+use std::time::Duration;
+
+/// What discovery says of one endpoint.
+#[derive(Clone, Debug, PartialEq)]
+pub struct EndpointInfo {
+    /// Which endpoint.
+    pub id: EndpointId,
+    /// Its zone.
+    pub zone: ZoneId,
+    /// Its machine kind.
+    pub kind: KindId,
+    /// Its cell.
+    pub cell: CellId,
+    /// Whether it may be sent to.
+    pub state: EndpointState,
+    /// Its weight, see [`WeightKind`].
+    pub weight: f64,
+    /// When its process last started; `None` means long ago.
+    pub started: Option<Duration>,
+}
+
+/// An endpoint's standing in the list.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EndpointState {
+    /// May be sent to.
+    Ready,
+    /// Finishing its work; nothing new may be sent.
+    Draining,
+    /// Removed.
+    Gone,
+}
+
+/// What discovery brings.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Membership {
+    /// The complete list: what is missing from it is gone.
+    Full(Vec<EndpointInfo>),
+    /// The complete list as last held, possibly stale; brought at the start.
+    Cached(Vec<EndpointInfo>),
+    /// Changed entries only.
+    Delta(Vec<EndpointInfo>),
+    /// A call to discovery failed or the subscription broke; the list stays.
+    Failed {
+        /// How long the watch that broke had brought nothing; zero where that is not known.
+        unheard: Duration,
+        /// What failed.
+        failure: DiscoveryFailure,
+    },
+    /// Discovery is at another address from now on, and the watch at the old one is over; the list stays.
+    Moved,
+}
+
+/// What failed at discovery.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DiscoveryFailure {
+    /// A call was refused at once: it has taken nothing of discovery's time.
+    RefusedAtOnce,
+    /// A call was sent away after it had waited: others are served, in their turn.
+    SentAway,
+    /// A call got no whole answer, or the watch is over.
+    Unanswered,
+}
+
+impl EndpointInfo {
+    /// A warm, ready endpoint of zone 0, for tests and first steps.
+    pub fn ready(id: u64) -> Self {
+        EndpointInfo {
+            id: EndpointId(id),
+            zone: ZoneId(0),
+            kind: KindId(0),
+            cell: CellId(0),
+            state: EndpointState::Ready,
+            weight: 1.0,
+            started: None,
+        }
+    }
+}
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -6,6 +6,7 @@
 use super::clock::Clock;
 use super::counters::Counters;
 use super::discovery::{Call, Discovery, News};
+use super::log_text::{log_leaving, outcome_name};
 use super::message::{Answer, Arrival, Content, Inbox, Input};
 use super::open::{Open, Try};
 use super::outbound::{Dispatch, Ended, Outbound};
@@ -26,8 +27,6 @@
 
 /// Unusual outcomes are summed up in the log this often.
 const SUMMARY: Duration = Duration::from_secs(10);
-/// Endpoints that one list takes out in a line of the log each; more share one, or they would push other lines out.
-const OWN_LINES: usize = 16;
 
 /// What the driver works with.
 pub struct Around {
@@ -320,7 +319,7 @@
                 listed
             });
         }
-        left.iter().zip(["draining", "gone"]).for_each(|(uids, state)| tell_left(uids, state));
+        left.iter().zip(["draining", "gone"]).for_each(|(uids, state)| log_leaving(uids, state));
         self.handle(Event::Membership(news.membership));
     }
 
@@ -486,26 +485,3 @@
         *self.unusual.entry(what).or_default() += 1;
     }
 }
-
-/// Says in the log which endpoints a list takes out.
-fn tell_left(uids: &[String], state: &str) {
-    if uids.len() > OWN_LINES {
-        return info!(endpoints = uids.join(" "), "list: {} are {state}", uids.len());
-    }
-    for uid in uids {
-        info!(endpoint = uid, "list: {uid} is {state}");
-    }
-}
-
-fn outcome_name(outcome: Outcome) -> &'static str {
-    match outcome {
-        Outcome::Ok => "ok",
-        Outcome::Error => "error",
-        Outcome::Full => "turned away",
-        Outcome::TimedOut => "timed out",
-        Outcome::ConnectFailed => "not connected",
-        Outcome::Reset => "reset",
-        Outcome::Cancelled => "cancelled",
-        Outcome::Moot => "moot",
-    }
-}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -5,7 +5,7 @@
 //! what is kept, what comes of discovery, the fleet, counts, orders, other processes of this sidecar;
 //! `progress`, `passing`: how far an attempt is, bodies that pass through;
 //! `outbound`, `discovery`: connections to endpoints and to discovery;
-//! `message`, `open`, `driver`: turns what happens there into the policy's events, and carries out its actions;
+//! `log_text`, `message`, `open`, `driver`: turns what happens there into the policy's events, and carries out its actions;
 //! `stream`, `request`, `turn`, `reply`, `inbound`: clients' words, connections and answers;
 //! `control`: the operators' door.
 
@@ -20,6 +20,7 @@
 mod guard;
 mod inbound;
 mod keeping;
+mod log_text;
 mod message;
 mod open;
 mod outbound;
