--- a/src/net/counters.rs
+++ b/src/net/counters.rs
@@ -1,7 +1,7 @@
 //! What the operators may read: counts since the start of the process, each taken once, where the fact
 //! occurs. How many endpoints there are, and which of them are avoided, the module says.
 
-use super::contact::Contact;
+use super::discovery_health::DiscoveryHealth;
 use super::keeping::Keeping;
 use super::peers::Peers;
 use crate::logging::LogHandle;
@@ -48,7 +48,7 @@
     taking: Family<Labels, Histogram>,
     deciding: Histogram,
     log: LogHandle,
-    contact: Rc<Contact>,
+    health: Rc<DiscoveryHealth>,
     keeping: Option<Rc<Keeping>>,
     peers: Option<Rc<Peers>>,
 }
@@ -72,7 +72,7 @@
     pub fn new(
         classes: &[String],
         log: LogHandle,
-        contact: Rc<Contact>,
+        health: Rc<DiscoveryHealth>,
         keeping: Option<Rc<Keeping>>,
         peers: Option<Rc<Peers>>,
     ) -> Rc<Self> {
@@ -87,7 +87,7 @@
         };
         let (upstream, pending) = Default::default();
         let classes = classes.iter().map(class).collect();
-        Rc::new(Counters { classes, upstream, pending, taking, deciding, log, contact, keeping, peers })
+        Rc::new(Counters { classes, upstream, pending, taking, deciding, log, health, keeping, peers })
     }
 
     /// A request of a class has come whole.
@@ -182,7 +182,7 @@
         }
         registry.register("window_attempts", "Own attempts that may be out", size);
         registry.register("window_attempts_out", "Own attempts that are out", out);
-        self.contact.register(&mut registry);
+        self.health.register(&mut registry);
         if let Some(keeping) = &self.keeping {
             keeping.register(&mut registry);
         }
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -1,7 +1,7 @@
 //! The endpoint list: asks discovery for it, and follows its changes.
 
 use super::clock::Clock;
-use super::contact::{Contact, Outcome};
+use super::discovery_health::{DiscoveryHealth, Outcome};
 use super::guard::Guard;
 use gullpulley::config::{LIST_MOST, List, ListReader, Names, State};
 use gullpulley::{
@@ -159,7 +159,7 @@
     /// then, on the monotonic clock: this machine's wall clock may be stepped, and says nothing of another's start.
     starts: RefCell<HashMap<EndpointId, (u64, Duration)>>,
     rev: Cell<u64>,
-    contact: Rc<Contact>,
+    health: Rc<DiscoveryHealth>,
     /// When it is called, where lists are pushed; elsewhere the module says so.
     schedule: RefCell<DiscoverySchedule>,
     began: Instant,
@@ -178,7 +178,7 @@
         settings: &Settings,
         names: Names,
         seed: u64,
-        contact: Rc<Contact>,
+        health: Rc<DiscoveryHealth>,
         clock: Clock,
         report: impl Fn(News) + 'static,
     ) -> Rc<Self> {
@@ -196,7 +196,7 @@
             clock,
             starts,
             rev,
-            contact,
+            health,
             schedule,
             began,
             heard,
@@ -314,7 +314,7 @@
                 Ok(Some(Err(e))) => return Over::Broken(format!("the watch broke: {e}")),
                 Ok(Some(Ok(frame))) => frame,
             };
-            self.contact.heard();
+            self.health.heard();
             let piece = frame.data_ref().map_or(&[][..], |data| data);
             // To skip a change would leave the list wrong for good: the watch begins again instead.
             match lists.take(piece) {
@@ -341,7 +341,7 @@
         let answered = self.attempt(path).await;
         pending.ended = true;
         let outcome = answered.as_ref().map_or_else(CallError::outcome, |_| Outcome::Answered);
-        self.contact.called(outcome);
+        self.health.called(outcome);
         let (address, ms) = (pending.address, pending.ms());
         match outcome {
             Outcome::Answered => debug!(%address, path, outcome = outcome.name(), ms, "call"),
@@ -393,7 +393,7 @@
 
     /// Tells that a call or watch has failed; for how long nothing had been heard.
     fn failed(&self, reason: &str, failure: DiscoveryFailure) -> Duration {
-        let unheard = self.contact.unheard();
+        let unheard = self.health.unheard();
         // Said once for each reason until a list comes; the driver counts the others.
         if self.failing.replace(Some(reason.to_owned())).is_none_or(|before| before != reason) {
             warn!(address = %self.address.get(), "discovery: {reason}");
--- a/src/net/contact.rs
+++ b/src/net/discovery_health.rs
@@ -44,17 +44,17 @@
     }
 }
 
-/// The contact of one process with discovery.
-pub struct Contact {
+/// What one process has heard of discovery.
+pub struct DiscoveryHealth {
     /// When a watch last brought anything; the start where none ever did.
     heard_at: Cell<Instant>,
     calls: [Cell<u64>; OUTCOMES.len()],
 }
 
-impl Contact {
+impl DiscoveryHealth {
     /// Nothing heard yet.
     pub fn new() -> Rc<Self> {
-        Rc::new(Contact { heard_at: Cell::new(Instant::now()), calls: Default::default() })
+        Rc::new(DiscoveryHealth { heard_at: Cell::new(Instant::now()), calls: Default::default() })
     }
 
     /// A watch has brought something, be it an empty line.
--- a/src/net/inbound.rs
+++ b/src/net/inbound.rs
@@ -60,11 +60,11 @@
 
 /// How a connection is to be let go.
 #[derive(PartialEq)]
-enum Parting {
+enum CloseMode {
     /// The client may still be writing, or have an answer to read.
-    Civil,
+    Graceful,
     /// It has left, or takes nothing of its answer.
-    Abrupt,
+    Immediate,
 }
 
 /// What all clients' connections share.
@@ -254,9 +254,9 @@
         _permit: Permit,
     ) {
         let stream = ClientStream::new(stream);
-        let parting = self.talk(&stream, shed, &mut close).await;
+        let close_mode = self.talk(&stream, shed, &mut close).await;
         // Who has been answered must not keep a place that others want: there it is let go at once.
-        if parting == Parting::Civil && !self.budget.crowded() {
+        if close_mode == CloseMode::Graceful && !self.budget.crowded() {
             tokio::select! {
                 () = stream.close() => {}
                 () = self.room_wanted(&mut close) => {}
@@ -275,7 +275,7 @@
         stream: &ClientStream,
         shed: bool,
         close: &mut watch::Receiver<()>,
-    ) -> Parting {
+    ) -> CloseMode {
         let turn = Rc::new(Turn::new());
         let service = service_fn(|request| self.answer(request, shed, &turn));
         let connection = http1::Builder::new()
@@ -292,9 +292,9 @@
         loop {
             tokio::select! {
                 biased;
-                _ = connection.as_mut() => return Parting::Civil, // an error here is the client's leaving
+                _ = connection.as_mut() => return CloseMode::Graceful, // an error here is the client's leaving
                 // Whoever has left waits for no answer, whatever else it had written.
-                () = left.as_mut() => return Parting::Abrupt,
+                () = left.as_mut() => return CloseMode::Immediate,
                 _ = close.changed() => match turn.idle() {
                     _ if turn.busy.get() => turn.last.set(true),
                     // On a new connection the first request is as good as taken: to close it now
@@ -311,7 +311,7 @@
                     first_until = None;
                     // What has come of a head by now is no request.
                     if turn.unasked() {
-                        return Parting::Civil;
+                        return CloseMode::Graceful;
                     }
                 }
                 // Its answer did not yet say that it would be the last.
@@ -319,7 +319,7 @@
                     connection.as_mut().graceful_shutdown();
                 },
                 () = reached(turn.stuck_at()) => if turn.stuck_at().is_some_and(|at| at <= Instant::now()) {
-                    return Parting::Abrupt;
+                    return CloseMode::Immediate;
                 },
                 () = reached(fresh_until) => {
                     fresh_until = None;
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,7 +1,7 @@
 //! The sidecar on its sockets. Start-up, signals and the parts' acquaintance are here; the rest, from
 //! plain types up, each knowing only what stands before it:
 //!
-//! `guard`, `clock`, `budget`, `keeping`, `contact`, `peers`, `counters`, `bans`, `overlap`: tasks, time, sockets held,
+//! `guard`, `clock`, `budget`, `keeping`, `discovery_health`, `peers`, `counters`, `bans`, `overlap`: tasks, time, sockets held,
 //! what is kept, what comes of discovery, the fleet, counts, orders, other processes of this sidecar;
 //! `progress`, `passing`: how far an attempt is, bodies that pass through;
 //! `outbound`, `discovery`: connections to endpoints and to discovery;
@@ -12,10 +12,10 @@
 mod bans;
 mod budget;
 mod clock;
-mod contact;
 mod control;
 mod counters;
 mod discovery;
+mod discovery_health;
 mod driver;
 mod guard;
 mod inbound;
@@ -37,10 +37,10 @@
 use bans::{Bans, Standing};
 use budget::Budget;
 use clock::Clock;
-use contact::Contact;
 use control::Door;
 use counters::Counters;
 use discovery::{Call, Discovery};
+use discovery_health::DiscoveryHealth;
 use driver::{Around, Driver};
 use gullpulley::config::{
     Config, ConfigError, DOOR_RESERVE, Difference, Fault, Named, Vars, differences, keys,
@@ -147,8 +147,8 @@
             peers.join(start, kept);
         });
     }
-    let contact = Contact::new();
-    let counters = Counters::new(&classes, log, contact.clone(), keeping, peers.clone());
+    let health = DiscoveryHealth::new();
+    let counters = Counters::new(&classes, log, health.clone(), keeping, peers.clone());
     let outbound = Outbound::new(&settings, budget.clone(), counters.clone());
     let inbound = Inbound::new(
         Wording { settings: settings.clone(), classes, tenants },
@@ -158,7 +158,7 @@
         inbox.clone(),
     );
     let news = inbox.clone();
-    let discovery = Discovery::new(discovery, &settings, names, seed, contact, clock, move |said| {
+    let discovery = Discovery::new(discovery, &settings, names, seed, health, clock, move |said| {
         let _ = news.send(Input::List(said)); // fails only while the process ends
     });
     let bans = Bans::new(&std::env::temp_dir(), &name);
--- a/src/policy/requests.rs
+++ b/src/policy/requests.rs
@@ -13,10 +13,10 @@
 
 /// What an attempt is known to have done.
 #[derive(Clone, Copy, PartialEq)]
-pub(super) enum Fate {
-    Out,
-    NeverRan,
-    MayHaveRun,
+pub(super) enum AttemptState {
+    InFlight,
+    NotProcessed,
+    MaybeProcessed,
 }
 
 #[derive(Clone, Copy)]
@@ -27,7 +27,7 @@
     pub(super) sent: Duration,
     /// How long the connection it went out on had lain idle; none for a new one.
     pub(super) idle: Duration,
-    pub(super) fate: Fate,
+    pub(super) state: AttemptState,
     /// The endpoint has all of it and works on it: only then is it a call in flight.
     pub(super) counted: bool,
 }
@@ -55,12 +55,12 @@
     }
 
     pub(super) fn none_out(&self) -> bool {
-        self.attempts.iter().all(|a| a.fate != Fate::Out)
+        self.attempts.iter().all(|a| a.state != AttemptState::InFlight)
     }
 
     /// The attempts that are not known never to have run.
     pub(super) fn may_have_run(&self) -> impl Iterator<Item = &Attempt> {
-        self.attempts.iter().filter(|a| a.fate != Fate::NeverRan)
+        self.attempts.iter().filter(|a| a.state != AttemptState::NotProcessed)
     }
 }
 
@@ -96,7 +96,9 @@
     pub(super) fn on_whole(&mut self, now: Duration, id: RequestId, left: Duration, out: &mut Vec<Action>) {
         let Some(pending) = self.requests.get_mut(&id).filter(|p| p.passing) else { return };
         (pending.passing, pending.arrived, pending.deadline) = (false, now, now + left);
-        for attempt in pending.attempts.iter_mut().filter(|a| a.fate == Fate::Out && !a.counted) {
+        for attempt in
+            pending.attempts.iter_mut().filter(|a| a.state == AttemptState::InFlight && !a.counted)
+        {
             attempt.sent = now;
             // One that has left meanwhile holds no calls, and gives none back.
             let Some(&i) = self.index.get(&attempt.endpoint) else { continue };
@@ -165,7 +167,7 @@
             zone: endpoint.info.zone,
             sent: now,
             idle,
-            fate: Fate::Out,
+            state: AttemptState::InFlight,
             counted,
         });
         let timeout = pending.deadline.saturating_sub(now);
@@ -181,10 +183,14 @@
         let id = ended.request;
         let Some(pending) = self.requests.get_mut(&id) else { return };
         let Some(attempt) = pending.attempts.get_mut(ended.attempt.0 as usize) else { return };
-        if attempt.fate != Fate::Out {
+        if attempt.state != AttemptState::InFlight {
             return; // an outcome told twice
         }
-        attempt.fate = if ended.outcome.never_ran() { Fate::NeverRan } else { Fate::MayHaveRun };
+        attempt.state = if ended.outcome.never_ran() {
+            AttemptState::NotProcessed
+        } else {
+            AttemptState::MaybeProcessed
+        };
         let Attempt { endpoint, zone, idle, sent, counted, .. } = *attempt;
         let (class, spent, side) = (pending.class, pending.spent, self.settings.side(zone));
         if let Some(&i) = self.index.get(&endpoint) {
@@ -204,7 +210,10 @@
             (self.reaped_after, self.stale) = (Duration::MAX, self.stale.max(0.0));
         }
         let overtaken = |p: &Pending| {
-            p.attempts[..ended.attempt.0 as usize].iter().copied().find(|a| a.fate == Fate::Out)
+            p.attempts[..ended.attempt.0 as usize]
+                .iter()
+                .copied()
+                .find(|a| a.state == AttemptState::InFlight)
         };
         if ended.outcome == Outcome::Ok
             && let Some(silent) = self.requests.get(&id).and_then(overtaken)
@@ -256,7 +265,10 @@
         if !pending.finished {
             pending.finished = true;
             for (number, attempt) in pending.attempts.iter().enumerate() {
-                if attempt.fate == Fate::Out && !pending.streaming && self.settings.limits.cancelling {
+                if attempt.state == AttemptState::InFlight
+                    && !pending.streaming
+                    && self.settings.limits.cancelling
+                {
                     out.push(Action::Cancel { request: id, attempt: AttemptNo(number as u32) });
                 }
             }
--- a/src/policy/retries.rs
+++ b/src/policy/retries.rs
@@ -3,7 +3,7 @@
 //! timely.
 
 use super::Balancer;
-use super::requests::{Attempt, Fate};
+use super::requests::{Attempt, AttemptState};
 use crate::api::*;
 use std::time::Duration;
 
@@ -59,7 +59,7 @@
         let Some(pending) = self.requests.get(&id) else { return };
         let n = number.0 as usize;
         let (attempt, tries) = (pending.attempts[n], pending.attempts.len());
-        if pending.settled() || attempt.fate != Fate::Out || tries > n + 1 {
+        if pending.settled() || attempt.state != AttemptState::InFlight || tries > n + 1 {
             return;
         }
         let long = self.latency[pending.class].overdue(SILENT_SPREADS);
