Take an endpoint for as old as what was told proves, and pause after a connection that was gone

Change: net/start_times.rs. Starts come from one clock and can be compared with each other: an endpoint is at least as old as its start lies before the latest that was told, and as it was told long ago. No wall clock is asked. Forgotten with the list.

--- a/src/net/clock.rs
+++ b/src/net/clock.rs
@@ -3,6 +3,9 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
+/// What the clock shows as it starts: what was before can be told of in positive times.
+const ORIGIN: Duration = Duration::from_secs(24 * 3600);
+
 /// A monotonic clock. It knows nothing of the wall clock, which may be stepped at any time.
 #[derive(Clone, Copy)]
 pub struct Clock {
@@ -22,6 +25,6 @@
 
     /// The time at an instant.
     pub fn at(&self, instant: Instant) -> Duration {
-        instant.duration_since(self.start)
+        ORIGIN + instant.duration_since(self.start)
     }
 }
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -3,6 +3,7 @@
 use super::clock::Clock;
 use super::discovery_health::{DiscoveryHealth, Outcome};
 use super::guard::Guard;
+use super::start_times::StartTimes;
 use gullpulley::config::{LIST_MOST, List, ListReader, Names, State};
 use gullpulley::{
     CellId, Discovery as Mode, DiscoveryFailure, DiscoverySchedule, EndpointId, EndpointInfo,
@@ -13,7 +14,7 @@
 use hyper::{Request, Response, StatusCode, header};
 use hyper_util::rt::TokioIo;
 use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, HashSet};
+use std::collections::HashSet;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -155,9 +156,7 @@
     names: Names,
     ids: RefCell<EndpointNames>,
     clock: Clock,
-    /// The start that each endpoint was last told with, and when this process was first told of it. Its age counts from
-    /// then, on the monotonic clock: this machine's wall clock may be stepped, and says nothing of another's start.
-    starts: RefCell<HashMap<EndpointId, (u64, Duration)>>,
+    starts: RefCell<StartTimes>,
     rev: Cell<u64>,
     health: Rc<DiscoveryHealth>,
     /// When it is called, where lists are pushed; elsewhere the module says so.
@@ -409,24 +408,6 @@
         unheard
     }
 
-    /// When an endpoint counts as started; none where that was long ago.
-    fn started(&self, id: EndpointId, boot_ms: f64) -> Option<Duration> {
-        let mut starts = self.starts.borrow_mut();
-        if boot_ms <= 0.0 {
-            starts.remove(&id);
-            return None;
-        }
-        let boot = boot_ms as u64;
-        match starts.get(&id) {
-            Some((told, at)) if *told == boot => Some(*at),
-            _ => {
-                let now = self.clock.now();
-                starts.insert(id, (boot, now));
-                Some(now)
-            }
-        }
-    }
-
     fn tell(&self, news: News) {
         (self.report)(news);
     }
@@ -437,6 +418,8 @@
             names.iter().position(|n| n == name).unwrap_or(names.len()) as u32
         };
         let (mut entries, mut addresses, mut seen) = (Vec::new(), Vec::new(), HashSet::new());
+        let (mut starts, now) = (self.starts.borrow_mut(), self.clock.now());
+        starts.take(list.targets.iter().map(|target| target.boot_ms as u64), now);
         // Of an endpoint named twice the last word counts.
         for target in list.targets.into_iter().rev() {
             let id = ids.id(&target.uid);
@@ -455,10 +438,13 @@
                     State::Removed => EndpointState::Gone,
                 },
                 weight: target.capacity_hint,
-                started: self.started(id, target.boot_ms),
+                started: starts.started(id, target.boot_ms as u64, now),
             });
         }
         entries.reverse();
+        if list.all {
+            starts.retain(|id| seen.contains(&id));
+        }
         let membership = if list.all { Membership::Full(entries) } else { Membership::Delta(entries) };
         News { membership, addresses }
     }
--- a/src/net/inbound.rs
+++ b/src/net/inbound.rs
@@ -41,6 +41,8 @@
 const UPLOAD_MOST: Duration = Duration::from_secs(1100);
 /// Wait after a failed accept: out of descriptors it would fail again at once, and spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+/// Wait after a connection that was gone before it was accepted.
+const ABORTED_PAUSE: Duration = Duration::from_millis(1);
 /// Failed accepts after which a listener is closed all the same: what lacks that often does not come back at once.
 const CLOSE_TRIES: u32 = 64;
 /// New connections come for up to 0.4 s after SIGTERM, so we accept for a little longer.
@@ -208,7 +210,10 @@
                 self.admit(stream, permit.or_else(|| self.budget.take(Holder::Client)));
             }
             // Of one connection that is gone, or a signal: nothing is lacking, and the next one waits.
-            Err(e) if !is_local(&e) => debug!("accept: {e}"),
+            Err(e) if !is_local(&e) => {
+                debug!("accept: {e}");
+                sleep(ABORTED_PAUSE).await; // one that lasts must not keep the thread
+            }
             Err(e) => {
                 if !self.failing.replace(true) {
                     error!("accept: {e}; said once until it works again");
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,7 +1,7 @@
 //! The sidecar on its sockets. Start-up, signals and the parts' acquaintance are here; the rest, from
 //! plain types up, each knowing only what stands before it:
 //!
-//! `guard`, `clock`, `budget`, `keeping`, `discovery_health`, `peers`, `counters`, `bans`, `overlap`: tasks, time, sockets held,
+//! `guard`, `clock`, `start_times`, `budget`, `keeping`, `discovery_health`, `peers`, `counters`, `bans`, `overlap`: tasks, time, sockets held,
 //! what is kept, what comes of discovery, the fleet, counts, orders, other processes of this sidecar;
 //! `progress`, `passing`: how far an attempt is, bodies that pass through;
 //! `outbound`, `discovery`: connections to endpoints and to discovery;
@@ -30,6 +30,7 @@
 mod progress;
 mod reply;
 mod request;
+mod start_times;
 mod stream;
 mod turn;
 
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -1,5 +1,5 @@
 //! Every decision on requests, without I/O or a clock: events in, actions out, time handed in, random
-//! numbers from its seed. Its interface (settings, events, actions) is in `api.rs`.
+//! numbers from its seed. Its interface (settings, events, actions) is in `api`.
 //!
 //! A request comes in through `requests`, which asks `choice` for an endpoint among those that `list`
 //! holds, and `discovery_schedule` says when discovery is asked for it; `cold` and `limits` narrow what is
--- a/tests/wall_clock.rs
+++ b/tests/wall_clock.rs
@@ -19,8 +19,9 @@
 /// How many of so many requests in a row a new endpoint gets beside three warm ones, told of a start that lies so far from
 /// this machine's wall clock; once it is told, or once it is warm.
 fn gets(off_ms: i64, warm: bool) -> usize {
-    let old = ["a", "b", "c"].map(Peer::serving);
-    let new = Peer::serving("new");
+    // Slower than a connection comes up: an endpoint whose first answers take longer than the others' gets fewer.
+    let peers = [(); 4].map(|()| Peer::new(|_| Do::Late(Duration::from_millis(4))));
+    let [old @ .., new] = &peers;
     let discovery = Discovery::new(list(8, false, &[]));
     let mut config = config(&[&old[0], &old[1], &old[2]]);
     config["discovery"] = json!(discovery.address.to_string());
