--- a/tests/operations.rs
+++ b/tests/operations.rs
@@ -309,7 +309,8 @@
                 scope.spawn(move || {
                     while !stop.load(Ordering::SeqCst) {
                         let id = format!("c{caller}-{}", asked.fetch_add(1, Ordering::SeqCst));
-                        let mut client = Client::connect(address).expect("some process accepts");
+                        let stream = std::net::TcpStream::connect(address);
+                        let mut client = Client::over(stream.unwrap_or_else(|e| panic!("{id}: {e}")));
                         client.send(&request("book", &id, "10000m"));
                         let answer = client.receive().unwrap_or_else(|| panic!("{id} was cut off"));
                         assert_eq!(answer.status(), 200, "{id}");
