--- a/lab/tests/injected.rs
+++ b/lab/tests/injected.rs
@@ -10,7 +10,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use support::{PATIENCE, TWO_ZONES, all, build_injection, fault, metric, program};
-use tokio::time::{Instant, sleep, sleep_until};
+use tokio::time::{Instant, sleep};
 
 const RULES: &str = include_str!("../experiments/rules.toml");
 
@@ -64,21 +64,24 @@
     let folder = tempfile::tempdir().unwrap();
     let third = "[[zone]]\nname = \"c\"\ncopies = 1\nendpoints = { plain = 1 }\n[copy.state]\n[copy.fleet]\n\
                  round_trip = \"100ms\"\nvoters = [\"a-0\", \"b-0\", \"c-0\"]\n";
-    let inject = "[inject]\ndisk = [{ at = \"12s\", lasts = \"7s\" }]\n";
+    let inject = "[inject]\ndisk = [{ at = \"15s\", lasts = \"7s\" }]\n";
     let experiment = Experiment::parse("disks", &format!("{TWO_ZONES}{third}{inject}")).unwrap();
-    let program = program(); // built before the clock runs
-    let began = Instant::now();
-    let deployment = Deployment::stand(&Arc::new(experiment), program, folder.path()).await.unwrap();
+    let deployment = Deployment::stand(&Arc::new(experiment), program(), folder.path()).await.unwrap();
+    let injected = |copy: usize| folder.path().join(&deployment.copies[copy].name).join("injected");
     let leads = |copy| metric(&deployment, copy, "fleet_log_leader");
+    // Each disk fails by its own process's time, which begins with the first note. The last to start decides.
+    let began = |copy| std::fs::metadata(injected(copy)).unwrap().created().unwrap();
+    let last = (0..3).map(began).max().unwrap();
+    let age = || last.elapsed().unwrap_or_default();
     let mut leader = None;
-    while leader.is_none() {
-        assert!(began.elapsed() < Duration::from_secs(12), "no leader before the disks fail");
+    while leader.is_none() || age() < Duration::from_millis(15_500) {
         for copy in 0..3 {
-            leader = leader.or(leads(copy).await.filter(|said| *said == 1.0).map(|_| copy));
+            leader = leads(copy).await.filter(|said| *said == 1.0).map(|_| copy).or(leader);
         }
+        assert!(age() < Duration::from_secs(18), "no leader while the disks fail");
+        sleep(Duration::from_millis(50)).await;
     }
     let leader = leader.unwrap();
-    sleep_until(began + Duration::from_secs(13)).await;
     let killed = deployment.copies[leader].name.clone();
     deployment.strike(&fault(&format!("what = \"kill\"\nof = \"{killed}\""))).await.unwrap();
     let others: Vec<usize> = (0..3).filter(|copy| *copy != leader).collect();
@@ -88,10 +91,7 @@
         sleep(Duration::from_millis(50)).await;
     }
     all(&deployment, &others, "state_kept", |kept| kept == 1.0).await;
-    let noted = |copy: &usize| {
-        let file = folder.path().join(&deployment.copies[*copy].name).join("injected");
-        std::fs::read_to_string(file).unwrap().lines().count() - 1
-    };
+    let noted = |copy: &usize| std::fs::read_to_string(injected(*copy)).unwrap().lines().count() - 1;
     assert!(others.iter().map(noted).sum::<usize>() > 0, "a disk failed");
 }
 
