--- a/src/api/endpoints.rs
+++ b/src/api/endpoints.rs
@@ -16,7 +16,7 @@
     pub cell: CellId,
     /// Whether it may be sent to.
     pub state: EndpointState,
-    /// Its weight, see [`WeightKind`].
+    /// Its weight, see [`WeightKind`](crate::WeightKind).
     pub weight: f64,
     /// When its process last started; `None` means long ago.
     pub started: Option<Duration>,
--- a/src/api/events.rs
+++ b/src/api/events.rs
@@ -40,7 +40,7 @@
         outcome: Outcome,
         /// Time since sending.
         elapsed: Duration,
-        /// The values of [`LoadReports::fields`], if any came.
+        /// The values of [`LoadReports::fields`](crate::LoadReports::fields), if any came.
         report: Option<Vec<f64>>,
     },
     /// The operators take an endpoint out: nothing new goes there, whatever the list says.
@@ -59,7 +59,7 @@
     },
     /// So many balancers share the work of this tier from now on: each of them has a part in so many.
     Balancers {
-        /// This one included; in place of [`Settings::balancers`].
+        /// This one included; in place of [`Settings::balancers`](crate::Settings::balancers).
         living: u32,
     },
     /// A message from another balancer of this tier.
@@ -90,7 +90,7 @@
     pub client_retry: bool,
     /// It writes.
     pub write: bool,
-    /// Its body is still coming and passes through as it comes: its time runs from [`Event::Whole`] on.
+    /// Its body is still coming and passes through as it comes: its time runs from [`Event::Whole`](crate::Event::Whole) on.
     pub passing: bool,
 }
 
@@ -109,7 +109,7 @@
     pub elapsed: Duration,
     /// The request is finished, by this outcome or before it.
     pub finished: bool,
-    /// The values of [`LoadReports::fields`], if any came.
+    /// The values of [`LoadReports::fields`](crate::LoadReports::fields), if any came.
     pub report: Option<Vec<f64>>,
 }
 
--- a/src/api/ids.rs
+++ b/src/api/ids.rs
@@ -10,10 +10,10 @@
 /// Number of an attempt within its request: 0, 1, 2 ... in the order sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct AttemptNo(pub u32);
-/// Index into [`Settings::classes`].
+/// Index into [`Settings::classes`](crate::Settings::classes).
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct ClassId(pub usize);
-/// Index into [`Settings::tenants`].
+/// Index into [`Settings::tenants`](crate::Settings::tenants).
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct TenantId(pub usize);
 /// A zone (data centre); crossing zones may cost.
--- a/src/api/settings.rs
+++ b/src/api/settings.rs
@@ -37,7 +37,7 @@
     pub costs: Costs,
     /// What load reports hold and how they come.
     pub load_reports: LoadReports,
-    /// What [`EndpointInfo::weight`] means.
+    /// What [`EndpointInfo::weight`](crate::EndpointInfo::weight) means.
     pub weights: WeightKind,
     /// Least time between two rounds of events.
     pub tick: Duration,
@@ -45,7 +45,7 @@
     pub passes_deadline: bool,
     /// An endpoint that served a key of late serves it with less work.
     pub warm_keys: bool,
-    /// Clients mark their repeats, see [`Request::client_retry`].
+    /// Clients mark their repeats, see [`Request::client_retry`](crate::Request::client_retry).
     pub clients_mark_retries: bool,
 }
 
@@ -187,7 +187,7 @@
 pub enum CountedBy {
     /// Each request counts alike within its class.
     Request,
-    /// Worth is for each unit of work, see [`Request::work_hint`].
+    /// Worth is for each unit of work, see [`Request::work_hint`](crate::Request::work_hint).
     Work,
 }
 
