Call discovery by the time that is left, and hold requests once its list is superseded

Cause: waits were counted in calls and slots, one call out at a time, each waited for up to 3.1 s, while 4 s are left after a move and 6 s otherwise; a call that an endpoint took passed for a proof that it was not leaving. Change: one schedule by deadline. The pause between calls that cost discovery work grows with the processes (2.2 s for 4, 5.5 s from 10 on, as before); where it is shorter than the wait for an answer a second call goes out beside a silent one, and the first list ends the other; a failure that leaves no time for its slot is followed at once; none puts off a call planned sooner (the drawn test found that). From 4 s after a move, 6 s after a silence, and 6 s after the last word where discovery took the last call and left it unanswered, requests are held until it speaks, for 12 s at the most. A list older than one heard is an old answer, refused for 6 s; then discovery has begun to count anew. Pushed lists: the first call after a lost watch at once, as what the agent has counts as told. net/discovery.rs is split, calls are in discovery_call.rs.

--- a/src/adapter/main.rs
+++ b/src/adapter/main.rs
@@ -131,7 +131,8 @@
                 let news = match mode {
                     ListMode::Failed => Membership::Failed {
                         unheard: Duration::ZERO,
-                        failure: DiscoveryFailure::Unanswered,
+                        // It does not say whether the call was taken.
+                        failure: DiscoveryFailure::NotConnected,
                     },
                     ListMode::Changes => Membership::Delta(listed(&self.tables)?),
                     ListMode::Full => Membership::Full(listed(&self.tables)?),
--- a/src/api/endpoints.rs
+++ b/src/api/endpoints.rs
@@ -60,7 +60,9 @@
     RefusedAtOnce,
     /// A call was sent away after it had waited: others are served, in their turn.
     SentAway,
-    /// A call got no whole answer, or the watch is over.
+    /// No connection for a call came up.
+    NotConnected,
+    /// A call was taken and got no whole answer, or the watch is over.
     Unanswered,
     /// A watch that was up has fallen silent: what it misses counts as known whether or not it comes.
     WatchSilent,
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -1,43 +1,34 @@
 //! The endpoint list: asks discovery for it, and follows its changes.
 
 use super::clock::Clock;
-use super::discovery_health::{DiscoveryHealth, Outcome};
+use super::discovery_call::{ANSWER, FetchError, Over, call};
+use super::discovery_health::DiscoveryHealth;
 use super::guard::Guard;
 use super::start_times::StartTimes;
 use gullpulley::config::{LIST_MOST, List, ListReader, Names, State};
 use gullpulley::{
     CellId, Discovery as Mode, DiscoveryFailure, DiscoverySchedule, EndpointId, EndpointInfo,
-    EndpointNames, EndpointState, KindId, Membership, Settings, TcpConnection, ZoneId,
+    EndpointNames, EndpointState, KindId, Membership, Settings, ZoneId,
 };
-use http_body_util::{BodyExt, Empty, Limited};
-use hyper::body::{Bytes, Incoming};
-use hyper::{Request, Response, StatusCode, header};
-use hyper_util::rt::TokioIo;
+use http_body_util::{BodyExt, Limited};
 use std::cell::{Cell, RefCell};
 use std::collections::HashSet;
-use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use thiserror::Error;
 use tokio::sync::mpsc::UnboundedReceiver;
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 use tokio::task::spawn_local;
-use tokio::time::{Instant, timeout, timeout_at};
-use tracing::{debug, info, warn};
+use tokio::time::{Instant, sleep_until, timeout, timeout_at};
+use tracing::{info, warn};
 
-/// A connection to discovery that is not up after this long has failed.
-const CONNECT: Duration = Duration::from_secs(1);
-/// A call not answered after this long has failed. Discovery answers one call after another, a crowd of
-/// callers waits, and it sends away after 3 s: to give up sooner, again and again, would keep it busy with what nobody
-/// waits for, and leave unknown whether the call was lost.
-const ANSWER: Duration = Duration::from_millis(3100);
 /// A watch brings at least an empty line every 2 s: one silent for this long is dead, as that of a
 /// machine cut off is, which nothing else would ever tell. News counts as told after 6 s: what is left
 /// of them has to do for two calls, as the first may fail.
 const SILENCE: Duration = Duration::from_secs(3);
-/// A call refused sooner has not waited for its turn at discovery.
-const AT_ONCE: Duration = Duration::from_millis(250);
+/// A list older than one that was heard is an old answer, unless discovery tells nothing newer for so long: then it
+/// has begun to count anew.
+const OLDER_FOR: Duration = Duration::from_secs(6);
 /// News of the list in the module's terms, and where the endpoints are.
 pub struct News {
     /// For the module.
@@ -64,89 +55,10 @@
     Lists,
 }
 
-/// Why a watch is over.
-#[derive(Debug, Error)]
-enum Over {
-    #[error("the watch fell silent")]
-    Silent,
-    #[error("{0}")]
-    Call(#[from] CallError),
-    #[error("{0}")]
-    Broken(String),
-}
-
-impl Over {
-    /// What a watch that lasted so long says of discovery.
-    fn failure(&self, lasted: Duration) -> DiscoveryFailure {
-        match self {
-            Over::Call(_) if lasted < AT_ONCE => DiscoveryFailure::RefusedAtOnce,
-            Over::Call(CallError::Status(StatusCode::SERVICE_UNAVAILABLE)) => DiscoveryFailure::SentAway,
-            _ => DiscoveryFailure::Unanswered,
-        }
-    }
-}
-
-/// Why a call has failed.
-#[derive(Debug, Error)]
-enum CallError {
-    #[error("no connection in time")]
-    ConnectTimedOut,
-    #[error("{0}")]
-    NotConnected(io::Error),
-    #[error("no answer in time")]
-    TimedOut,
-    #[error("answered {0}")]
-    Status(StatusCode),
-    #[error("{0}")]
-    Broken(#[from] hyper::Error),
-    #[error("{0}")]
-    Unsendable(#[from] hyper::http::Error),
-}
-
-impl CallError {
-    fn outcome(&self) -> Outcome {
-        match self {
-            CallError::ConnectTimedOut | CallError::TimedOut => Outcome::TimedOut,
-            CallError::NotConnected(_) => Outcome::NotConnected,
-            CallError::Status(StatusCode::SERVICE_UNAVAILABLE) => Outcome::Unavailable,
-            CallError::Status(_) => Outcome::OtherStatus,
-            CallError::Broken(_) | CallError::Unsendable(_) => Outcome::Broken,
-        }
-    }
-}
-
-/// Why the whole list did not come.
-#[derive(Debug, Error)]
-enum FetchError {
-    #[error("{0}")]
-    Call(#[from] CallError),
-    #[error("the list never came")]
-    TimedOut,
-    #[error("{0}")]
-    Body(Box<dyn std::error::Error + Send + Sync>),
-    #[error("no list: {0}")]
-    Unreadable(#[from] serde_json::Error),
-}
-
-/// A call that has begun. Dropped before it has ended, it says so in the log.
-struct PendingCall {
-    began: Instant,
-    address: SocketAddr,
-    ended: bool,
-}
-
-impl PendingCall {
-    fn ms(&self) -> u64 {
-        self.began.elapsed().as_millis() as u64
-    }
-}
-
-impl Drop for PendingCall {
-    fn drop(&mut self) {
-        if !self.ended {
-            info!(address = %self.address, outcome = "dropped", ms = self.ms(), "call");
-        }
-    }
+/// A call for a watch, which ends with its holder.
+struct Watch {
+    number: u64,
+    _task: Guard,
 }
 
 /// What the node knows of discovery.
@@ -158,9 +70,16 @@
     clock: Clock,
     starts: RefCell<StartTimes>,
     rev: Cell<u64>,
+    /// Since when only older lists have come.
+    older_since: Cell<Option<Instant>>,
     health: Rc<DiscoveryHealth>,
+    /// The calls for a watch that are out, or the one watch that is up.
+    watches: RefCell<Vec<Watch>>,
+    watches_begun: Cell<u64>,
     /// When it is called, where lists are pushed; elsewhere the module says so.
     schedule: RefCell<DiscoverySchedule>,
+    next_call: Cell<Option<Instant>>,
+    replanned: Notify,
     began: Instant,
     /// What has come of it since the start.
     heard: watch::Sender<Heard>,
@@ -195,8 +114,13 @@
             clock,
             starts,
             rev,
+            older_since: Cell::default(),
             health,
+            watches: RefCell::default(),
+            watches_begun: Cell::default(),
             schedule,
+            next_call: Cell::default(),
+            replanned: Notify::new(),
             began,
             heard,
             failing: RefCell::default(),
@@ -224,82 +148,99 @@
         self.ids.borrow_mut().id(uid)
     }
 
-    /// Carries out the driver's calls. Each is answered by exactly one event; a watch then goes on.
+    /// Carries out the driver's calls. Of several calls for a watch the first that brings a list ends the others;
+    /// each of those that fail before is answered by one event, and so is a watch that is over.
     pub async fn run(self: Rc<Self>, mut calls: UnboundedReceiver<Call>) {
-        let mut watch: Option<Guard> = None;
+        let mut keeper: Option<Guard> = None;
         if self.mode == Mode::Push {
-            watch = Some(self.watch());
+            let this = self.clone();
+            keeper = Some(Guard::new(spawn_local(async move { this.keep_watch().await }).abort_handle()));
         }
         while let Some(call) = calls.recv().await {
             let this = self.clone();
             match call {
                 Call::Watch(true) if self.mode == Mode::Push => this.tell(unchanged()), // it is up already
-                Call::Watch(true) => {
-                    drop(watch.take());
-                    watch = Some(this.watch());
-                }
+                Call::Watch(true) => this.begin_watch(),
                 Call::Watch(false) => {
-                    drop(watch.take());
+                    self.watches.take();
                     this.tell(unchanged());
                 }
-                Call::Move(address) => {
-                    if self.address.replace(address) != address {
-                        info!(%address, "discovery: now at {address}");
-                        // The old one says nothing more. What it had left to say counts as known 4 s from now.
-                        drop(watch.take());
-                        this.tell(News { membership: Membership::Moved, addresses: Vec::new() });
-                        if this.mode == Mode::Push {
-                            watch = Some(this.watch());
-                        }
-                    }
-                }
+                Call::Move(address) => this.move_to(address),
                 Call::Fetch => {
-                    spawn_local(async move {
-                        match this.fetch().await {
-                            // It may be older than what the watch has brought since.
-                            Ok(list) if list.rev < this.rev.get() => this.tell(unchanged()),
-                            Ok(list) => this.take(list),
-                            Err(error) => {
-                                this.failed(&error.to_string(), DiscoveryFailure::Unanswered);
-                            }
-                        }
-                    });
+                    spawn_local(async move { this.fetch_whole().await });
                 }
             }
         }
+        drop(keeper);
+    }
+
+    fn move_to(&self, address: SocketAddr) {
+        if self.address.replace(address) == address {
+            return;
+        }
+        info!(%address, "discovery: now at {address}");
+        // The old one says nothing more. What it had left to say counts as known 4 s from now.
+        self.watches.take();
+        self.tell(News { membership: Membership::Moved, addresses: Vec::new() });
+        self.schedule.borrow_mut().moved(self.began.elapsed());
+        self.plan_call(Some(Duration::ZERO));
+    }
+
+    async fn fetch_whole(&self) {
+        match self.fetch().await {
+            // It may be older than what the watch has brought since.
+            Ok(list) if list.rev < self.rev.get() => self.tell(unchanged()),
+            Ok(list) => self.take(list),
+            Err(error) => {
+                self.failed(&error.to_string(), DiscoveryFailure::Unanswered);
+            }
+        }
     }
 
-    /// Starts a watch: where lists are pushed one that is kept up, else one that lasts until it fails.
-    fn watch(self: &Rc<Self>) -> Guard {
+    /// Begins a call for a watch, beside those that are out.
+    fn begin_watch(self: &Rc<Self>) {
+        let number = self.watches_begun.get();
+        self.watches_begun.set(number + 1);
         let this = self.clone();
         let task = spawn_local(async move {
-            if this.mode == Mode::Push {
-                this.keep_watch().await;
-            } else {
-                let began = Instant::now();
-                let over = this.follow().await;
-                this.failed(&over.to_string(), over.failure(began.elapsed()));
-            }
+            let began = Instant::now();
+            let over = this.follow(number).await;
+            this.watches.borrow_mut().retain(|watch| watch.number != number);
+            let failure = over.failure(began.elapsed());
+            let unheard = this.failed(&over.to_string(), failure);
+            let wait = this.schedule.borrow_mut().failed(this.began.elapsed(), unheard, failure);
+            this.plan_call(Some(wait));
         });
-        Guard::new(task.abort_handle())
+        self.watches.borrow_mut().push(Watch { number, _task: Guard::new(task.abort_handle()) });
     }
 
     /// Where lists are pushed, a watch must always be up: the module never asks for one.
-    async fn keep_watch(&self) {
+    async fn keep_watch(self: Rc<Self>) {
+        self.plan_call(Some(Duration::ZERO));
         loop {
-            let began = Instant::now();
-            let over = self.follow().await;
-            let failure = over.failure(began.elapsed());
-            let unheard = self.failed(&over.to_string(), failure);
-            let wait = self.schedule.borrow_mut().failed(self.began.elapsed(), unheard, failure);
-            tokio::time::sleep(wait).await;
+            let due = self.next_call.get();
+            tokio::select! {
+                biased;
+                () = self.replanned.notified() => {}
+                () = async { sleep_until(due.unwrap_or_else(Instant::now)).await }, if due.is_some() => {
+                    self.begin_watch();
+                    let beside = self.schedule.borrow_mut().called(self.began.elapsed());
+                    self.plan_call(beside);
+                }
+            }
         }
     }
 
+    /// Where lists are pushed, the next call is to begin after so long, and no other.
+    fn plan_call(&self, wait: Option<Duration>) {
+        self.next_call.set(wait.map(|wait| Instant::now() + wait));
+        self.replanned.notify_one();
+    }
+
     /// Follows changes until the watch is over.
-    async fn follow(&self) -> Over {
+    async fn follow(&self, number: u64) -> Over {
         let path = format!("/api/targets?watch=1&after={}", self.rev.get());
-        let (response, _connection) = match self.call(&path).await {
+        let (response, _connection) = match call(self.address.get(), &path, &self.health).await {
             Ok(answered) => answered,
             Err(error) => return error.into(),
         };
@@ -316,9 +257,16 @@
             self.health.heard();
             let piece = frame.data_ref().map_or(&[][..], |data| data);
             // To skip a change would leave the list wrong for good: the watch begins again instead.
-            match lists.take(piece) {
-                Ok(whole) => whole.into_iter().for_each(|list| self.take(list)),
+            let whole = match lists.take(piece) {
+                Ok(whole) => whole,
                 Err(fault) => return Over::Broken(fault.to_string()),
+            };
+            for list in whole {
+                if self.is_old_answer(list.rev) {
+                    return Over::Older { told: list.rev, held: self.rev.get() };
+                }
+                self.watches.borrow_mut().retain(|watch| watch.number == number);
+                self.take(list);
             }
             // Empty lines behind half a list keep up a watch that tells nothing any more.
             if !lists.is_amid() || !piece.trim_ascii().is_empty() {
@@ -327,47 +275,25 @@
         }
     }
 
+    /// Whether a list with this version is older than one that was heard, and discovery may yet tell that one's.
+    fn is_old_answer(&self, rev: u64) -> bool {
+        // A list from before the start is a memory, and no answer of this discovery.
+        if rev >= self.rev.get() || *self.heard.borrow() != Heard::Lists {
+            self.older_since.set(None);
+            return false;
+        }
+        let since = self.older_since.get().unwrap_or_else(Instant::now);
+        self.older_since.set(Some(since));
+        since.elapsed() < OLDER_FOR
+    }
+
     async fn fetch(&self) -> Result<List, FetchError> {
-        let (response, _connection) = self.call("/api/targets").await?;
+        let (response, _connection) = call(self.address.get(), "/api/targets", &self.health).await?;
         let body = timeout(ANSWER, Limited::new(response.into_body(), LIST_MOST).collect()).await;
         let body = body.map_err(|_| FetchError::TimedOut)?.map_err(FetchError::Body)?;
         Ok(serde_json::from_slice(&body.to_bytes())?)
     }
 
-    /// Makes a call, and logs what became of it. One that is dropped, as discovery has moved, has no outcome.
-    async fn call(&self, path: &str) -> Result<(Response<Incoming>, Guard), CallError> {
-        let mut pending = PendingCall { began: Instant::now(), address: self.address.get(), ended: false };
-        let answered = self.attempt(path).await;
-        pending.ended = true;
-        let outcome = answered.as_ref().map_or_else(CallError::outcome, |_| Outcome::Answered);
-        self.health.called(outcome);
-        let (address, ms) = (pending.address, pending.ms());
-        match outcome {
-            Outcome::Answered => debug!(%address, path, outcome = outcome.name(), ms, "call"),
-            _ => info!(%address, path, outcome = outcome.name(), ms, "call"),
-        }
-        answered
-    }
-
-    async fn attempt(&self, path: &str) -> Result<(Response<Incoming>, Guard), CallError> {
-        let address = self.address.get();
-        let connect = timeout(CONNECT, TcpConnection::connect(address)).await;
-        let connection =
-            connect.map_err(|_| CallError::ConnectTimedOut)?.map_err(CallError::NotConnected)?;
-        let (mut sender, connection) =
-            hyper::client::conn::http1::handshake(TokioIo::new(connection)).await?;
-        let task = spawn_local(connection);
-        let guard = Guard::new(task.abort_handle());
-        let request =
-            Request::get(path).header(header::HOST, address.to_string()).body(Empty::<Bytes>::new())?;
-        let answer = timeout(ANSWER, sender.send_request(request)).await;
-        let response = answer.map_err(|_| CallError::TimedOut)??;
-        match response.status() {
-            StatusCode::OK => Ok((response, guard)),
-            status => Err(CallError::Status(status)),
-        }
-    }
-
     /// Waits until a list has come.
     pub async fn heard(&self) {
         let _ = self.heard.subscribe().wait_for(|heard| *heard == Heard::Lists).await; // fails only without a sender
@@ -380,7 +306,10 @@
 
     fn take(&self, list: List) {
         self.rev.set(list.rev);
+        self.older_since.set(None);
         self.heard.send_replace(Heard::Lists);
+        self.schedule.borrow_mut().heard();
+        self.plan_call(None);
         self.failing.take();
         if !list.targets.is_empty() {
             let sort = if list.all { "whole list" } else { "changes" };
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,8 +1,9 @@
 //! The sidecar on its sockets. Start-up, signals and the parts' acquaintance are here; the rest, from
 //! plain types up, each knowing only what stands before it:
 //!
-//! `guard`, `clock`, `start_times`, `budget`, `keeping`, `discovery_health`, `peers`, `counters`, `bans`, `overlap`: tasks, time, sockets held,
-//! what is kept, what comes of discovery, the fleet, counts, orders, other processes of this sidecar;
+//! `guard`, `clock`, `start_times`, `budget`, `keeping`, `discovery_health`, `discovery_call`, `peers`, `counters`,
+//! `bans`, `overlap`: tasks, time, sockets held, what is kept, what comes of discovery, calls at it, the fleet, counts,
+//! orders, other processes of this sidecar;
 //! `progress`, `passing`: how far an attempt is, bodies that pass through;
 //! `outbound`, `discovery`: connections to endpoints and to discovery;
 //! `log_text`, `message`, `open`, `driver`: turns what happens there into the policy's events, and carries out its actions;
@@ -15,6 +16,7 @@
 mod control;
 mod counters;
 mod discovery;
+mod discovery_call;
 mod discovery_health;
 mod driver;
 mod guard;
--- a/src/policy/choice.rs
+++ b/src/policy/choice.rs
@@ -42,6 +42,8 @@
     NotRefusing,
     /// Those that took a call of late.
     Accepting,
+    /// None: any of them may count as known to leave.
+    Nothing,
 }
 
 impl Balancer {
@@ -49,6 +51,9 @@
     pub(super) fn pick(&mut self, now: Duration, id: RequestId) -> Option<usize> {
         self.common_heat = self.shared_heat(now);
         self.trust = self.list_trust(now);
+        if self.trust == ListTrust::Nothing {
+            return None;
+        }
         // Of this balancer's part, or of all where too few of it can take the call.
         // With several times the mean it would crowd its part of a zone: beyond C calls each, all of it.
         let crowds =
@@ -73,6 +78,9 @@
     /// Whom to send to: once a change may count as known that was never heard of, those that take calls,
     /// or, where there are none, those that have not refused the last one.
     fn list_trust(&self, now: Duration) -> ListTrust {
+        if self.schedule.is_superseded(now) {
+            return ListTrust::Nothing;
+        }
         if !self.schedule.overdue(now) {
             return ListTrust::Listed;
         }
@@ -94,6 +102,7 @@
                 "list overdue: sending to endpoints that did not refuse their last call"
             }
             ListTrust::Accepting => "list overdue: sending only to endpoints that took a call of late",
+            ListTrust::Nothing => "list superseded: requests are held until discovery tells what it has",
         };
         out.push(Action::Log(text.to_owned()));
     }
@@ -101,7 +110,8 @@
     /// Asks one of those left out whether it takes calls: what refused for another reason has to come back,
     /// however long discovery is away.
     pub(super) fn probe_left_out(&mut self, now: Duration, out: &mut Vec<Action>) {
-        if self.trust == ListTrust::Listed || !self.settings.limits.probes || now < self.probe_at {
+        let by_list = matches!(self.trust, ListTrust::Listed | ListTrust::Nothing);
+        if by_list || !self.settings.limits.probes || now < self.probe_at {
             return;
         }
         self.probe_at = now + PROBE_EVERY;
@@ -192,6 +202,7 @@
             ListTrust::Listed => true,
             ListTrust::NotRefusing => !refuses,
             ListTrust::Accepting => !refuses && self.accepted.is_some_and(|at| now < at + proof),
+            ListTrust::Nothing => false,
         }
     }
 
--- a/src/policy/limits.rs
+++ b/src/policy/limits.rs
@@ -143,7 +143,7 @@
     /// Sends what is held, as far as there is room. Looks at no endpoint where there is none: with
     /// hundreds held that took more time than the answers themselves.
     pub(super) fn release_held(&mut self, now: Duration, out: &mut Vec<Action>) {
-        if self.held.is_empty() || !self.any_room(now) {
+        if self.held.is_empty() || self.schedule.is_superseded(now) || !self.any_room(now) {
             return;
         }
         // The worthiest first, and of equals the one that came last: in a jam the oldest would only
--- a/src/policy/list.rs
+++ b/src/policy/list.rs
@@ -44,6 +44,7 @@
             Membership::Failed { unheard, failure } => {
                 let wait = self.schedule.failed(now, unheard, failure);
                 if self.settings.discovery == Discovery::Ask {
+                    out.push(Action::Log(format!("discovery: {failure:?}, next call in {wait:.2?}")));
                     self.call_discovery_after(wait, out);
                 }
                 return;
@@ -51,8 +52,7 @@
             Membership::Moved => {
                 self.schedule.moved(now);
                 if self.settings.discovery == Discovery::Ask {
-                    self.cancel_discovery_call();
-                    out.push(Action::Watch(true));
+                    self.call_discovery(now, out);
                 }
                 return;
             }
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -150,7 +150,7 @@
                 Some(Timer::Overdue(id, attempt)) => self.on_overdue(now, id, attempt, out),
                 Some(Timer::CallDiscovery) => {
                     self.next_call = None;
-                    out.push(Action::Watch(true));
+                    self.call_discovery(now, out);
                 }
                 Some(Timer::Recheck) => {
                     self.recheck_set = false;
@@ -191,6 +191,15 @@
         }
     }
 
+    /// Calls discovery now, and again beside that call should it stay silent.
+    fn call_discovery(&mut self, now: Duration, out: &mut Vec<Action>) {
+        self.cancel_discovery_call();
+        out.push(Action::Watch(true));
+        if let Some(wait) = self.schedule.called(now) {
+            self.call_discovery_after(wait, out);
+        }
+    }
+
     /// Calls discovery after so long, and not before: an earlier plan is void.
     fn call_discovery_after(&mut self, wait: Duration, out: &mut Vec<Action>) {
         self.cancel_discovery_call();
