Lab: calls that meet trouble, ways to leave, the terms after a move and a silence

Cause: the soak could not see a change that counted as told 4 s after a move or 6 s after a silence, its discovery answered every call or none, and its draining endpoints went on for good. Change: telling.rs holds each copy to its own move and silence; discovery-troubled lets a drawn part of calls go unanswered, lost, broken, refused early or late, half answered, answered from behind or in slow pieces, two in a row for a copy at the most; drawn drains take calls for 0 to 12 s and then refuse, close or hang.

--- a/lab/src/deployment/faults.rs
+++ b/lab/src/deployment/faults.rs
@@ -2,7 +2,7 @@
 
 use super::{Deployment, DeploymentError};
 use crate::copies::Copy;
-use crate::endpoint::{Condition, Endpoint};
+use crate::endpoint::{Condition, Endpoint, Leaving};
 use crate::experiment::{Fault, What};
 use crate::network::Way;
 use nix::sys::signal::Signal;
@@ -65,7 +65,12 @@
             What::Drain => {
                 let struck = self.struck(fault);
                 let rev = self.tell(&struck, "draining", false).await;
-                struck.iter().for_each(|e| e.change(|c| c.draining = rev));
+                let drawn = self.experiment.draw.as_ref().is_some_and(|draw| draw.vary);
+                for endpoint in &struck {
+                    let manner =
+                        if drawn { Leaving::drawn(self.experiment.seed, fault.at) } else { Leaving::STAYS };
+                    endpoint.change(|c| c.draining = rev.map(|rev| manner.since(rev)));
+                }
             }
             _ => {}
         }
@@ -124,7 +129,15 @@
                 self.tellings.turn(on);
             }),
             What::DiscoveryTorn => self.table.send_modify(|table| table.torn = on),
-            What::DiscoverySilent => self.table.send_modify(|table| table.silenced += u64::from(on)),
+            What::DiscoverySilent => {
+                if on {
+                    self.tellings.silenced();
+                }
+                self.table.send_modify(|table| table.silenced += u64::from(on));
+            }
+            What::DiscoveryTroubled => self.table.send_modify(|table| {
+                table.troubled = if on { fault.by } else { 0.0 };
+            }),
             What::DiscoveryStale => self.table.send_modify(|table| {
                 let Some(zone) = self.zone(&fault.of) else { return };
                 let now = (table.rev, table.entries.clone());
@@ -193,7 +206,9 @@
 
     fn reload(&self, fault: &Fault) -> Result<(), DeploymentError> {
         let Some(copy) = self.copy(&fault.of) else { return Ok(()) };
-        copy.reload().map_err(|e| DeploymentError::Io(copy.name.clone(), e))
+        copy.reload().map_err(|e| DeploymentError::Io(copy.name.clone(), e))?;
+        self.tellings.moved(copy.number);
+        Ok(())
     }
 
     async fn end(&self, copies: impl IntoIterator<Item = Arc<Copy>>, how: Signal) {
--- a/lab/src/deployment/mod.rs
+++ b/lab/src/deployment/mod.rs
@@ -5,7 +5,7 @@
 mod faults;
 
 use crate::copies::{Copy, CopyError, Handling, INJECTED, Keeper, Places, STATE, front};
-use crate::discovery::{self, Behind, Caller, Desk, Entry, Table};
+use crate::discovery::{self, Behind, Caller, Desk, Entry, Table, Troubles};
 use crate::endpoint::{Endpoint, World, mean_work};
 use crate::experiment::{DescribedCopy, Experiment};
 use crate::ledger::Ledger;
@@ -154,12 +154,14 @@
         }
         let table = Arc::new(watch::Sender::new(Table { rev: 1, entries, ..Table::default() }));
         let desk = Arc::new(Desk::new(&experiment.discovery, table.subscribe()));
+        let troubles = Arc::new(Troubles::new(experiment.seed));
         for copy in &copies {
             for address in copy.discovery {
                 let listener = bind("discovery", address).await?;
                 let caller = Caller { copy: copy.number, zone: copy.zone, tier: copy.tier };
                 let (table, desk, tellings) = (table.subscribe(), desk.clone(), tellings.clone());
-                tasks.spawn(discovery::serve(listener, caller, Behind { table, desk, tellings }));
+                let behind = Behind { table, desk, troubles: troubles.clone(), tellings };
+                tasks.spawn(discovery::serve(listener, caller, behind));
             }
         }
         let measured = relay::overhead(addresses.at(ECHO, 0), addresses.at(ECHO, 1), TRIPS).await;
--- a/lab/src/discovery.rs
+++ b/lab/src/discovery.rs
@@ -2,8 +2,10 @@
 //! endpoints of its tier at the addresses of its zone's relays; behind them one [`Desk`] that takes callers in turn.
 
 mod desk;
+mod trouble;
 
 pub use desk::Desk;
+pub use trouble::{Trouble, Troubles};
 
 use crate::telling::Tellings;
 use http_body_util::channel::Channel;
@@ -16,6 +18,7 @@
 use hyper_util::rt::TokioIo;
 use serde_json::{Value, json};
 use std::collections::BTreeMap;
+use std::future::pending;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -23,10 +26,15 @@
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::task::yield_now;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 /// A watch on which nothing changes brings an empty line this often.
 const EMPTY_LINE: Duration = Duration::from_secs(2);
+/// An answer that falls silent stays up for so long.
+const STAYS_SILENT: Duration = Duration::from_secs(60);
+/// Slow pieces: so many, and so far apart.
+const SLOW_PIECES: usize = 8;
+const PIECES_APART: Duration = Duration::from_millis(150);
 
 /// An endpoint as the list has it.
 #[derive(Clone, Debug)]
@@ -64,6 +72,8 @@
     pub torn: bool,
     /// How often all watches that were open then have fallen silent, for good.
     pub silenced: u64,
+    /// This part of the calls meets trouble of its own; 0 for none.
+    pub troubled: f64,
     /// Zones, by their numbers, that are told the list as it stood once, and its version then.
     pub stale: BTreeMap<usize, (u64, Vec<Entry>)>,
 }
@@ -86,6 +96,8 @@
     pub table: watch::Receiver<Table>,
     /// Where callers wait for their turn.
     pub desk: Arc<Desk>,
+    /// What becomes of single calls.
+    pub troubles: Arc<Troubles>,
     /// Who was told what.
     pub tellings: Arc<Tellings>,
 }
@@ -96,6 +108,20 @@
         self.stale.get(&zone).map_or((self.rev, &self.entries), |(rev, entries)| (*rev, entries))
     }
 
+    /// The whole list as it was before its last change, but for what that change left out for good.
+    fn before(&self, caller: Caller) -> Value {
+        let (mut list, _) = self.after(0, caller);
+        let last = self.rev;
+        list["rev"] = json!(last.saturating_sub(1));
+        let changed = |uid: &Value| self.entries.iter().any(|e| e.rev == last && *uid == e.uid.as_str());
+        for target in list["targets"].as_array_mut().into_iter().flatten() {
+            if changed(&target["uid"]) {
+                target["state"] = json!("up");
+            }
+        }
+        list
+    }
+
     /// The entries that changed after a version, as discovery words them to a caller, and how many they are.
     fn after(&self, rev: u64, Caller { zone, tier, .. }: Caller) -> (Value, usize) {
         let (all, (now, entries)) = (rev == 0, self.seen(zone));
@@ -123,7 +149,7 @@
         tokio::spawn(async move {
             let service = service_fn(|request| {
                 let behind = behind.clone();
-                async move { Ok::<_, io::Error>(answer(&request, caller, behind).await) }
+                async move { answer(&request, caller, behind).await }
             });
             // An error here is a caller's leaving, or an answer that breaks off.
             let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
@@ -131,47 +157,111 @@
     }
 }
 
-async fn answer(request: &Request<Incoming>, caller: Caller, behind: Behind) -> Response<Body> {
+fn refusal() -> Response<Body> {
+    let mut reply = Response::new(Full::default().map_err(io::Error::other).boxed());
+    *reply.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    reply
+}
+
+/// An answer that begins with this text and then says nothing more for as long as its caller stays.
+async fn silent_after(text: String) -> Response<Body> {
+    let (mut lines, body) = Channel::<Bytes, io::Error>::new(16);
+    if !text.is_empty() {
+        let _ = lines.send_data(Bytes::from(text)).await; // fails only where nobody listens
+    }
+    tokio::spawn(async move {
+        sleep(STAYS_SILENT).await;
+        drop(lines);
+    });
+    Response::new(body.boxed())
+}
+
+/// An answer, or a connection that is closed without one. A list that is not told whole is not counted as written.
+async fn answer(
+    request: &Request<Incoming>,
+    caller: Caller,
+    behind: Behind,
+) -> Result<Response<Body>, io::Error> {
     let query = request.uri().query().unwrap_or_default();
     let value = |name: &str| query.split('&').find_map(|pair| pair.strip_prefix(name)?.strip_prefix('='));
     let watch = value("watch") == Some("1");
     let after = value("after").and_then(|rev| rev.parse().ok()).filter(|_| watch).unwrap_or(0);
-    let count = behind.table.borrow().after(after, caller).1;
+    let (count, part) = {
+        let now = behind.table.borrow();
+        (now.after(after, caller).1, if now.down { 0.0 } else { now.troubled })
+    };
+    let trouble = if part > 0.0 { behind.troubles.next(caller.copy, part) } else { None };
+    match trouble {
+        Some(Trouble::NeverAnswered) => pending::<()>().await,
+        Some(Trouble::Broken) => return Err(io::ErrorKind::ConnectionReset.into()),
+        Some(Trouble::Refused) => return Ok(refusal()),
+        Some(Trouble::RefusedLate(after)) => {
+            sleep(after).await;
+            return Ok(refusal());
+        }
+        _ => {}
+    }
     if !behind.desk.call(count).await {
-        let mut reply = Response::new(Full::default().map_err(io::Error::other).boxed());
-        *reply.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
-        return reply;
+        return Ok(refusal());
+    }
+    match trouble {
+        Some(Trouble::AnswerLost) => pending::<()>().await,
+        Some(Trouble::HeadersOnly) => return Ok(silent_after(String::new()).await),
+        Some(Trouble::HalfList) => {
+            let mut text = behind.desk.lay_out(&behind.table.borrow().after(after, caller).0);
+            text.truncate(text.len() / 2);
+            return Ok(silent_after(text).await);
+        }
+        Some(Trouble::OlderList) => {
+            let text = behind.desk.lay_out(&behind.table.borrow().before(caller)) + "\n";
+            return Ok(silent_after(text).await);
+        }
+        _ => {}
     }
+    let pause = if trouble == Some(Trouble::SlowPieces) { PIECES_APART } else { Duration::ZERO };
     let (lines, body) = Channel::<Bytes, io::Error>::new(16);
     if watch {
-        tokio::spawn(follow(lines, after, caller, behind));
+        tokio::spawn(follow(lines, after, caller, behind, pause));
     } else {
         let (list, rev, torn) = {
             let now = behind.table.borrow();
             (behind.desk.lay_out(&now.after(0, caller).0), now.seen(caller.zone).0, now.torn)
         };
         tokio::spawn(async move {
-            if say(lines, list, behind.desk.pieces, torn).await.is_some() {
+            let how = Pace { pieces: behind.desk.pieces, pause };
+            if say(lines, list, how, torn).await.is_some() {
                 behind.tellings.written(caller.copy, rev);
             }
         });
     }
-    Response::new(body.boxed())
+    Ok(Response::new(body.boxed()))
+}
+
+/// How a text is told: in pieces of so many bytes (0 for whole), with a pause after each.
+#[derive(Clone, Copy)]
+struct Pace {
+    pieces: usize,
+    pause: Duration,
 }
 
 type Lines = http_body_util::channel::Sender<Bytes, io::Error>;
 
-/// Says a text in pieces of so many bytes (0 for whole), or half of it before it breaks off; gives back where more can
-/// be said.
-async fn say(mut lines: Lines, text: String, pieces: usize, torn: bool) -> Option<Lines> {
+/// Says a text, or half of it before it breaks off; gives back where more can be said.
+async fn say(mut lines: Lines, text: String, pace: Pace, torn: bool) -> Option<Lines> {
     let mut text = Bytes::from(text);
     if torn {
         text.truncate(text.len() / 2);
     }
+    let mut pieces = pace.pieces;
+    if !pace.pause.is_zero() {
+        pieces = text.len().div_ceil(SLOW_PIECES);
+    }
     while !text.is_empty() {
         let piece = if pieces == 0 { text.len() } else { pieces.min(text.len()) };
         lines.send_data(text.split_to(piece)).await.ok()?;
-        if pieces > 0 {
+        if !pace.pause.is_zero() {
+            sleep(pace.pause).await;
+        } else if pieces > 0 {
             yield_now().await; // else they would be written as one
         }
     }
@@ -182,8 +272,8 @@
     Some(lines)
 }
 
-async fn follow(mut lines: Lines, mut told: u64, caller: Caller, behind: Behind) {
-    let Behind { mut table, desk, tellings } = behind;
+async fn follow(mut lines: Lines, mut told: u64, caller: Caller, behind: Behind, pause: Duration) {
+    let Behind { mut table, desk, tellings, .. } = behind;
     let mut first = true;
     let silenced = table.borrow().silenced;
     loop {
@@ -218,10 +308,14 @@
                 Err(_) => ("\n".to_owned(), false),
             },
         };
-        lines = match say(lines, text, desk.pieces, torn).await {
+        let how = Pace { pieces: desk.pieces, pause: if first { pause } else { Duration::ZERO } };
+        lines = match say(lines, text, how, torn).await {
             Some(lines) => lines,
             None => return, // the caller has left, or heard half
         };
+        if first {
+            tellings.opened(caller.copy);
+        }
         tellings.written(caller.copy, told);
     }
 }
--- a/lab/src/endpoint.rs
+++ b/lab/src/endpoint.rs
@@ -2,6 +2,10 @@
 //! Work is waited for and not computed, so that thousands fit into one process; the system's timer makes each
 //! wait up to a millisecond longer.
 
+mod leaving;
+
+pub use leaving::{Draining, Leaving, Turns};
+
 use crate::copies::Copy;
 use crate::experiment::{Class, Described, Group, Kind, Repeats, Spread, Tier};
 use crate::http::{COPY, NoAnswer, UNTIL, left_until, until_text};
@@ -18,7 +22,8 @@
 use rand::Rng;
 use rand_distr::{Distribution, Exp1, LogNormal};
 use std::collections::{HashMap, VecDeque};
-use std::convert::Infallible;
+use std::future::pending;
+use std::io;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -64,8 +69,8 @@
     pub failing: f64,
     /// It never answers.
     pub silent: bool,
-    /// Listed as draining, since this version of the list.
-    pub draining: Option<u64>,
+    /// Listed as draining.
+    pub draining: Option<Draining>,
     /// When its process started; none for one that was there before the run.
     pub started: Option<Instant>,
 }
@@ -231,7 +236,7 @@
     async fn answer(
         self: &Arc<Self>,
         request: Request<Incoming>,
-    ) -> Result<Response<Full<Bytes>>, Infallible> {
+    ) -> Result<Response<Full<Bytes>>, io::Error> {
         let (head, body) = request.into_parts();
         if body.collect().await.is_err() {
             return Ok(reply(StatusCode::BAD_REQUEST, ""));
@@ -249,19 +254,23 @@
         self.world.check_clients_time(id, left, header(UNTIL));
         let condition = self.condition();
         let copy = header(COPY).parse().ok();
-        let told = condition.draining.and_then(|rev| self.world.tellings.counts(rev, copy));
+        let told = condition.draining.and_then(|draining| self.world.tellings.counts(draining.rev, copy));
         if told.is_some_and(|told| told + self.world.drain_grace < Instant::now()) {
             self.world.ledger.breach(Breach::Draining { endpoint: self.name.clone(), copy });
         }
+        match condition.draining.and_then(|draining| draining.turns()) {
+            Some(Turns::Away) => return Ok(turned_away()),
+            Some(Turns::Off) => return Err(io::ErrorKind::ConnectionReset.into()),
+            Some(Turns::Silent) => pending::<()>().await,
+            None => {}
+        }
         let warmth = self.warmth(&condition);
         if self.falls(warmth) {
             self.world.ledger.breach(Breach::PushedOver { endpoint: self.name.clone() });
             self.stop();
         }
         let Some(_place) = Place::take(self) else {
-            let mut full = reply(StatusCode::SERVICE_UNAVAILABLE, "");
-            full.headers_mut().insert("x-not-processed", hyper::header::HeaderValue::from_static("1"));
-            return Ok(full);
+            return Ok(turned_away());
         };
         let group = match class.group {
             Group::All => Sharing::All,
@@ -273,7 +282,7 @@
             self.world.ledger.effect(id, class.repeats != Repeats::Safe);
         }
         if condition.silent {
-            std::future::pending::<()>().await;
+            pending::<()>().await;
         }
         if draws(self.world.seed, Part::Failing, number).random::<f64>() < condition.failing {
             return Ok(reply(StatusCode::INTERNAL_SERVER_ERROR, ""));
@@ -458,6 +467,12 @@
     Duration::from_secs_f64((whole / shares.max(1e-9)).max(1e-6))
 }
 
+fn turned_away() -> Response<Full<Bytes>> {
+    let mut reply = reply(StatusCode::SERVICE_UNAVAILABLE, "");
+    reply.headers_mut().insert("x-not-processed", hyper::header::HeaderValue::from_static("1"));
+    reply
+}
+
 fn reply(status: StatusCode, text: &str) -> Response<Full<Bytes>> {
     let mut reply = Response::new(Full::new(Bytes::copy_from_slice(text.as_bytes())));
     *reply.status_mut() = status;
--- a/lab/src/experiment/draw.rs
+++ b/lab/src/experiment/draw.rs
@@ -71,6 +71,7 @@
         fault.by = match what {
             What::Slow => draws.random_range(2.0..8.0),
             What::Delay | What::DiskSlow => draws.random_range(5.0..300.0),
+            What::DiscoveryTroubled => draws.random_range(0.3..1.0),
             _ if fault.by_part() => draws.random_range(0.05..0.3),
             _ => 0.0,
         };
--- a/lab/src/experiment/faults.rs
+++ b/lab/src/experiment/faults.rs
@@ -100,6 +100,9 @@
     DiscoveryStale,
     /// Discovery's answers and lines break off in the middle.
     DiscoveryTorn,
+    /// So large a part of the calls at discovery meets trouble: never answered, lost, reset, refused early or late,
+    /// half answered, told an older list, or told slowly. Discovery counts as reachable all the time.
+    DiscoveryTroubled,
     /// Discovery tells that an endpoint, or all of a zone, is removed, though it lives.
     DiscoveryMissing,
 }
@@ -136,7 +139,14 @@
 
     /// Whether `by` is a part of all.
     pub fn by_part(&self) -> bool {
-        let parts = [What::Loss, What::Duplicate, What::Reorder, What::Resets, What::Failing];
+        let parts = [
+            What::Loss,
+            What::Duplicate,
+            What::Reorder,
+            What::Resets,
+            What::Failing,
+            What::DiscoveryTroubled,
+        ];
         parts.contains(&self.what)
     }
 }
--- a/lab/src/experiment/fits.rs
+++ b/lab/src/experiment/fits.rs
@@ -164,7 +164,9 @@
                 let known_so = zones.contains(&fault.of) || known.contains(&fault.of);
                 if known_so { Ok(()) } else { missing("endpoint", known) }
             }
-            What::DiscoveryDown | What::DiscoveryTorn | What::DiscoverySilent => Ok(()),
+            What::DiscoveryDown | What::DiscoveryTorn | What::DiscoverySilent | What::DiscoveryTroubled => {
+                Ok(())
+            }
         }
     }
 
--- a/lab/src/seeds.rs
+++ b/lab/src/seeds.rs
@@ -28,6 +28,10 @@
     Injected,
     /// The deployment, where that is drawn.
     Deployment,
+    /// What becomes of a call at discovery, by copy and call.
+    Trouble,
+    /// How an endpoint leaves, by its number.
+    Leave,
 }
 
 /// The draws of one part, for one thing among many.
--- a/lab/src/telling.rs
+++ b/lab/src/telling.rs
@@ -28,8 +28,15 @@
     /// The tier that each copy sends to.
     tiers: Vec<usize>,
     changes: Mutex<Vec<Change>>,
+    /// For each copy since when its watch is silent; none while it hears.
+    silent: Mutex<Vec<Option<Instant>>>,
 }
 
+/// What discovery has to tell counts as told to a copy so long after its new configuration (terms).
+const KNOWN_AFTER_MOVE: Duration = Duration::from_secs(4);
+/// What a silent watch misses counts as told so long after it fell silent (standing page).
+const KNOWN_AFTER_SILENCE: Duration = Duration::from_secs(6);
+
 struct Change {
     rev: u64,
     what: String,
@@ -40,6 +47,8 @@
     reachable: Option<Instant>,
     /// From when on it counts as told to all; none while it is down and that was not yet so.
     counts: Option<Instant>,
+    /// For each copy from when on it counts as told to it, where its own move or silence says so.
+    due: Vec<Option<Instant>>,
     /// For each copy when it was written to it, and how long that took.
     written: Vec<Option<(Instant, Duration)>>,
 }
@@ -47,20 +56,53 @@
 impl Tellings {
     /// No change yet; `tiers` are those that the copies send to, by the copies' numbers.
     pub fn new(counts_after: Duration, tiers: Vec<usize>) -> Self {
-        Tellings { counts_after, tiers, changes: Mutex::default() }
+        let silent = Mutex::new(vec![None; tiers.len()]);
+        Tellings { counts_after, tiers, changes: Mutex::default(), silent }
     }
 
     fn changes(&self) -> MutexGuard<'_, Vec<Change>> {
         self.changes.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn silent(&self) -> MutexGuard<'_, Vec<Option<Instant>>> {
+        self.silent.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// A copy has a new configuration: all that discovery has by then, and was not told before, counts as told 4 s later.
+    pub fn moved(&self, copy: usize) {
+        let now = Instant::now();
+        let counts = now + KNOWN_AFTER_MOVE;
+        self.silent()[copy] = None;
+        for change in self.changes().iter_mut().filter(|change| change.reachable.is_some()) {
+            let told = change.due[copy].filter(|due| *due <= now);
+            change.due[copy] = told.or(Some(counts));
+        }
+    }
+
+    /// All watches that are open have fallen silent.
+    pub fn silenced(&self) {
+        let now = Instant::now();
+        for silent in self.silent().iter_mut() {
+            silent.get_or_insert(now);
+        }
+    }
+
+    /// A watch of a copy has brought something.
+    pub fn opened(&self, copy: usize) {
+        self.silent()[copy] = None;
+    }
+
     /// Discovery has a change of endpoints of these tiers, with this version of the list.
     pub fn had(&self, rev: u64, what: String, tiers: Vec<usize>, down: bool) {
         let had = Instant::now();
         let reachable = (!down).then_some(had);
         let counts = reachable.map(|at| at + self.counts_after);
         let written = vec![None; self.tiers.len()];
-        self.changes().push(Change { rev, what, tiers, had, reachable, counts, written });
+        let after_silence = |since: &Option<Instant>| {
+            since.filter(|_| reachable.is_some()).map(|since| had.max(since + KNOWN_AFTER_SILENCE))
+        };
+        let due = self.silent().iter().map(after_silence).collect();
+        self.changes().push(Change { rev, what, tiers, had, reachable, counts, due, written });
     }
 
     /// Discovery went down, or can be reached again.
@@ -94,7 +136,8 @@
         let changes = self.changes();
         let change = changes.iter().find(|change| change.rev == rev)?;
         let written = copy.and_then(|copy| *change.written.get(copy)?).map(|(at, _)| at);
-        written.into_iter().chain(change.counts).min()
+        let due = copy.and_then(|copy| *change.due.get(copy)?).filter(|_| change.counts.is_some());
+        written.into_iter().chain(change.counts).chain(due).min()
     }
 
     /// All of them, for copies that `lived` ever since discovery had a change; left out are those that can't be told.
@@ -129,3 +172,6 @@
     let last = took.len().checked_sub(1)?;
     took.get((took.len() as f64 * part) as usize).or(took.get(last)).copied()
 }
+
+#[cfg(test)]
+mod tests;
