Take what the address before still tells after a move, not close its watch unread

Cause: at a move the watch was closed at once, also over a line that discovery had just written, which counts as told when written; the next address answered 1.2 s later. Change: watches at addresses that were moved from are read until they end, or the new address tells a list; what they tell changes entries (Membership::Late) and says nothing of a watch being up.

--- a/src/api/endpoints.rs
+++ b/src/api/endpoints.rs
@@ -42,6 +42,8 @@
     Cached(Vec<EndpointInfo>),
     /// Changed entries only.
     Delta(Vec<EndpointInfo>),
+    /// Changed entries that the discovery which was moved from had still to tell; no watch is up by them.
+    Late(Vec<EndpointInfo>),
     /// A call to discovery failed or the subscription broke; the list stays.
     Failed {
         /// How long the watch that broke had brought nothing; zero where that is not known.
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -75,6 +75,8 @@
     health: Rc<DiscoveryHealth>,
     /// The calls for a watch that are out, or the one watch that is up.
     watches: RefCell<Vec<Watch>>,
+    /// Those at addresses that were moved from: what was written on them before the move counts as told.
+    left_behind: RefCell<Vec<Watch>>,
     watches_begun: Cell<u64>,
     /// When it is called, where lists are pushed; elsewhere the module says so.
     schedule: RefCell<DiscoverySchedule>,
@@ -117,6 +119,7 @@
             older_since: Cell::default(),
             health,
             watches: RefCell::default(),
+            left_behind: RefCell::default(),
             watches_begun: Cell::default(),
             schedule,
             next_call: Cell::default(),
@@ -179,8 +182,8 @@
             return;
         }
         info!(%address, "discovery: now at {address}");
-        // The old one says nothing more. What it had left to say counts as known 4 s from now.
-        self.watches.take();
+        // The old one closes soon. What it had left to say counts as known 4 s from now, and what it wrote at once.
+        self.left_behind.borrow_mut().append(&mut self.watches.borrow_mut());
         self.tell(News { membership: Membership::Moved, addresses: Vec::new() });
         self.schedule.borrow_mut().moved(self.began.elapsed());
         self.plan_call(Some(Duration::ZERO));
@@ -205,6 +208,9 @@
         let task = spawn_local(async move {
             let began = Instant::now();
             let over = this.follow(number).await;
+            if this.is_left_behind(number) {
+                return this.left_behind.borrow_mut().retain(|watch| watch.number != number);
+            }
             this.watches.borrow_mut().retain(|watch| watch.number != number);
             let failure = over.failure(began.elapsed());
             let unheard = this.failed(&over.to_string(), failure);
@@ -262,9 +268,14 @@
                 Err(fault) => return Over::Broken(fault.to_string()),
             };
             for list in whole {
+                if self.is_left_behind(number) {
+                    self.take_late(list);
+                    continue;
+                }
                 if self.is_old_answer(list.rev) {
                     return Over::Older { told: list.rev, held: self.rev.get() };
                 }
+                self.left_behind.take();
                 self.watches.borrow_mut().retain(|watch| watch.number == number);
                 self.take(list);
             }
@@ -275,6 +286,24 @@
         }
     }
 
+    fn is_left_behind(&self, number: u64) -> bool {
+        self.left_behind.borrow().iter().any(|watch| watch.number == number)
+    }
+
+    /// Takes what an address that was moved from had still to tell.
+    fn take_late(&self, list: List) {
+        if list.rev < self.rev.get() {
+            return;
+        }
+        self.rev.set(list.rev);
+        info!(rev = list.rev, entries = list.targets.len(), "list: told by the address before");
+        let mut news = self.news(List { all: false, ..list });
+        if let Membership::Delta(entries) = news.membership {
+            news.membership = Membership::Late(entries);
+        }
+        self.tell(news);
+    }
+
     /// Whether a list with this version is older than one that was heard, and discovery may yet tell that one's.
     fn is_old_answer(&self, rev: u64) -> bool {
         // A list from before the start is a memory, and no answer of this discovery.
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -291,7 +291,7 @@
         }
         let (whole, entries) = match &news.membership {
             Membership::Full(entries) | Membership::Cached(entries) => (true, entries),
-            Membership::Delta(entries) => (false, entries),
+            Membership::Delta(entries) | Membership::Late(entries) => (false, entries),
             Membership::Failed { .. } => {
                 self.count("discovery failed");
                 return self.handle(Event::Membership(news.membership));
--- a/src/policy/list.rs
+++ b/src/policy/list.rs
@@ -56,6 +56,7 @@
                 }
                 return;
             }
+            Membership::Late(entries) => return self.update_endpoints(now, entries),
             Membership::Delta(entries) => self.update_endpoints(now, entries),
             Membership::Full(entries) | Membership::Cached(entries) => {
                 for endpoint in &mut self.endpoints {
--- a/tests/discovery_moved.rs
+++ b/tests/discovery_moved.rs
@@ -214,3 +214,31 @@
         failed.join("\n")
     );
 }
+
+/// A change was written to a sidecar in the very moment in which a new configuration moved its discovery. It closed the
+/// watch over the unread line, and sent to the endpoint until the next address answered 1.2 s later.
+#[test]
+fn what_the_address_before_still_tells_is_taken() {
+    for mode in ["subscribe", "automatic"] {
+        let (leaving, staying) = (Peer::serving("leaving"), Peer::serving("staying"));
+        let up = [target("s-0", leaving.address, "up"), target("s-1", staying.address, "up")];
+        let before = Discovery::new(list(8, true, &up));
+        let silent = Peer::new(|_| Do::Silence);
+        let mut config = config(&[&leaving, &staying]);
+        config["discovery"] = json!(before.address.to_string());
+        config["settings"]["discovery"] = json!(mode);
+        let sidecar = Sidecar::start(&config);
+        sidecar.says("list: whole list");
+        config["discovery"] = json!(silent.address.to_string());
+        sidecar.reconfigure(&config.to_string());
+        sidecar.signal("-HUP");
+        wait_for("a call at the next address", || silent.count() > 0);
+        before.say(&list(9, false, &[target("s-0", leaving.address, "draining")]).to_string());
+        sidecar.says("told by the address before");
+        let seen = leaving.count();
+        for n in 0..20 {
+            assert_eq!(sidecar.ask("quote", &format!("{mode}{n}")).status(), 200);
+        }
+        assert_eq!(leaving.count(), seen, "{mode}: it was told that the endpoint drains");
+    }
+}
