--- a/lab/src/experiment/draw.rs
+++ b/lab/src/experiment/draw.rs
@@ -14,6 +14,9 @@
 /// The shortest fault is this part of the longest.
 const SHORTEST: f64 = 0.125;
 
+/// In a drawn deployment a drain lasts longer than any term after which it counts as told, or no send could be late.
+const DRAINS_LEAST: Duration = Duration::from_secs(9);
+
 /// What schedules are drawn from.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
@@ -64,7 +67,10 @@
 
     fn one(&self, draw: &Draw, draws: &mut impl Rng) -> Option<Fault> {
         let what = *draw.what.choose(draws)?;
-        let lasts = draw.longest.mul_f64(draws.random_range(SHORTEST..=1.0));
+        let mut lasts = draw.longest.mul_f64(draws.random_range(SHORTEST..=1.0));
+        if draw.vary && what == What::Drain {
+            lasts = DRAINS_LEAST + draw.longest.mul_f64(draws.random());
+        }
         let room = draw.until.checked_sub(draw.from + lasts)?;
         let at = draw.from + room.mul_f64(draws.random());
         let mut fault = Fault { at, lasts: Some(lasts), what, of: String::new(), to: None, by: 0.0 };
