--- a/src/adapter/main.rs
+++ b/src/adapter/main.rs
@@ -11,6 +11,9 @@
 use std::process::ExitCode;
 use std::time::Duration;
 
+/// A list stands for so many times the settings' time for asking after a call that failed (the wire's page).
+const CALL_FAILED_TIMES: u32 = 4;
+
 fn main() -> ExitCode {
     // A panic of the module is reported on the wire; the default hook's trace would only add noise.
     std::panic::set_hook(Box::new(|_| {}));
@@ -107,7 +110,9 @@
                     self.filling = (missing > 1).then_some((bank, missing - 1));
                 }
             }
-            Line::Spawn { instance, seed, settings } => {
+            Line::Spawn { instance, seed, mut settings } => {
+                // Its page knows no other term, and this one after a failed call.
+                settings.rules.known_within = settings.rules.ask_within * CALL_FAILED_TIMES;
                 // Where there are no tenants, requests come with tenant 0 all the same.
                 let (classes, tenants) = (settings.classes.len(), settings.tenants.len().max(1));
                 let balancer =
--- a/src/api/actions.rs
+++ b/src/api/actions.rs
@@ -15,7 +15,7 @@
         /// Give up on it after this long.
         timeout: Duration,
         /// Not to be written to the endpoint later than this from now, however long connecting takes: a
-        /// repeat's window is over by then. The attempt ends as moot.
+        /// repeat's window is over by then, or the lease on the endpoint list has run out. The attempt ends as moot.
         write_within: Option<Duration>,
     },
     /// Final answer: refused; trying again is harmless.
@@ -71,6 +71,10 @@
     pub unavailable: usize,
     /// Requests held until there is room.
     pub held: usize,
+    /// Requests held since the start as the lease on the endpoint list had run out.
+    pub held_without_lease: u64,
+    /// For how long that lease has been out of force since the start.
+    pub lease_lapsed: Duration,
     /// Of the own zone, and of all others together.
     pub windows: [WindowCensus; 2],
 }
--- a/src/api/endpoints.rs
+++ b/src/api/endpoints.rs
@@ -44,6 +44,14 @@
     Delta(Vec<EndpointInfo>),
     /// Changed entries that the discovery which was moved from had still to tell; no watch is up by them.
     Late(Vec<EndpointInfo>),
+    /// The list as a watch at an address that discovery has moved to first tells it, with no newer version: it may be
+    /// behind, as one that has just taken over is. The watch is up; whether the list is current is not known yet.
+    Unconfirmed {
+        /// The complete list: what is missing from it is gone.
+        whole: bool,
+        /// Its entries.
+        entries: Vec<EndpointInfo>,
+    },
     /// A call to discovery failed or the subscription broke; the list stays.
     Failed {
         /// How long the watch that broke had brought nothing; zero where that is not known.
@@ -58,6 +66,8 @@
 /// What failed at discovery.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum DiscoveryFailure {
+    /// A call found that nothing listens there.
+    NotListening,
     /// A call was refused at once: it has taken nothing of discovery's time.
     RefusedAtOnce,
     /// A call was sent away after it had waited: others are served, in their turn.
@@ -70,6 +80,31 @@
     WatchSilent,
 }
 
+/// What a failure proves of discovery.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DiscoveryEvidence {
+    /// It was down at that time: it can tell nobody anything.
+    Down,
+    /// Nothing: it may be up behind a full queue of connections, or a link that is cut.
+    Unknown,
+    /// It, or what stands before it, answered or took a connection: it may be up.
+    Up,
+}
+
+impl DiscoveryFailure {
+    /// What this failure proves.
+    pub fn evidence(self) -> DiscoveryEvidence {
+        match self {
+            DiscoveryFailure::NotListening => DiscoveryEvidence::Down,
+            DiscoveryFailure::NotConnected => DiscoveryEvidence::Unknown,
+            DiscoveryFailure::RefusedAtOnce
+            | DiscoveryFailure::SentAway
+            | DiscoveryFailure::Unanswered
+            | DiscoveryFailure::WatchSilent => DiscoveryEvidence::Up,
+        }
+    }
+}
+
 impl EndpointInfo {
     /// A warm, ready endpoint of zone 0, for tests and first steps.
     pub fn ready(id: u64) -> Self {
--- a/src/api/settings.rs
+++ b/src/api/settings.rs
@@ -149,6 +149,9 @@
 pub struct Rules {
     /// With [`Discovery::Ask`]: ask again within this.
     pub ask_within: Duration,
+    /// A change of the list counts as known to a balancer so long after discovery had it and could be reached,
+    /// whatever became of its calls. No configuration has it: it is a term of service, and the simulator's is longer.
+    pub known_within: Duration,
     /// A cold endpoint starts at this fraction of its capacity or more.
     pub cold_share: f64,
     /// And is warm within this.
@@ -330,6 +333,7 @@
     fn default() -> Self {
         Rules {
             ask_within: Duration::from_secs(10),
+            known_within: Duration::from_secs(6),
             cold_share: 0.25,
             warm_within: Duration::from_secs(10),
             drain_grace: Duration::from_millis(250),
--- a/src/config/operator.rs
+++ b/src/config/operator.rs
@@ -448,6 +448,7 @@
             fall_multiple: once.number("rules.fall_multiple"),
             fall_after: once.time("rules.fall_after"),
             answer_grace: once.time("rules.answer_grace"),
+            ..Rules::default()
         },
         ..Settings::default()
     };
--- a/src/config/platform.rs
+++ b/src/config/platform.rs
@@ -330,6 +330,7 @@
             fall_multiple: conf.rules.fall_multiple,
             fall_after: time("rules.fallMs", conf.rules.fall_ms)?,
             answer_grace: time("rules.graceToAnswerMs", conf.rules.grace_to_answer_ms)?,
+            ..Rules::default()
         },
         goal: Goal {
             whole: conf.blend.whole,
--- a/src/net/counters.rs
+++ b/src/net/counters.rs
@@ -173,6 +173,15 @@
         ] {
             registry.register(name, help, ConstGauge::new(value as i64));
         }
+        let held = ConstCounter::new(census.held_without_lease);
+        registry.register(
+            "requests_held_without_lease",
+            "Requests held as the endpoint list's lease had run out",
+            held,
+        );
+        let lapsed = ConstCounter::new(census.lease_lapsed.as_secs_f64());
+        let help = "For how long the lease on the endpoint list has been out of force";
+        registry.register_with_unit("list_lease_lapsed", help, Unit::Seconds, lapsed);
         let (size, out) =
             (Family::<Labels, Gauge<f64, AtomicU64>>::default(), Family::<Labels, Gauge>::default());
         for (zone, window) in WINDOWS.into_iter().zip(census.windows) {
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -8,7 +8,7 @@
 use gullpulley::config::{LIST_MOST, List, ListReader, Names, State};
 use gullpulley::{
     CellId, Discovery as Mode, DiscoveryFailure, DiscoverySchedule, EndpointId, EndpointInfo,
-    EndpointNames, EndpointState, KindId, Membership, Settings, ZoneId,
+    EndpointNames, EndpointState, KindId, LISTING_DELAY, Membership, Settings, ZoneId,
 };
 use http_body_util::{BodyExt, Limited};
 use std::cell::{Cell, RefCell};
@@ -26,6 +26,8 @@
 /// machine cut off is, which nothing else would ever tell. News counts as told after 6 s: what is left
 /// of them has to do for two calls, as the first may fail.
 const SILENCE: Duration = Duration::from_secs(3);
+/// A watch on which nothing came for longer than this has missed the line that is due every 2 s.
+const HEARTBEAT_LATE: Duration = Duration::from_millis(2500);
 /// A list older than one that was heard is an old answer, unless discovery tells nothing newer for so long: then it
 /// has begun to count anew.
 const OLDER_FOR: Duration = Duration::from_secs(6);
@@ -72,6 +74,8 @@
     rev: Cell<u64>,
     /// Since when only older lists have come.
     older_since: Cell<Option<Instant>>,
+    /// Discovery has moved, and no watch has shown since that it tells what discovery has.
+    unconfirmed: Cell<bool>,
     health: Rc<DiscoveryHealth>,
     /// The calls for a watch that are out, or the one watch that is up.
     watches: RefCell<Vec<Watch>>,
@@ -117,6 +121,7 @@
             starts,
             rev,
             older_since: Cell::default(),
+            unconfirmed: Cell::default(),
             health,
             watches: RefCell::default(),
             left_behind: RefCell::default(),
@@ -182,6 +187,12 @@
             return;
         }
         info!(%address, "discovery: now at {address}");
+        let unheard = self.health.unheard();
+        if unheard > HEARTBEAT_LATE && !self.watches.borrow().is_empty() {
+            // What the watch that is left behind has missed counts by its silence, which may be before the move's 4 s.
+            self.failed("the watch was silent as discovery moved", DiscoveryFailure::WatchSilent);
+        }
+        self.unconfirmed.set(true);
         // The old one closes soon. What it had left to say counts as known 4 s from now, and what it wrote at once.
         self.left_behind.borrow_mut().append(&mut self.watches.borrow_mut());
         self.tell(News { membership: Membership::Moved, addresses: Vec::new() });
@@ -191,9 +202,11 @@
 
     async fn fetch_whole(&self) {
         match self.fetch().await {
-            // It may be older than what the watch has brought since.
-            Ok(list) if list.rev < self.rev.get() => self.tell(unchanged()),
-            Ok(list) => self.take(list),
+            Ok(list) if self.is_old_answer(list.rev) => {
+                let older = Over::Older { told: list.rev, held: self.rev.get() };
+                self.failed(&older.to_string(), DiscoveryFailure::Unanswered);
+            }
+            Ok(list) => self.take(list, true),
             Err(error) => {
                 self.failed(&error.to_string(), DiscoveryFailure::Unanswered);
             }
@@ -253,6 +266,8 @@
         let mut body = response.into_body();
         let mut lists = ListReader::default();
         let mut silent_at = Instant::now() + SILENCE;
+        // Since when it is up without having told anything newer after a move.
+        let mut unconfirmed_since: Option<Instant> = None;
         loop {
             let frame = match timeout_at(silent_at, body.frame()).await {
                 Err(_) => return Over::Silent,
@@ -277,7 +292,14 @@
                 }
                 self.left_behind.take();
                 self.watches.borrow_mut().retain(|watch| watch.number == number);
-                self.take(list);
+                let confirmed = !self.unconfirmed.get() || list.rev != self.rev.get();
+                unconfirmed_since = (!confirmed).then(|| unconfirmed_since.unwrap_or_else(Instant::now));
+                self.take(list, confirmed);
+            }
+            let told_on = unconfirmed_since.is_some_and(|since| since.elapsed() >= LISTING_DELAY);
+            if told_on && !self.is_left_behind(number) {
+                unconfirmed_since = None;
+                self.confirm();
             }
             // Empty lines behind half a list keep up a watch that tells nothing any more.
             if !lists.is_amid() || !piece.trim_ascii().is_empty() {
@@ -333,21 +355,43 @@
         let _ = self.heard.subscribe().wait_for(|heard| *heard != Heard::Nothing).await; // as above
     }
 
-    fn take(&self, list: List) {
+    /// Takes a list that a watch has told. Right after a move one that is not newer confirms nothing: what stands at
+    /// the new address may have just taken over, and be behind.
+    fn take(&self, list: List, confirmed: bool) {
         self.rev.set(list.rev);
         self.older_since.set(None);
         self.heard.send_replace(Heard::Lists);
-        self.schedule.borrow_mut().heard();
+        match confirmed {
+            true => self.schedule.borrow_mut().heard(self.began.elapsed()),
+            false => self.schedule.borrow_mut().watch_opened(),
+        }
+        self.unconfirmed.set(!confirmed);
         self.plan_call(None);
         self.failing.take();
         if !list.targets.is_empty() {
             let sort = if list.all { "whole list" } else { "changes" };
             info!(rev = list.rev, entries = list.targets.len(), "list: {sort}");
         }
-        let news = self.news(list);
+        let mut news = self.news(list);
+        if !confirmed {
+            info!(rev = self.rev.get(), "list: not newer at discovery's new address, not confirmed yet");
+            news.membership = match news.membership {
+                Membership::Full(entries) => Membership::Unconfirmed { whole: true, entries },
+                Membership::Delta(entries) => Membership::Unconfirmed { whole: false, entries },
+                other => other,
+            };
+        }
         self.tell(news);
     }
 
+    /// A watch at the address that was moved to has told on for long enough to have brought what discovery had.
+    fn confirm(&self) {
+        self.unconfirmed.set(false);
+        self.schedule.borrow_mut().heard(self.began.elapsed());
+        info!(rev = self.rev.get(), "list: confirmed at discovery's new address");
+        self.tell(unchanged());
+    }
+
     /// Tells that a call or watch has failed; for how long nothing had been heard.
     fn failed(&self, reason: &str, failure: DiscoveryFailure) -> Duration {
         let unheard = self.health.unheard();
--- a/src/net/discovery_call.rs
+++ b/src/net/discovery_call.rs
@@ -50,11 +50,16 @@
     /// What a watch that lasted so long says of discovery.
     pub fn failure(&self, lasted: Duration) -> DiscoveryFailure {
         match self {
-            Over::Call(_) if lasted < AT_ONCE => DiscoveryFailure::RefusedAtOnce,
-            Over::Call(CallError::Status(StatusCode::SERVICE_UNAVAILABLE)) => DiscoveryFailure::SentAway,
+            Over::Call(CallError::NotConnected(error))
+                if error.kind() == io::ErrorKind::ConnectionRefused =>
+            {
+                DiscoveryFailure::NotListening
+            }
             Over::Call(CallError::ConnectTimedOut | CallError::NotConnected(_)) => {
                 DiscoveryFailure::NotConnected
             }
+            Over::Call(_) if lasted < AT_ONCE => DiscoveryFailure::RefusedAtOnce,
+            Over::Call(CallError::Status(StatusCode::SERVICE_UNAVAILABLE)) => DiscoveryFailure::SentAway,
             Over::Silent => DiscoveryFailure::WatchSilent,
             _ => DiscoveryFailure::Unanswered,
         }
--- a/src/net/outbound.rs
+++ b/src/net/outbound.rs
@@ -248,9 +248,10 @@
         }
     }
 
-    /// Asks an endpoint for its load.
+    /// Asks an endpoint for its health, and its load where the deployment has reports.
     pub async fn probe(self: &Rc<Self>, endpoint: EndpointId, address: SocketAddr) -> Ended {
-        let request = Request::get("/-/load").header(header::HOST, address.to_string());
+        let path = if self.fields.is_empty() { "/-/healthy" } else { "/-/load" };
+        let request = Request::get(path).header(header::HOST, address.to_string());
         let Ok(request) = request.body(Payload::Held(Full::default())) else {
             return Ended::bare(Outcome::Error);
         };
--- a/src/policy/choice.rs
+++ b/src/policy/choice.rs
@@ -28,12 +28,11 @@
 pub(super) const DRAG_WEIGHT: f64 = 0.15;
 /// Seconds in which drag is forgotten to a third, so that a slow endpoint is tried again.
 pub(super) const DRAG_SECONDS: f64 = 6.0;
-/// While unheard for too long one endpoint that is left out is probed so often.
-const PROBE_EVERY: Duration = Duration::from_secs(1);
 /// Occupancy by which an endpoint of another zone must be better: a crossing costs time and money.
 const CROSS_MARGIN: f64 = 1.0;
 
-/// How far the list is believed: the longer nothing was heard of discovery, the more an endpoint has to show.
+/// How far the list is believed: the longer nothing was heard of discovery, the more an endpoint has to
+/// show.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum ListTrust {
     /// All that are listed as ready are sent to.
@@ -42,8 +41,9 @@
     NotRefusing,
     /// Those that took a call of late.
     Accepting,
-    /// None: any of them may count as known to leave.
-    Nothing,
+    /// Those whose own health check has said of late that they take requests: the lease on the list has run
+    /// out, and any other may count as known to leave.
+    Healthy,
 }
 
 impl Balancer {
@@ -51,9 +51,6 @@
     pub(super) fn pick(&mut self, now: Duration, id: RequestId) -> Option<usize> {
         self.common_heat = self.shared_heat(now);
         self.trust = self.list_trust(now);
-        if self.trust == ListTrust::Nothing {
-            return None;
-        }
         // Of this balancer's part, or of all where too few of it can take the call.
         // With several times the mean it would crowd its part of a zone: beyond C calls each, all of it.
         let crowds =
@@ -75,13 +72,15 @@
         None
     }
 
-    /// Whom to send to: once a change may count as known that was never heard of, those that take calls,
-    /// or, where there are none, those that have not refused the last one.
+    /// Whom to send to: once the lease on the list has run out those whose health check says that they take
+    /// requests; while the list is doubted those that take calls, or, where there are none, those that have
+    /// not refused the last one.
     fn list_trust(&self, now: Duration) -> ListTrust {
-        if self.schedule.is_superseded(now) {
-            return ListTrust::Nothing;
+        let lease = self.schedule.lease();
+        if !lease.holds(now) {
+            return ListTrust::Healthy;
         }
-        if !self.schedule.overdue(now) {
+        if !lease.is_doubted(now) {
             return ListTrust::Listed;
         }
         let proof = self.schedule.proof();
@@ -102,28 +101,11 @@
                 "list overdue: sending to endpoints that did not refuse their last call"
             }
             ListTrust::Accepting => "list overdue: sending only to endpoints that took a call of late",
-            ListTrust::Nothing => "list superseded: requests are held until discovery tells what it has",
+            ListTrust::Healthy => "sending only to endpoints whose health check passes",
         };
         out.push(Action::Log(text.to_owned()));
     }
 
-    /// Asks one of those left out whether it takes calls: what refused for another reason has to come back,
-    /// however long discovery is away.
-    pub(super) fn probe_left_out(&mut self, now: Duration, out: &mut Vec<Action>) {
-        let by_list = matches!(self.trust, ListTrust::Listed | ListTrust::Nothing);
-        if by_list || !self.settings.limits.probes || now < self.probe_at {
-            return;
-        }
-        self.probe_at = now + PROBE_EVERY;
-        let proof = self.schedule.proof();
-        let taken = |e: &&Endpoint| !e.is_ready() || e.is_trusted(now, ListTrust::Accepting, proof);
-        let left_out = self.endpoints.iter().filter(|e| !taken(e));
-        let left_out: Vec<EndpointId> = left_out.map(|e| e.info.id).collect();
-        if !left_out.is_empty() {
-            out.push(Action::Probe { endpoint: left_out[self.draws.below(left_out.len())] });
-        }
-    }
-
     /// Draws d eligible endpoints of a pool without replacement: the least occupied and how many there
     /// were. The first drawn wins ties.
     fn sample(&mut self, now: Duration, id: RequestId, pool: usize) -> (Option<(usize, f64)>, usize) {
@@ -172,8 +154,8 @@
         self.load(now, i) + drag + if tried { HEAT_MOST } else { 0.0 }
     }
 
-    /// Hard limits: the list, or what of it takes calls, the cold budget, rule 2 for a keyed request that may
-    /// have run.
+    /// Hard limits: the list, or what of it takes calls, the cold budget, rule 2 for a keyed request that
+    /// may have run.
     pub(super) fn allowed(&self, now: Duration, i: usize, pending: &Pending) -> bool {
         let endpoint = &self.endpoints[i];
         let room = (endpoint.limit * self.warmth(now, i)).max(1.0);
@@ -196,13 +178,13 @@
 impl Endpoint {
     /// Whether it may be sent to at this trust in the list. What has taken a call within the time of
     /// `proof`, and refused none since, can't count as leaving yet.
-    fn is_trusted(&self, now: Duration, trust: ListTrust, proof: Duration) -> bool {
+    pub(super) fn is_trusted(&self, now: Duration, trust: ListTrust, proof: Duration) -> bool {
         let refuses = self.refused.is_some() && self.refused >= self.accepted;
         match trust {
             ListTrust::Listed => true,
             ListTrust::NotRefusing => !refuses,
             ListTrust::Accepting => !refuses && self.accepted.is_some_and(|at| now < at + proof),
-            ListTrust::Nothing => false,
+            ListTrust::Healthy => !refuses && self.is_healthy(now),
         }
     }
 
--- a/src/policy/discovery_schedule.rs
+++ b/src/policy/discovery_schedule.rs
@@ -1,32 +1,31 @@
-//! When a process that has no watch calls discovery, and how far the list that it has is still good. Time is
-//! handed in, and there is no I/O: where lists are asked for the balancer follows the schedule, where an
-//! agent beside the process pushes them the network side does.
+//! When a process that has no watch calls discovery. Time is handed in, and there is no I/O: where lists
+//! are asked for the balancer follows the schedule, where an agent beside the process pushes them the
+//! network side does.
 //!
-//! Three times bound how long a list stands in for what discovery has: 4 s after discovery has moved, 6 s
-//! after a watch fell silent, and 6 s after discovery had a change and could be reached. The earliest of them
-//! is the deadline; calls are spent so that one more can be answered before it, whatever becomes of each.
+//! The lease on the endpoint list (`list_lease`) says by when the next list has to come; calls are spent so
+//! that one more can be answered before that, whatever becomes of each.
 //!
 //! What limits them is discovery itself. It takes callers in turn, and a call that it sends away for having
-//! waited too long has used up its turn all the same: N processes that each call every p seconds keep it busy
-//! for good once N / p calls a second are more than it can take. So between two calls of a process that cost
-//! discovery work lies a pause that grows with the number of processes, up to a whole period, and each
-//! process has a slot of its own in it, drawn once. A call that is refused at once costs nothing, and one
-//! that is lost says nothing of a crowd: after these a process has three slots in a pause. Where the pause is
-//! shorter than the wait for an answer, a second call goes out beside one that is silent, and the first list
-//! to come ends the other.
-
+//! waited too long has used up its turn all the same: N processes that each call every p seconds keep it
+//! busy for good once N / p calls a second are more than it can take. So between two calls of a process
+//! that cost discovery work lies a pause that grows with the number of processes, up to a whole period, and
+//! each process has a slot of its own in it, drawn once. A call that is refused at once costs nothing, and
+//! one that is lost says nothing of a crowd: after these a process has three slots in a pause. Where the
+//! pause is shorter than the wait for an answer, a second call goes out beside one that is silent, and the
+//! first list to come ends the other.
+
+use super::list_lease::ListLease;
 use crate::stats::Draws;
 use crate::{Discovery, DiscoveryFailure, Settings};
 use std::time::Duration;
 
-/// A change counts as known so long after discovery had it and could be reached (protocol).
-const KNOWN_WITHIN: Duration = Duration::from_secs(6);
-/// The same after discovery has moved (terms).
-const KNOWN_AFTER_MOVE: Duration = Duration::from_secs(4);
-/// The longest pause: what `KNOWN_WITHIN` leaves when the answer takes half a second.
+/// The longest pause: what the 6 s of a lease leave when the answer takes half a second.
 const PERIOD: Duration = Duration::from_millis(5500);
-/// So many processes or more pause for a whole period. With fewer, discovery has as much time for each call:
-/// one call of each of hundreds was measured to take it 3 to 6 s.
+/// The settings' time for asking counts as no longer: a change counts as known after it whatever the
+/// settings say.
+const ASK_WITHIN_MOST: Duration = Duration::from_secs(6);
+/// So many processes or more pause for a whole period. With fewer, discovery has as much time for each
+/// call: one call of each of hundreds was measured to take it 3 to 6 s.
 const CROWD: u32 = 10;
 /// The shortest pause, and that beside an agent, which serves no crowd.
 const LEAST_PAUSE: Duration = Duration::from_millis(1100);
@@ -37,9 +36,6 @@
 const CALLS_OUT: u32 = 2;
 /// What a call needs at the least to be answered before the deadline.
 const ANSWER_TAKES: Duration = Duration::from_millis(500);
-/// An answer takes no longer in a crowd: a process that has heard nothing so long after its start mistrusts
-/// the list that it started with.
-const ANSWER_IN_CROWD: Duration = Duration::from_millis(2250);
 /// No period or term of the settings counts as shorter.
 const LEAST: Duration = Duration::from_millis(250);
 /// Before a call that is made again promptly, spread from half to one and a half: after a watch was lost,
@@ -47,9 +43,6 @@
 const PROMPTLY: Duration = Duration::from_millis(500);
 /// The same after a watch was lost on which lists are pushed: what the agent has counts as known at once.
 const PUSHED_PROMPTLY: Duration = Duration::from_millis(50);
-/// A list that counts as superseded is not sent by for so long. A process that has called in vain all that
-/// time can't reach discovery, and serves on by what endpoints show.
-const HOLD_AT_MOST: Duration = Duration::from_secs(12);
 
 /// When one process calls discovery for a watch.
 pub struct DiscoverySchedule {
@@ -60,17 +53,11 @@
     slot: Duration,
     /// Discovery can bear more than one call of each process in a period.
     few: bool,
-    /// A change counts as known so long after it was made, where nothing came and no call failed.
-    known_within: Duration,
+    /// The settings' time for asking: a change counts so long after it was made where no call was made.
+    ask_within: Duration,
     /// A watch is up.
     watched: bool,
-    /// No watch is up, and a change that was not heard of may count as known from then on.
-    stale_at: Option<Duration>,
-    /// What discovery had to tell counts as known from then on, whether or not it came.
-    superseded_at: Option<Duration>,
-    /// The same, if discovery can be reached; and whether it took the last call that failed.
-    known_at: Option<Duration>,
-    reached: bool,
+    lease: ListLease,
     calls_out: u32,
     /// When the next call begins.
     planned: Option<Duration>,
@@ -81,41 +68,30 @@
     pub fn new(settings: &Settings, seed: u64, now: Duration) -> Self {
         let mode = settings.discovery;
         let mut draws = Draws::new(seed);
-        let known_within = match mode {
-            Discovery::Push => KNOWN_WITHIN,
-            Discovery::Ask => KNOWN_WITHIN.min(settings.rules.ask_within).max(LEAST),
+        let ask_within = match mode {
+            Discovery::Push => ASK_WITHIN_MOST,
+            Discovery::Ask => ASK_WITHIN_MOST.min(settings.rules.ask_within).max(LEAST),
         };
-        // The list that it starts with may be old, where no agent beside it holds a newer one.
-        let stale_at = (mode == Discovery::Ask).then(|| now + ANSWER_IN_CROWD);
         let few = mode == Discovery::Push || settings.balancers < CROWD;
         let pause = match mode {
             Discovery::Push => LEAST_PAUSE,
             Discovery::Ask => (PERIOD * settings.balancers.min(CROWD) / CROWD).max(LEAST_PAUSE),
         };
         // After a call that failed the settings give four times as long.
-        let pause = pause.min(known_within * 4);
-        let slot = now + pause.min(known_within).mul_f64(draws.uniform());
-        let known_at = stale_at.map(|_| now + KNOWN_WITHIN);
-        let (watched, reached, superseded_at, calls_out, planned) = Default::default();
-        DiscoverySchedule {
-            mode,
-            draws,
-            pause,
-            slot,
-            few,
-            known_within,
-            watched,
-            stale_at,
-            superseded_at,
-            known_at,
-            reached,
-            calls_out,
-            planned,
-        }
+        let pause = pause.min(ask_within * 4);
+        let slot = now + pause.min(ask_within).mul_f64(draws.uniform());
+        let lease = ListLease::new(settings, ask_within, now);
+        let (watched, calls_out, planned) = Default::default();
+        DiscoverySchedule { mode, draws, pause, slot, few, ask_within, watched, lease, calls_out, planned }
+    }
+
+    /// The lease on the list that these calls are to renew.
+    pub fn lease(&self) -> &ListLease {
+        &self.lease
     }
 
-    /// How long to wait before the first call; no time where no endpoint is known to serve by until then, nor
-    /// beside an older process of this balancer, which clients are to leave for this one.
+    /// How long to wait before the first call; no time where no endpoint is known to serve by until then,
+    /// nor beside an older process of this balancer, which clients are to leave for this one.
     pub fn first(&self, now: Duration, known: usize, beside: bool) -> Duration {
         match self.mode {
             Discovery::Ask if known > 0 && !beside => self.until_slot(now, self.pause),
@@ -132,19 +108,21 @@
         beside
     }
 
-    /// Discovery has spoken: a watch is up, and all other calls are over.
-    pub fn heard(&mut self) {
-        (self.watched, self.reached) = (true, false);
-        (self.calls_out, self.planned) = (0, None);
-        (self.stale_at, self.superseded_at, self.known_at) = (None, None, None);
+    /// A watch is up, the list is current by what it told, and all other calls are over.
+    pub fn heard(&mut self, now: Duration) {
+        self.watch_opened();
+        self.lease.grant(now);
+    }
+
+    /// A watch is up, and all other calls are over. It has yet to show that it tells what discovery has.
+    pub fn watch_opened(&mut self) {
+        (self.watched, self.calls_out, self.planned) = (true, 0, None);
     }
 
     /// Discovery is at another address from now on, and is to be called there at once; calls at the old one
     /// are over.
     pub fn moved(&mut self, now: Duration) {
-        let known = now + KNOWN_AFTER_MOVE;
-        self.stale_at = Some(self.stale_at.unwrap_or(Duration::MAX).min(known));
-        self.superseded_at = Some(known);
+        self.lease.discovery_moved(now);
         (self.watched, self.calls_out, self.planned) = (false, 0, None);
     }
 
@@ -153,14 +131,8 @@
     pub fn failed(&mut self, now: Duration, unheard: Duration, failure: DiscoveryFailure) -> Duration {
         let watched = std::mem::replace(&mut self.watched, false);
         self.calls_out = if watched { 0 } else { self.calls_out.saturating_sub(1) };
-        let known_at = (now + KNOWN_WITHIN).saturating_sub(unheard);
-        self.stale_at.get_or_insert((now + self.known_within).saturating_sub(unheard));
-        self.known_at.get_or_insert(known_at);
-        if watched && failure == DiscoveryFailure::WatchSilent {
-            self.superseded_at.get_or_insert(known_at);
-        }
-        let unanswered = matches!(failure, DiscoveryFailure::Unanswered | DiscoveryFailure::WatchSilent);
-        self.reached = !watched && unanswered;
+        self.lease.watch_ended(now, unheard);
+        self.lease.call_failed(now, failure.evidence());
         let due = now + self.wait_after(now, watched, failure);
         // Beside another call: its failure puts off nothing that was planned after this one's.
         let planned = self.planned.filter(|at| *at > now).map_or(due, |at| at.min(due));
@@ -184,39 +156,27 @@
         }
     }
 
-    /// Whether a call after so long would be answered after the deadline, and one before that in time.
+    /// Whether a call after so long would be answered after the lease has run out. Hundreds of processes
+    /// whose lease has run out keep to their slots.
     fn is_too_late(&self, now: Duration, wait: Duration) -> bool {
-        let deadline = self.superseded_at.or(self.stale_at).unwrap_or(Duration::MAX);
-        now < deadline && now + wait + ANSWER_TAKES > deadline
+        let end = self.lease.end().map_or(Duration::MAX, |end| end.at);
+        (self.few || now < end) && now + wait + ANSWER_TAKES > end
     }
 
     /// Whether a call out of its slot makes no crowd: of a few processes, or of those whose call was lost.
     fn may_hurry(&self, failure: DiscoveryFailure) -> bool {
-        self.few || !matches!(failure, DiscoveryFailure::RefusedAtOnce | DiscoveryFailure::SentAway)
+        use DiscoveryFailure::{NotListening, RefusedAtOnce, SentAway};
+        self.few || !matches!(failure, NotListening | RefusedAtOnce | SentAway)
     }
 
     fn spread(&mut self, wait: Duration) -> Duration {
         wait.mul_f64(0.5 + self.draws.uniform())
     }
 
-    /// Whether a change that was never heard of may count as known by now.
-    pub fn overdue(&self, now: Duration) -> bool {
-        self.stale_at.is_some_and(|at| now >= at)
-    }
-
-    /// Whether all that discovery had to tell counts as known by now, though nothing came: nothing that an
-    /// endpoint shows proves that it is not leaving, as one listed as draining was seen to take calls for 8.8
-    /// s and more.
-    pub fn is_superseded(&self, now: Duration) -> bool {
-        let known_at = self.known_at.filter(|_| self.reached);
-        let superseded_at = self.superseded_at.into_iter().chain(known_at).min();
-        superseded_at.is_some_and(|at| now >= at && now < at + HOLD_AT_MOST)
-    }
-
-    /// For so long a call that was accepted speaks for its endpoint, where a change may count as known: half
-    /// of the time until that. It proves nothing, but most endpoints that leave refuse calls.
+    /// For so long a call that was accepted speaks for its endpoint, where the list is doubted: half of the
+    /// time until a change counts. It proves nothing, but most endpoints that leave refuse calls.
     pub(super) fn proof(&self) -> Duration {
-        self.known_within / 2
+        self.ask_within / 2
     }
 
     /// How long it is to the next of the slots that lie so far apart.
--- a/src/policy/limits.rs
+++ b/src/policy/limits.rs
@@ -46,8 +46,8 @@
 }
 
 impl Balancer {
-    /// Lets an outcome speak for or against its endpoint.
-    /// The side is the one that its window counted it on: by now the endpoint may be listed in another zone.
+    /// Lets an outcome speak for or against its endpoint. The side is the one that its window counted it
+    /// on: by now the endpoint may be listed in another zone.
     pub(super) fn learn(
         &mut self,
         now: Duration,
@@ -119,8 +119,8 @@
         by_objective.min(self.latency[class].unhurried * LATE_MULTIPLE)
     }
 
-    /// Own calls in flight leave room for one more of such value: while worthier ones are refused, a part is
-    /// theirs alone. A caller inside a tier holds a slot while it waits: what got so far is not held up.
+    /// Own calls in flight leave room for one more of such value: while worthier ones are refused, a part
+    /// is theirs alone. A caller inside a tier holds a slot while it waits: what got so far is not held up.
     pub(super) fn has_room(&self, now: Duration, value: f64, side: usize) -> bool {
         let part = (value / self.missed.read(now, MISSED_SECONDS).max(1e-9)).sqrt().min(1.0);
         let (window, out) = (self.windows[side], self.windows[0].out + self.windows[1].out);
@@ -143,7 +143,7 @@
     /// Sends what is held, as far as there is room. Looks at no endpoint where there is none: with
     /// hundreds held that took more time than the answers themselves.
     pub(super) fn release_held(&mut self, now: Duration, out: &mut Vec<Action>) {
-        if self.held.is_empty() || self.schedule.is_superseded(now) || !self.any_room(now) {
+        if self.held.is_empty() || !self.any_room(now) {
             return;
         }
         // The worthiest first, and of equals the one that came last: in a jam the oldest would only
--- a/src/policy/list.rs
+++ b/src/policy/list.rs
@@ -2,8 +2,9 @@
 //! balancer uses. It may know the list, the settings and its own place among the balancers; it asks
 //! nobody.
 
-use super::Balancer;
 use super::limits::{LIMIT_START, WINDOW_START};
+use super::list_lease::LeaseEnd;
+use super::{Balancer, Timer};
 use crate::api::*;
 use crate::stats::Fading;
 use std::time::Duration;
@@ -11,7 +12,8 @@
 /// Balancers that share each endpoint. One that uses many learns too little of each (i44da9d); its idle
 /// connections fill their tables, which takes capacity; so many that balancers of unlike load even out.
 const PART_CALLERS: f64 = 4.0;
-/// Endpoints of a zone that a caller uses at least, so that d samples still find a choice among failing ones.
+/// Endpoints of a zone that a caller uses at least, so that d samples still find a choice among failing
+/// ones.
 const PART_LEAST: f64 = 4.0;
 /// Step from one balancer's place on the ring to the next one's: the golden ratio spaces any run evenly.
 const PLACE_STEP: f64 = 0.618_033_988_75;
@@ -31,6 +33,9 @@
     /// When the last call that it served was sent, and the last that it refused.
     pub(super) accepted: Option<Duration>,
     pub(super) refused: Option<Duration>,
+    /// When it was last probed, and when it was asked the health check that passed, if the last one did.
+    pub(super) probed: Option<Duration>,
+    pub(super) healthy: Option<Duration>,
     /// When it last answered, and left a connection idle.
     pub(super) heard: Option<Duration>,
     /// Sends the cold budget still allows, as of `cold_at`.
@@ -40,6 +45,13 @@
 
 impl Balancer {
     pub(super) fn on_membership(&mut self, now: Duration, news: Membership, out: &mut Vec<Action>) {
+        let lease_before = self.schedule.lease().end();
+        self.take_news(now, news, out);
+        self.follow_lease(now, lease_before, out);
+    }
+
+    fn take_news(&mut self, now: Duration, news: Membership, out: &mut Vec<Action>) {
+        let confirmed = !matches!(news, Membership::Unconfirmed { .. });
         match news {
             Membership::Failed { unheard, failure } => {
                 let wait = self.schedule.failed(now, unheard, failure);
@@ -57,20 +69,28 @@
                 return;
             }
             Membership::Late(entries) => return self.update_endpoints(now, entries),
-            Membership::Delta(entries) => self.update_endpoints(now, entries),
-            Membership::Full(entries) | Membership::Cached(entries) => {
+            Membership::Delta(entries) | Membership::Unconfirmed { whole: false, entries } => {
+                self.update_endpoints(now, entries);
+            }
+            Membership::Full(entries)
+            | Membership::Cached(entries)
+            | Membership::Unconfirmed { whole: true, entries } => {
                 for endpoint in &mut self.endpoints {
                     endpoint.info.state = EndpointState::Gone;
                 }
                 self.update_endpoints(now, entries);
             }
         }
-        if self.started {
-            self.schedule.heard();
-            self.cancel_discovery_call();
-        } else if self.settings.discovery == Discovery::Ask {
+        if !self.started && self.settings.discovery == Discovery::Ask {
             let wait = self.schedule.first(now, self.endpoints.len(), self.processes > 1.0);
             self.call_discovery_after(wait, out);
+        } else if self.started {
+            if confirmed {
+                self.schedule.heard(now)
+            } else {
+                self.schedule.watch_opened()
+            }
+            self.cancel_discovery_call();
         }
         if !std::mem::replace(&mut self.started, true) {
             let size = (WINDOW_START * self.part()).max(1.0);
@@ -79,6 +99,36 @@
         self.release_held(now, out);
     }
 
+    /// Says where the end of the lease on the list has changed, and wakes up at it.
+    fn follow_lease(&mut self, now: Duration, before: Option<LeaseEnd>, out: &mut Vec<Action>) {
+        let after = self.schedule.lease().end();
+        if after == before {
+            return;
+        }
+        if let Some(timer) = self.lease_timer.take() {
+            self.timers.remove(&timer);
+        }
+        let Some(end) = after else {
+            return out.push(Action::Log("list lease: granted, a watch keeps it current".to_owned()));
+        };
+        let left = end.at.saturating_sub(now);
+        if before.is_none_or(|before| before.term != end.term) {
+            out.push(Action::Log(format!("list lease: runs out in {left:.2?}: {}", end.term)));
+        }
+        self.set_timer(left, Timer::LeaseEnd, out);
+        self.lease_timer = Some(self.next_timer);
+    }
+
+    /// Says that the lease on the list has run out, if it has.
+    pub(super) fn on_lease_end(&mut self, now: Duration, out: &mut Vec<Action>) {
+        self.lease_timer = None;
+        let lease = self.schedule.lease();
+        if let Some(end) = lease.end().filter(|_| !lease.holds(now)) {
+            let text = format!("list lease: run out, sending only by endpoints' own health: {}", end.term);
+            out.push(Action::Log(text));
+        }
+    }
+
     /// Takes an endpoint out. What is out there already may end; the ban outlives the endpoint's listing.
     pub(super) fn on_suspend(&mut self, now: Duration, id: EndpointId, out: &mut Vec<Action>) {
         self.resumed.remove(&id);
@@ -148,6 +198,8 @@
                         limit_cut_at: now,
                         accepted: None,
                         refused: None,
+                        probed: None,
+                        healthy: None,
                         heard: None,
                         cold_tokens,
                         cold_at: now,
@@ -161,8 +213,8 @@
         self.choose_part(now);
     }
 
-    /// All balancers see the endpoints of a zone on the same ring; each begins at a place of its own, by the
-    /// golden ratio: so parts cover it evenly, also for those of one zone, however they are numbered.
+    /// All balancers see the endpoints of a zone on the same ring; each begins at a place of its own, by
+    /// the golden ratio: so parts cover it evenly, also for those of one zone, however they are numbered.
     fn choose_part(&mut self, now: Duration) {
         let ready = self.endpoints.iter().enumerate().filter(|(_, e)| e.is_ready());
         let mut ring: Vec<_> = ready.map(|(i, e)| (e.info.zone, e.info.id, i)).collect();
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -2,15 +2,18 @@
 //! numbers from its seed. Its interface (settings, events, actions) is in `api`.
 //!
 //! A request comes in through `requests`, which asks `choice` for an endpoint among those that `list`
-//! holds, and `discovery_schedule` says when discovery is asked for it; `cold` and `limits` narrow what is
-//! eligible, `retries` says whether a failed attempt is made again. Where there is no room `limits` holds
-//! the request, and lets the worthiest go first.
+//! holds; `list_lease` says until when the list may be sent by, and `discovery_schedule` when discovery is
+//! called for the next one; where the list can't be sent by any more `health` asks the endpoints
+//! themselves; `cold` and `limits` narrow what is eligible, `retries` says whether a failed attempt is made
+//! again. Where there is no room `limits` holds the request, and lets the worthiest go first.
 
 mod choice;
 mod cold;
 mod discovery_schedule;
+mod health;
 mod limits;
 mod list;
+mod list_lease;
 mod requests;
 mod retries;
 
@@ -20,6 +23,7 @@
 pub use discovery_schedule::DiscoverySchedule;
 use limits::Window;
 use list::Endpoint;
+pub use list_lease::{LISTING_DELAY, LeaseEnd, LeaseTerm, ListLease};
 use requests::Pending;
 use retries::RETRY_SAVED;
 use std::collections::{HashMap, HashSet};
@@ -32,6 +36,7 @@
     Deadline(RequestId),
     Overdue(RequestId, AttemptNo),
     CallDiscovery,
+    LeaseEnd,
     Recheck,
 }
 
@@ -82,6 +87,10 @@
     schedule: DiscoverySchedule,
     /// The timer of the next call at discovery: there is one at the most.
     next_call: Option<u64>,
+    /// The timer of the end of the lease on the list.
+    lease_timer: Option<u64>,
+    /// Requests held as that lease had run out.
+    held_without_lease: u64,
     started: bool,
 }
 
@@ -123,6 +132,8 @@
             reaped_after: Duration::MAX,
             schedule,
             next_call: None,
+            lease_timer: None,
+            held_without_lease: 0,
             started: false,
         })
     }
@@ -152,10 +163,14 @@
                     self.next_call = None;
                     self.call_discovery(now, out);
                 }
+                Some(Timer::LeaseEnd) => self.on_lease_end(now, out),
                 Some(Timer::Recheck) => {
                     self.recheck_set = false;
                     self.drop_late(now, out);
                     self.release_held(now, out);
+                    if !self.held.is_empty() {
+                        self.probe_endpoints(now, out);
+                    }
                 }
                 None => {}
             },
@@ -163,12 +178,10 @@
             Event::Resume { endpoint, at } => self.on_resume(now, endpoint, at, out),
             Event::Shared { processes } => self.on_shared(now, self.settings.balancers, processes),
             Event::Balancers { living } => self.on_shared(now, living, self.processes as u32),
-            Event::ProbeEnded { endpoint, outcome: Outcome::Ok, elapsed, .. } => {
-                if let Some(&i) = self.index.get(&endpoint) {
-                    self.endpoints[i].accepted = Some(now.saturating_sub(elapsed));
-                }
+            Event::ProbeEnded { endpoint, outcome, elapsed, .. } => {
+                self.on_probe_ended(now, endpoint, outcome, elapsed, out);
             }
-            Event::ProbeEnded { .. } | Event::PeerMessage { .. } => {}
+            Event::PeerMessage { .. } => {}
         }
     }
 
@@ -187,6 +200,8 @@
             members: listed().count(),
             unavailable: listed().filter(barred).count(),
             held: self.held.len(),
+            held_without_lease: self.held_without_lease,
+            lease_lapsed: self.schedule.lease().lapsed(now),
             windows: self.windows.map(|window| WindowCensus { size: window.size, out: window.out }),
         }
     }
--- a/src/policy/requests.rs
+++ b/src/policy/requests.rs
@@ -2,6 +2,7 @@
 //! attempts and what the other files answer when asked: which endpoint, whether again, whether there is
 //! room.
 
+use super::choice::ListTrust;
 use super::cold::RATE_SECONDS;
 use super::limits::REPEAT_LEAST;
 use super::list::Endpoint;
@@ -89,7 +90,7 @@
         let trust_before = self.trust;
         self.advance(now, id, out);
         self.log_trust(trust_before, out);
-        self.probe_left_out(now, out);
+        self.probe_endpoints(now, out);
     }
 
     /// A slow body has come whole: only now does the endpoint begin, and the request's time run.
@@ -122,6 +123,7 @@
             return self.give_up(id, out);
         }
         let Some(i) = self.pick(now, id) else {
+            self.held_without_lease += u64::from(self.trust == ListTrust::Healthy);
             self.held.push(id);
             return self.set_recheck(out);
         };
@@ -150,13 +152,19 @@
             endpoint.heard = None;
             idle = Duration::ZERO;
         }
-        // To a keyed request that may have run, the window closes also on an attempt that still connects.
-        let write_within = match self.settings.classes[pending.class].semantics {
+        // To a keyed request that may have run, the window closes also on an attempt that still connects,
+        // and the end of the lease on the list does to any.
+        let window = match self.settings.classes[pending.class].semantics {
             Semantics::Keyed { window, .. } => {
                 pending.may_have_run().next().map(|first| (first.sent + window).saturating_sub(now))
             }
             _ => None,
         };
+        let listed_until = match self.trust {
+            ListTrust::Healthy => endpoint.healthy_until(),
+            _ => self.schedule.lease().end().map(|end| end.at),
+        };
+        let write_within = window.into_iter().chain(listed_until.map(|at| at.saturating_sub(now))).min();
         let counted = !pending.passing;
         endpoint.in_flight += u32::from(counted);
         self.windows[side].out += u32::from(counted);
--- a/tests/discovery_deadline.rs
+++ b/tests/discovery_deadline.rs
@@ -83,7 +83,7 @@
         troubles,
     };
     let mut at = ms(60_000);
-    play.schedule.heard();
+    play.schedule.heard(at);
     let deadline = match start {
         Start::Moved => {
             for _ in 0..moves {
@@ -91,7 +91,7 @@
                 play.schedule.moved(at);
             }
             play.begin_call(at);
-            at + ms(4000)
+            ms(60_300 + 4000) // what it had at the first move counts by that one
         }
         Start::WatchLost => {
             play.next = Some(at + play.schedule.failed(at, ms(0), DiscoveryFailure::Unanswered));
@@ -122,12 +122,12 @@
     }
     let most = if balancers < CROWD { 2 } else { 1 };
     assert!(play.out.len() <= most, "{name}: {} out at a time", play.out.len());
-    assert!(!play.schedule.is_superseded(deadline - ms(1)), "{name}");
-    // A call that discovery took and left without an answer says that it can be reached.
-    let reached = play.failed.last().is_some_and(|(_, failure)| {
-        matches!(failure, DiscoveryFailure::Unanswered | DiscoveryFailure::WatchSilent)
-    });
-    assert_eq!(play.schedule.is_superseded(deadline), start != Start::WatchLost || reached, "{name}");
+    // What discovery has counts as known then, whatever became of the calls; a watch may have ended before it brought
+    // what discovery had.
+    let lease = play.schedule.lease();
+    let sent_until = if start == Start::Moved { deadline } else { deadline - LISTING_DELAY };
+    assert!(lease.holds(sent_until - ms(1)), "{name}: service goes on until then");
+    assert!(!lease.holds(deadline), "{name}: nothing is sent by what counts as superseded");
 }
 
 #[test]
--- a/tests/discovery_moved.rs
+++ b/tests/discovery_moved.rs
@@ -112,7 +112,7 @@
             let (calls, told, older) = (Arc::new(AtomicUsize::new(0)), told.clone(), older.clone());
             Peer::new(move |_| match sequence.get(calls.fetch_add(1, Ordering::SeqCst)) {
                 Some(trouble) => trouble.act(&told, &older),
-                None => Do::WriteAndWait(watch_with(&format!("{told}\n"))),
+                None => Do::WatchAndLive(watch_with(&format!("{told}\n"))),
             })
         })
         .collect();
--- a/tests/discovery_schedule.rs
+++ b/tests/discovery_schedule.rs
@@ -277,11 +277,11 @@
             assert!(schedule.first(ms(50_000), 8, false) <= ask_within, "from its start");
             assert_eq!(schedule.first(ms(50_000), 0, false), ms(0), "nobody could be served");
             assert_eq!(schedule.first(ms(50_000), 8, true), ms(0), "beside an older process");
-            schedule.heard();
+            schedule.heard(ms(59_000));
             let wait = schedule.failed(ms(60_000), unheard, DiscoveryFailure::Unanswered);
             assert!(wait <= ms(750), "{wait:?}");
             let counts = ms(60_000) - unheard + ask_within.min(ms(6000));
-            assert!(!schedule.overdue(counts - ms(1)) && schedule.overdue(counts));
+            assert!(!schedule.lease().is_doubted(counts - ms(1)) && schedule.lease().is_doubted(counts));
             let again = ms(60_000)
                 + wait
                 + schedule.failed(ms(60_000) + wait, unheard, DiscoveryFailure::Unanswered);
@@ -296,7 +296,7 @@
     for seed in 0..200 {
         let settings = Settings { discovery: Discovery::Ask, ..Settings::default() };
         let mut schedule = DiscoverySchedule::new(&settings, seed, ms(50_000));
-        schedule.heard();
+        schedule.heard(ms(59_000));
         let watch_lost = ms(60_000);
         let first = watch_lost + schedule.failed(watch_lost, ms(0), DiscoveryFailure::Unanswered);
         let given_up = first + lost_after;
@@ -319,6 +319,20 @@
     went
 }
 
+/// A call at discovery finds that nothing listens there.
+fn nothing_listens(d: &mut Driver) {
+    d.list(Membership::Failed { unheard: Duration::ZERO, failure: DiscoveryFailure::NotListening });
+}
+
+/// Lets time pass while nothing listens at discovery.
+fn advance_while_discovery_is_down(d: &mut Driver, by: Duration) {
+    let until = d.now + by;
+    while d.now < until {
+        nothing_listens(d);
+        d.advance(ms(500).min(until - d.now));
+    }
+}
+
 #[test]
 fn unheard_for_too_long_a_process_sends_only_where_calls_are_taken_and_serves_on() {
     for (heard_first, seed) in [(true, 1), (true, 2), (false, 3), (false, 4)] {
@@ -332,13 +346,16 @@
         for tick in 0..400 {
             // Watched until 2 s; from 3 s on three are leaving, and nobody says so; all is told at 18 s.
             if tick == 40 {
-                // A watch is lost, or a call can't be made; one that was taken would say that discovery is there.
+                // A watch is lost, or a call can't be made; from then on nothing listens at discovery.
                 let failure = match heard_first {
                     true => DiscoveryFailure::Unanswered,
                     false => DiscoveryFailure::NotConnected,
                 };
                 d.list(Membership::Failed { unheard: Duration::ZERO, failure });
             }
+            if (40..360).contains(&tick) && tick % 20 == 10 {
+                nothing_listens(&mut d);
+            }
             if tick == 60 {
                 leaving = vec![1, 2, 3];
             }
@@ -362,14 +379,13 @@
 fn a_process_that_nobody_answers_any_more_still_tries_all_that_are_listed() {
     let settings = Settings { discovery: Discovery::Ask, ..Settings::default() };
     let mut d = Driver::new(settings, endpoints(6));
-    d.list(Membership::Failed { unheard: Duration::ZERO, failure: DiscoveryFailure::Unanswered });
-    d.advance(ms(30_000));
+    advance_while_discovery_is_down(&mut d, ms(30_000));
     // Idle for long: no endpoint has taken anything of late, and all may be tried.
     assert_eq!(serve(&mut d, &[]).len(), 1);
     let mut went = std::collections::HashSet::new();
     for _ in 0..60 {
         went.extend(serve(&mut d, &[1, 2, 3, 4, 5, 6]));
-        d.advance(ms(300));
+        advance_while_discovery_is_down(&mut d, ms(300));
     }
     assert_eq!(went.len(), 6, "none is given up for good: {went:?}");
 }
@@ -399,7 +415,7 @@
                 let outcome = if refusing.contains(&to.0) { Outcome::Full } else { Outcome::Ok };
                 d.end(id, outcome, ms(10));
             }
-            d.advance(ms(250));
+            advance_while_discovery_is_down(&mut d, ms(250));
         }
         assert_eq!(served_after > 0, probes, "{served_after} calls went there again");
         assert_eq!(probed > 0, probes);
@@ -439,8 +455,7 @@
 fn an_endpoint_that_has_refused_stays_out_though_an_earlier_call_is_served_after_that() {
     let settings = Settings { discovery: Discovery::Ask, ..Settings::default() };
     let mut d = Driver::new(settings, endpoints(2));
-    d.list(Membership::Failed { unheard: Duration::ZERO, failure: DiscoveryFailure::NotConnected });
-    d.advance(ms(9000));
+    advance_while_discovery_is_down(&mut d, ms(9000));
     // A slow call at each of the two, then 1 refuses, then the slow ones are served; the other takes what comes.
     let mut slow = std::collections::BTreeMap::new();
     while slow.len() < 2 {
@@ -488,18 +503,25 @@
 }
 
 #[test]
-fn a_discovery_that_is_away_for_long_does_not_end_service() {
-    let settings = Settings { discovery: Discovery::Ask, ..Settings::default() };
-    let mut d = Driver::new(settings, endpoints(4));
-    d.list(Membership::Delta(vec![]));
-    d.list(Membership::Moved);
-    for _ in 0..200 {
-        d.list(Membership::Failed { unheard: ms(0), failure: DiscoveryFailure::Unanswered });
-        d.advance(ms(100));
+fn a_discovery_that_is_down_for_long_does_not_end_service_and_one_that_may_be_up_renews_nothing() {
+    use DiscoveryFailure::*;
+    for failure in [NotListening, RefusedAtOnce, SentAway, NotConnected, Unanswered, WatchSilent] {
+        for moved in [false, true] {
+            let settings = Settings { discovery: Discovery::Ask, ..Settings::default() };
+            let mut d = Driver::new(settings, endpoints(4));
+            d.list(Membership::Delta(vec![]));
+            if moved {
+                d.list(Membership::Moved);
+            }
+            let counts = d.now + if moved { ms(4000) } else { ms(6000) };
+            for _ in 0..200 {
+                d.list(Membership::Failed { unheard: ms(0), failure });
+                let (served, down) = (serve(&mut d, &[]).len(), failure == NotListening);
+                let name = format!("{failure:?}, moved {moved}, {:?}", d.now);
+                assert!(served == 1 || !down, "{name}: service goes on while discovery is down");
+                assert!(served == 0 || down || d.now < counts, "{name}: sent by a list that has lapsed");
+                d.advance(ms(100));
+            }
+        }
     }
-    assert_eq!(
-        serve(&mut d, &[]).len(),
-        1,
-        "20 s in which no call was answered say that it can't be reached"
-    );
 }
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -247,14 +247,19 @@
 }
 
 #[test]
-fn a_silent_discovery_leaves_the_last_list_in_use() {
-    let settings = Settings { discovery: Discovery::Ask, ..Settings::default() };
-    let mut d = Driver::new(settings, endpoints(3));
-    for _ in 0..10 {
-        d.list(Membership::Failed { unheard: Duration::ZERO, failure: DiscoveryFailure::Unanswered });
-        d.advance(ms(20_000));
+fn the_last_list_stays_in_use_while_nothing_listens_at_discovery_and_no_longer_where_it_is_silent() {
+    for failure in [DiscoveryFailure::NotListening, DiscoveryFailure::Unanswered] {
+        let settings = Settings { discovery: Discovery::Ask, ..Settings::default() };
+        let mut d = Driver::new(settings, endpoints(3));
+        for _ in 0..100 {
+            d.list(Membership::Failed { unheard: Duration::ZERO, failure });
+            d.advance(ms(2000));
+        }
+        let (id, actions) = d.request(ms(900));
+        let down = failure == DiscoveryFailure::NotListening;
+        assert_eq!(sends(&actions).len(), usize::from(down), "{failure:?}");
+        assert!(down || refused(&d.advance(ms(900)), id), "{failure:?}: what is held is refused in time");
     }
-    assert_eq!(sends(&d.request(ms(900)).1).len(), 1);
 }
 
 #[test]
--- a/tests/support/node.rs
+++ b/tests/support/node.rs
@@ -15,6 +15,9 @@
 /// Nothing that a test waits for may take longer, not even on a slow machine.
 pub const PATIENCE: Duration = Duration::from_secs(30);
 
+/// As long as nothing changes, an empty line comes on a watch so often (protocol).
+const HEARTBEAT: Duration = Duration::from_secs(2);
+
 /// Waits for a condition.
 pub fn wait_for(what: &str, mut condition: impl FnMut() -> bool) {
     let start = Instant::now();
@@ -84,6 +87,8 @@
     Late(Duration),
     /// Writes these bytes, and then nothing until the sidecar closes.
     WriteAndWait(String),
+    /// Writes these bytes and then, as a watch on which nothing changes, an empty line every 2 s.
+    WatchAndLive(String),
     /// Writes these bytes and resets the connection.
     WriteAndReset(String),
     /// Writes the first bytes, and the others again and again for as long as it can.
@@ -209,6 +214,13 @@
                 rest(&mut reader);
                 return Some(true);
             }
+            Do::WatchAndLive(text) => {
+                writer.write_all(text.as_bytes()).ok()?;
+                loop {
+                    thread::sleep(HEARTBEAT);
+                    writer.write_all(b"1\r\n\n\r\n").ok()?;
+                }
+            }
             Do::WriteAndReset(text) => {
                 writer.write_all(text.as_bytes()).ok()?;
                 SockRef::from(&writer).set_linger(Some(Duration::ZERO)).ok()?;
