--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -4,15 +4,13 @@
 use super::discovery_call::{ANSWER, FetchError, Over, call};
 use super::discovery_health::DiscoveryHealth;
 use super::guard::Guard;
-use super::start_times::StartTimes;
-use gullpulley::config::{LIST_MOST, List, ListReader, Names, State};
+use super::list_translator::{ListTranslator, News};
+use gullpulley::config::{LIST_MOST, List, ListReader, Names};
 use gullpulley::{
-    CellId, Discovery as Mode, DiscoveryFailure, DiscoverySchedule, EndpointId, EndpointInfo,
-    EndpointNames, EndpointState, KindId, LISTING_DELAY, Membership, Settings, ZoneId,
+    Discovery as Mode, DiscoveryFailure, DiscoverySchedule, EndpointId, LISTING_DELAY, Membership, Settings,
 };
 use http_body_util::{BodyExt, Limited};
 use std::cell::{Cell, RefCell};
-use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -31,14 +29,6 @@
 /// A list older than one that was heard is an old answer, unless discovery tells nothing newer for so long: then it
 /// has begun to count anew.
 const OLDER_FOR: Duration = Duration::from_secs(6);
-/// News of the list in the module's terms, and where the endpoints are.
-pub struct News {
-    /// For the module.
-    pub membership: Membership,
-    /// Addresses of those named.
-    pub addresses: Vec<(EndpointId, SocketAddr)>,
-}
-
 /// What may be asked of discovery, by the driver or at a change of the configuration.
 pub enum Call {
     /// Follow changes, or stop.
@@ -67,10 +57,7 @@
 pub struct Discovery {
     address: Cell<SocketAddr>,
     mode: Mode,
-    names: Names,
-    ids: RefCell<EndpointNames>,
-    clock: Clock,
-    starts: RefCell<StartTimes>,
+    translator: ListTranslator,
     rev: Cell<u64>,
     /// Since when only older lists have come.
     older_since: Cell<Option<Instant>>,
@@ -109,17 +96,14 @@
         let began = Instant::now();
         let mode = settings.discovery;
         let schedule = RefCell::new(DiscoverySchedule::new(settings, seed, Duration::ZERO));
-        let (ids, rev, starts) = Default::default();
+        let translator = ListTranslator::new(names, clock);
         let address = Cell::new(address);
         let heard = watch::Sender::new(Heard::Nothing);
         Rc::new(Discovery {
             address,
             mode,
-            names,
-            ids,
-            clock,
-            starts,
-            rev,
+            translator,
+            rev: Cell::default(),
             older_since: Cell::default(),
             unconfirmed: Cell::default(),
             health,
@@ -139,7 +123,7 @@
     /// The list as last held, to start from.
     pub fn cached(&self, list: List) -> News {
         self.rev.set(list.rev);
-        let mut news = self.news(list);
+        let mut news = self.translator.news(list);
         if let Membership::Full(entries) | Membership::Delta(entries) = news.membership {
             news.membership = Membership::Cached(entries);
         }
@@ -148,12 +132,12 @@
 
     /// The uid of an endpoint.
     pub fn uid(&self, id: EndpointId) -> String {
-        self.ids.borrow().name(id).to_owned()
+        self.translator.uid(id)
     }
 
     /// The id of a uid, known or not.
     pub fn id(&self, uid: &str) -> EndpointId {
-        self.ids.borrow_mut().id(uid)
+        self.translator.id(uid)
     }
 
     /// Carries out the driver's calls. Of several calls for a watch the first that brings a list ends the others;
@@ -167,11 +151,11 @@
         while let Some(call) = calls.recv().await {
             let this = self.clone();
             match call {
-                Call::Watch(true) if self.mode == Mode::Push => this.tell(unchanged()), // it is up already
+                Call::Watch(true) if self.mode == Mode::Push => this.tell(News::unchanged()), // it is up already
                 Call::Watch(true) => this.begin_watch(),
                 Call::Watch(false) => {
                     self.watches.take();
-                    this.tell(unchanged());
+                    this.tell(News::unchanged());
                 }
                 Call::Move(address) => this.move_to(address),
                 Call::Fetch => {
@@ -195,7 +179,7 @@
         self.unconfirmed.set(true);
         // The old one closes soon. What it had left to say counts as known 4 s from now, and what it wrote at once.
         self.left_behind.borrow_mut().append(&mut self.watches.borrow_mut());
-        self.tell(News { membership: Membership::Moved, addresses: Vec::new() });
+        self.tell(News::of(Membership::Moved));
         self.schedule.borrow_mut().moved(self.began.elapsed());
         self.plan_call(Some(Duration::ZERO));
     }
@@ -319,7 +303,7 @@
         }
         self.rev.set(list.rev);
         info!(rev = list.rev, entries = list.targets.len(), "list: told by the address before");
-        let mut news = self.news(List { all: false, ..list });
+        let mut news = self.translator.news(List { all: false, ..list });
         if let Membership::Delta(entries) = news.membership {
             news.membership = Membership::Late(entries);
         }
@@ -372,7 +356,7 @@
             let sort = if list.all { "whole list" } else { "changes" };
             info!(rev = list.rev, entries = list.targets.len(), "list: {sort}");
         }
-        let mut news = self.news(list);
+        let mut news = self.translator.news(list);
         if !confirmed {
             info!(rev = self.rev.get(), "list: not newer at discovery's new address, not confirmed yet");
             news.membership = match news.membership {
@@ -389,7 +373,7 @@
         self.unconfirmed.set(false);
         self.schedule.borrow_mut().heard(self.began.elapsed());
         info!(rev = self.rev.get(), "list: confirmed at discovery's new address");
-        self.tell(unchanged());
+        self.tell(News::unchanged());
     }
 
     /// Tells that a call or watch has failed; for how long nothing had been heard.
@@ -406,52 +390,11 @@
             }
             first
         });
-        self.tell(News { membership: Membership::Failed { unheard, failure }, addresses: Vec::new() });
+        self.tell(News::of(Membership::Failed { unheard, failure }));
         unheard
     }
 
     fn tell(&self, news: News) {
         (self.report)(news);
     }
-
-    fn news(&self, list: List) -> News {
-        let mut ids = self.ids.borrow_mut();
-        let place = |names: &[String], name: &str| {
-            names.iter().position(|n| n == name).unwrap_or(names.len()) as u32
-        };
-        let (mut entries, mut addresses, mut seen) = (Vec::new(), Vec::new(), HashSet::new());
-        let (mut starts, now) = (self.starts.borrow_mut(), self.clock.now());
-        starts.take(list.targets.iter().map(|target| target.boot_ms as u64), now);
-        // Of an endpoint named twice the last word counts.
-        for target in list.targets.into_iter().rev() {
-            let id = ids.id(&target.uid);
-            if !seen.insert(id) {
-                continue;
-            }
-            addresses.push((id, target.endpoint));
-            entries.push(EndpointInfo {
-                id,
-                zone: ZoneId(place(&self.names.areas, &target.az)),
-                kind: KindId(place(&self.names.kinds, &target.model)),
-                cell: CellId(target.pod_group),
-                state: match target.state {
-                    State::Up => EndpointState::Ready,
-                    State::Draining => EndpointState::Draining,
-                    State::Removed => EndpointState::Gone,
-                },
-                weight: target.capacity_hint,
-                started: starts.started(id, target.boot_ms as u64, now),
-            });
-        }
-        entries.reverse();
-        if list.all {
-            starts.retain(|id| seen.contains(&id));
-        }
-        let membership = if list.all { Membership::Full(entries) } else { Membership::Delta(entries) };
-        News { membership, addresses }
-    }
-}
-
-fn unchanged() -> News {
-    News { membership: Membership::Delta(Vec::new()), addresses: Vec::new() }
 }
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -5,7 +5,8 @@
 use super::bans::Standing;
 use super::clock::Clock;
 use super::counters::Counters;
-use super::discovery::{Call, Discovery, News};
+use super::discovery::{Call, Discovery};
+use super::list_translator::News;
 use super::log_text::{log_leaving, outcome_name};
 use super::message::{Answer, Arrival, Content, Inbox, Input};
 use super::open::{Open, Try};
--- a/src/net/message.rs
+++ b/src/net/message.rs
@@ -1,7 +1,7 @@
 //! What the parts on the sockets tell the driver, and a request and its answer as they pass between them.
 
 use super::bans::Standing;
-use super::discovery::News;
+use super::list_translator::News;
 use super::outbound::{Ended, Passing, set_time_left};
 use super::passing::{Payload, Upload};
 use super::progress::Progress;
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,9 +1,9 @@
 //! The sidecar on its sockets. Start-up, signals and the parts' acquaintance are here; the rest, from
 //! plain types up, each knowing only what stands before it:
 //!
-//! `guard`, `clock`, `start_times`, `budget`, `keeping`, `discovery_health`, `discovery_call`, `peers`, `counters`,
-//! `bans`, `overlap`: tasks, time, sockets held, what is kept, what comes of discovery, calls at it, the fleet, counts,
-//! orders, other processes of this sidecar;
+//! `guard`, `clock`, `start_times`, `list_translator`, `budget`, `keeping`, `discovery_health`, `discovery_call`,
+//! `peers`, `counters`, `bans`, `overlap`: tasks, time, lists in the policy's terms, sockets held, what is kept, what
+//! comes of discovery, calls at it, the fleet, counts, orders, other processes of this sidecar;
 //! `progress`, `passing`: how far an attempt is, bodies that pass through;
 //! `outbound`, `discovery`: connections to endpoints and to discovery;
 //! `log_text`, `message`, `open`, `driver`: turns what happens there into the policy's events, and carries out its actions;
@@ -22,6 +22,7 @@
 mod guard;
 mod inbound;
 mod keeping;
+mod list_translator;
 mod log_text;
 mod message;
 mod open;
--- /dev/null
+++ b/tests/health_checks.rs
@@ -0,0 +1,84 @@
+//! Whom requests go to once the lease on the endpoint list has run out: endpoints whose own health check passes.
+
+mod support;
+
+use gullpulley::*;
+use std::collections::HashMap;
+use std::time::Duration;
+use support::*;
+
+const STEP: Duration = Duration::from_millis(50);
+/// What discovery has counts as known so long after a move.
+const KNOWN_AFTER_MOVE: Duration = Duration::from_secs(4);
+/// A health check speaks for its endpoint so long.
+const HEALTH_HOLDS: Duration = Duration::from_secs(1);
+const PROBE_TAKES: Duration = Duration::from_millis(5);
+const PLAY: Duration = Duration::from_secs(12);
+/// Endpoints 1 and 2 fail their health check from so long after the move on; all take calls throughout.
+const DRAINS_AT: Duration = Duration::from_secs(8);
+const DRAINING: [u64; 2] = [1, 2];
+
+#[derive(Default)]
+struct Played {
+    /// Requests asked and served once the lease was out, and probes.
+    asked: usize,
+    served: usize,
+    probes: usize,
+    /// When each endpoint was last sent to, since the move.
+    last_sent: HashMap<EndpointId, Duration>,
+}
+
+/// Discovery moves, and refuses each call from then on.
+fn play(probes: bool) -> Played {
+    let mut settings = Settings { discovery: Discovery::Ask, ..Settings::default() };
+    settings.limits.probes = probes;
+    let mut driver = Driver::new(settings, endpoints(6));
+    driver.list(Membership::Delta(vec![]));
+    driver.list(Membership::Moved);
+    let (moved, mut played) = (driver.now, Played::default());
+    while driver.now < moved + PLAY {
+        driver
+            .list(Membership::Failed { unheard: Duration::ZERO, failure: DiscoveryFailure::RefusedAtOnce });
+        let since = driver.now - moved;
+        let (id, mut actions) = driver.request(ms(300));
+        actions.extend(driver.advance(PROBE_TAKES));
+        for action in actions {
+            let Action::Probe { endpoint } = action else { continue };
+            played.probes += 1;
+            let drains = since >= DRAINS_AT && DRAINING.contains(&endpoint.0);
+            let outcome = if drains { Outcome::Error } else { Outcome::Ok };
+            driver.feed(Event::ProbeEnded { endpoint, outcome, elapsed: PROBE_TAKES, report: None });
+        }
+        let to = driver.out.iter().find(|out| out.0 == id).map(|out| out.2);
+        if let Some(to) = to {
+            driver.end(id, Outcome::Ok, ms(1));
+            played.last_sent.insert(to, since);
+        }
+        if since >= KNOWN_AFTER_MOVE {
+            played.asked += 1;
+            played.served += usize::from(to.is_some());
+        }
+        driver.advance(STEP - PROBE_TAKES);
+    }
+    played
+}
+
+#[test]
+fn once_the_lease_is_out_requests_go_only_where_a_health_check_has_just_passed() {
+    let played = play(true);
+    assert!(played.served * 10 >= played.asked * 9, "{} of {} served", played.served, played.asked);
+    for id in DRAINING {
+        let last = played.last_sent.get(&EndpointId(id)).copied().unwrap_or_default();
+        assert!(last < DRAINS_AT + HEALTH_HOLDS, "endpoint {id} was sent to at {last:?}");
+    }
+    // Three endpoints, each at most twice a second.
+    let most = 3 * 2 * (PLAY - KNOWN_AFTER_MOVE).as_secs() as usize + 3;
+    assert!(played.probes <= most, "{} probes", played.probes);
+}
+
+#[test]
+fn where_probes_are_not_allowed_nothing_is_sent_once_the_lease_is_out() {
+    let played = play(false);
+    assert_eq!((played.probes, played.served), (0, 0));
+    assert!(played.last_sent.values().all(|at| *at < KNOWN_AFTER_MOVE));
+}
