Bound the probes of health checks by the process, not by what is looked at

Cause: with the lease out a process looked at 32 endpoints of a pool for each request, and asked three wherever it found none known: in a pool of more than 32 each request sent three probes. Found by reading. Change: three endpoints are checked at a time and kept, those that fail are replaced in batches 0.2 s apart at most, drawn mostly from the balancer's own part of its zone and now and then from the rest.

--- a/src/policy/health.rs
+++ b/src/policy/health.rs
@@ -14,11 +14,17 @@
 const HEALTH_RENEWED: Duration = Duration::from_millis(600);
 /// A probe is not repeated sooner, whatever became of it: endpoints take few of them.
 const PROBE_PAUSE: Duration = Duration::from_millis(500);
-/// Endpoints that are kept known as healthy while the lease on the list is out: enough for d samples, and
-/// few, as all processes ask at once.
-const HEALTHY_WANTED: usize = 3;
-/// Endpoints looked at for that: work must not grow with the fleet.
-const LOOKED_AT: usize = 32;
+/// Between two batches of them, where those that fail are replaced: when all endpoints fail, this bounds
+/// the probes.
+const BATCH_PAUSE: Duration = Duration::from_millis(200);
+/// Endpoints whose health is kept known while the lease on the list is out: enough for d samples, and few,
+/// as all processes ask at once.
+const CHECKED_AT_ONCE: usize = 3;
+/// Draws for each of them that is missing, of which some meet one that was just asked.
+const DRAWS_FOR_CHECK: usize = 8;
+/// Pools to draw them from: most of this balancer's own part of its zone, but where all of that fails also
+/// others.
+const DRAWN_POOLS: [usize; 8] = [0, 0, 0, 0, 0, 2, 1, 3];
 /// While the list is doubted one endpoint that is left out is probed so often.
 const PROBE_EVERY: Duration = Duration::from_secs(1);
 
@@ -47,6 +53,7 @@
         let Some(&i) = self.index.get(&id) else { return };
         let asked = now.saturating_sub(elapsed);
         let endpoint = &mut self.endpoints[i];
+        endpoint.probe_out = false;
         endpoint.healthy = (outcome == Outcome::Ok).then_some(asked);
         if outcome == Outcome::Ok {
             endpoint.accepted = Some(asked);
@@ -54,22 +61,36 @@
         }
     }
 
-    /// Keeps some endpoints known as healthy: of the own zone, or of others where it has none.
+    /// Keeps the health of a few endpoints known, and others in place of those that fail.
     fn probe_for_health(&mut self, now: Duration, out: &mut Vec<Action>) {
-        let Some(pool) = [0, 2, 1, 3].into_iter().find(|pool| !self.pools[*pool].is_empty()) else {
+        if now < self.probe_at {
             return;
-        };
-        let size = self.pools[pool].len();
-        let first = self.draws.below(size);
-        let looked_at = (0..size.min(LOOKED_AT)).map(|k| self.pools[pool][(first + k) % size]);
-        let looked_at: Vec<usize> = looked_at.collect();
-        let known = looked_at.iter().filter(|i| self.endpoints[**i].is_known_for_long(now)).count();
-        let asked = looked_at.into_iter().filter(|i| self.endpoints[*i].may_be_probed(now));
-        let asked: Vec<usize> = asked.take(HEALTHY_WANTED.saturating_sub(known)).collect();
-        for i in asked {
-            self.endpoints[i].probed = Some(now);
-            out.push(Action::Probe { endpoint: self.endpoints[i].info.id });
         }
+        let mut checked = std::mem::take(&mut self.health_checked);
+        checked.retain(|id| self.index.get(id).is_some_and(|&i| self.endpoints[i].is_checked(now)));
+        for _ in 0..DRAWS_FOR_CHECK * (CHECKED_AT_ONCE - checked.len().min(CHECKED_AT_ONCE)) {
+            if checked.len() >= CHECKED_AT_ONCE {
+                break;
+            }
+            let pool = DRAWN_POOLS[self.draws.below(DRAWN_POOLS.len())];
+            if self.pools[pool].is_empty() {
+                continue;
+            }
+            let i = self.pools[pool][self.draws.below(self.pools[pool].len())];
+            let id = self.endpoints[i].info.id;
+            if !checked.contains(&id) && self.endpoints[i].may_be_probed(now) {
+                checked.push(id);
+            }
+        }
+        for id in &checked {
+            let endpoint = &mut self.endpoints[self.index[id]];
+            if endpoint.may_be_probed(now) {
+                (endpoint.probed, endpoint.probe_out) = (Some(now), true);
+                self.probe_at = now + BATCH_PAUSE;
+                out.push(Action::Probe { endpoint: *id });
+            }
+        }
+        self.health_checked = checked;
     }
 
     /// Asks one of those left out whether it takes calls: what refused for another reason has to come back,
@@ -100,14 +121,15 @@
         self.healthy_until().is_some_and(|until| now < until)
     }
 
-    /// Whether it is known as healthy for some time yet, or is being asked.
-    fn is_known_for_long(&self, now: Duration) -> bool {
-        let within = |at: Option<Duration>, time: Duration| at.is_some_and(|at| now < at + time);
-        within(self.healthy, HEALTH_RENEWED)
-            || within(self.probed, PROBE_PAUSE) && self.healthy <= self.probed
+    /// Whether its health is known as good, or being asked.
+    fn is_checked(&self, now: Duration) -> bool {
+        let asked = self.probe_out && self.probed.is_some_and(|at| now < at + PROBE_PAUSE);
+        self.is_ready() && (asked || self.is_healthy(now))
     }
 
+    /// Whether it may be asked, and what it said last is not known for long yet.
     fn may_be_probed(&self, now: Duration) -> bool {
-        self.probed.is_none_or(|at| now >= at + PROBE_PAUSE) && !self.is_known_for_long(now)
+        let known = self.healthy.is_some_and(|asked| now < asked + HEALTH_RENEWED);
+        !known && self.probed.is_none_or(|at| now >= at + PROBE_PAUSE)
     }
 }
--- a/src/policy/list.rs
+++ b/src/policy/list.rs
@@ -33,8 +33,10 @@
     /// When the last call that it served was sent, and the last that it refused.
     pub(super) accepted: Option<Duration>,
     pub(super) refused: Option<Duration>,
-    /// When it was last probed, and when it was asked the health check that passed, if the last one did.
+    /// When it was last probed, whether that is out, and when it was asked the health check that passed, if
+    /// the last one did.
     pub(super) probed: Option<Duration>,
+    pub(super) probe_out: bool,
     pub(super) healthy: Option<Duration>,
     /// When it last answered, and left a connection idle.
     pub(super) heard: Option<Duration>,
@@ -199,6 +201,7 @@
                         accepted: None,
                         refused: None,
                         probed: None,
+                        probe_out: false,
                         healthy: None,
                         heard: None,
                         cold_tokens,
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -62,6 +62,8 @@
     /// Which of the listed endpoints are sent to: fewer while the list may be stale.
     trust: ListTrust,
     probe_at: Duration,
+    /// Endpoints whose health is kept known while the lease on the list is out.
+    health_checked: Vec<EndpointId>,
     /// Of the own zone and of all others together: a crowded zone must not shut the others.
     windows: [Window; 2],
     recheck_set: bool,
@@ -115,6 +117,7 @@
             common_heat: 0.0,
             trust: ListTrust::Listed,
             probe_at: now,
+            health_checked: Vec::new(),
             windows: [Window { size: 1.0, out: 0, opening: true }; 2],
             recheck_set: false,
             missed: Fading::default(),
--- a/tests/health_checks.rs
+++ b/tests/health_checks.rs
@@ -28,6 +28,18 @@
     last_sent: HashMap<EndpointId, Duration>,
 }
 
+/// Answers the probes among these actions, and those that come of the answers.
+fn answer_probes(driver: &mut Driver, actions: Vec<Action>, drains: bool) -> usize {
+    let mut probes = 0;
+    for action in actions {
+        let Action::Probe { endpoint } = action else { continue };
+        probes += 1;
+        let outcome = if drains && DRAINING.contains(&endpoint.0) { Outcome::Error } else { Outcome::Ok };
+        driver.feed(Event::ProbeEnded { endpoint, outcome, elapsed: PROBE_TAKES, report: None });
+    }
+    probes
+}
+
 /// Discovery moves, and refuses each call from then on.
 fn play(probes: bool) -> Played {
     let mut settings = Settings { discovery: Discovery::Ask, ..Settings::default() };
@@ -42,13 +54,7 @@
         let since = driver.now - moved;
         let (id, mut actions) = driver.request(ms(300));
         actions.extend(driver.advance(PROBE_TAKES));
-        for action in actions {
-            let Action::Probe { endpoint } = action else { continue };
-            played.probes += 1;
-            let drains = since >= DRAINS_AT && DRAINING.contains(&endpoint.0);
-            let outcome = if drains { Outcome::Error } else { Outcome::Ok };
-            driver.feed(Event::ProbeEnded { endpoint, outcome, elapsed: PROBE_TAKES, report: None });
-        }
+        played.probes += answer_probes(&mut driver, actions, since >= DRAINS_AT);
         let to = driver.out.iter().find(|out| out.0 == id).map(|out| out.2);
         if let Some(to) = to {
             driver.end(id, Outcome::Ok, ms(1));
@@ -58,7 +64,8 @@
             played.asked += 1;
             played.served += usize::from(to.is_some());
         }
-        driver.advance(STEP - PROBE_TAKES);
+        let actions = driver.advance(STEP - PROBE_TAKES);
+        played.probes += answer_probes(&mut driver, actions, since >= DRAINS_AT);
     }
     played
 }
