Lab: discovery that is crowded, answers from behind, resets watches or refuses connections

Cause: troubles of calls come two in a row at most, and no fault let discovery be up and answer nothing for seconds, so the lab could not show requests sent to draining endpoints after a change counted as told. Change: faults discovery-crowded, discovery-behind and discovery-reset; an answer from behind among the drawn troubles; while_down = "refuses-connections"; reload of a whole zone; the soak draws all of these. telling.rs is as it was: a crowded discovery counts as one that can be reached.

--- a/lab/src/deployment/faults.rs
+++ b/lab/src/deployment/faults.rs
@@ -6,6 +6,7 @@
 use crate::experiment::{Fault, What};
 use crate::network::Way;
 use nix::sys::signal::Signal;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::task::JoinSet;
@@ -33,7 +34,7 @@
                 let struck = self.struck(fault);
                 struck.iter().for_each(|endpoint| endpoint.stop());
                 let mut cutting: JoinSet<()> = JoinSet::new();
-                for (number, copy) in self.on_disk(fault).into_iter().enumerate() {
+                for (number, copy) in self.struck_copies(fault).into_iter().enumerate() {
                     let seed = self.experiment.seed.wrapping_mul(1009) + number as u64;
                     cutting.spawn(async move { copy.cut(seed).await });
                 }
@@ -49,13 +50,13 @@
                 self.tell(&struck, "removed", false).await;
             }
             What::DiskFlipped => {
-                for (number, copy) in self.on_disk(fault).into_iter().enumerate() {
+                for (number, copy) in self.struck_copies(fault).into_iter().enumerate() {
                     let seed = self.experiment.seed.wrapping_mul(1009) + number as u64;
                     copy.flip(seed).map_err(|e| DeploymentError::Io(copy.name.clone(), e))?;
                 }
             }
             What::DiskOlder => {
-                for copy in self.on_disk(fault) {
+                for copy in self.struck_copies(fault) {
                     copy.keep_state().map_err(|e| DeploymentError::Io(copy.name.clone(), e))?;
                 }
             }
@@ -85,11 +86,11 @@
             What::PowerCut => {
                 let struck = self.struck(fault);
                 struck.iter().for_each(|endpoint| endpoint.start());
-                self.start(self.on_disk(fault)).await?;
+                self.start(self.struck_copies(fault)).await?;
                 self.tell(&struck, "up", true).await;
             }
             What::DiskOlder => {
-                let copies = self.on_disk(fault);
+                let copies = self.struck_copies(fault);
                 self.end(copies.clone(), Signal::SIGKILL).await;
                 for copy in &copies {
                     copy.put_state_back().map_err(|e| DeploymentError::Io(copy.name.clone(), e))?;
@@ -138,6 +139,14 @@
             What::DiscoveryTroubled => self.table.send_modify(|table| {
                 table.troubled = if on { fault.by } else { 0.0 };
             }),
+            What::DiscoveryCrowded => self.table.send_modify(|table| {
+                let struck: BTreeSet<usize> =
+                    self.struck_copies(fault).iter().map(|copy| copy.number).collect();
+                table.crowds += u64::from(on);
+                table.crowded = if on { &table.crowded | &struck } else { &table.crowded - &struck };
+            }),
+            What::DiscoveryBehind => self.table.send_modify(|table| table.behind = on),
+            What::DiscoveryReset => self.table.send_modify(|table| table.resets += u64::from(on)),
             What::DiscoveryStale => self.table.send_modify(|table| {
                 let Some(zone) = self.zone(&fault.of) else { return };
                 let now = (table.rev, table.entries.clone());
@@ -205,9 +214,10 @@
     }
 
     fn reload(&self, fault: &Fault) -> Result<(), DeploymentError> {
-        let Some(copy) = self.copy(&fault.of) else { return Ok(()) };
-        copy.reload().map_err(|e| DeploymentError::Io(copy.name.clone(), e))?;
-        self.tellings.moved(copy.number);
+        for copy in self.struck_copies(fault) {
+            copy.reload().map_err(|e| DeploymentError::Io(copy.name.clone(), e))?;
+            self.tellings.moved(copy.number);
+        }
         Ok(())
     }
 
@@ -234,15 +244,16 @@
         self.experiment.zone.iter().position(|zone| zone.name == name)
     }
 
-    /// The copies whose disks a fault strikes.
-    fn on_disk(&self, fault: &Fault) -> Vec<Arc<Copy>> {
+    /// The copies that a fault strikes: one by its name, all of a zone, or all where it names none.
+    fn struck_copies(&self, fault: &Fault) -> Vec<Arc<Copy>> {
         let zone = self.zone(&fault.of);
-        let hit = |copy: &&Arc<Copy>| copy.name == fault.of || Some(copy.zone) == zone;
+        let hit =
+            |copy: &&Arc<Copy>| fault.of.is_empty() || copy.name == fault.of || Some(copy.zone) == zone;
         self.copies.iter().filter(hit).cloned().collect()
     }
 
     fn order(&self, fault: &Fault, order: &str) {
-        self.on_disk(fault).iter().for_each(|copy| copy.disk(order));
+        self.struck_copies(fault).iter().for_each(|copy| copy.disk(order));
     }
 
     /// The copies of a zone that is lost.
--- a/lab/src/deployment/mod.rs
+++ b/lab/src/deployment/mod.rs
@@ -161,7 +161,7 @@
                 let caller = Caller { copy: copy.number, zone: copy.zone, tier: copy.tier };
                 let (table, desk, tellings) = (table.subscribe(), desk.clone(), tellings.clone());
                 let behind = Behind { table, desk, troubles: troubles.clone(), tellings };
-                tasks.spawn(discovery::serve(listener, caller, behind));
+                tasks.spawn(ended("discovery", discovery::serve(listener, caller, behind)));
             }
         }
         let measured = relay::overhead(addresses.at(ECHO, 0), addresses.at(ECHO, 1), TRIPS).await;
--- a/lab/src/discovery.rs
+++ b/lab/src/discovery.rs
@@ -7,6 +7,7 @@
 pub use desk::Desk;
 pub use trouble::{Trouble, Troubles};
 
+use crate::network;
 use crate::telling::Tellings;
 use http_body_util::channel::Channel;
 use http_body_util::combinators::BoxBody;
@@ -17,7 +18,7 @@
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use serde_json::{Value, json};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::future::pending;
 use std::io;
 use std::net::SocketAddr;
@@ -25,7 +26,7 @@
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
-use tokio::task::yield_now;
+use tokio::task::{JoinSet, yield_now};
 use tokio::time::{sleep, timeout};
 
 /// A watch on which nothing changes brings an empty line this often.
@@ -72,8 +73,16 @@
     pub torn: bool,
     /// How often all watches that were open then have fallen silent, for good.
     pub silenced: u64,
+    /// How often all watches that were open then have been reset.
+    pub resets: u64,
     /// This part of the calls meets trouble of its own; 0 for none.
     pub troubled: f64,
+    /// Copies, by their numbers, whose calls are all refused, closed or never answered.
+    pub crowded: BTreeSet<usize>,
+    /// How often that began.
+    pub crowds: u64,
+    /// New watches are answered from behind, and reset.
+    pub behind: bool,
     /// Zones, by their numbers, that are told the list as it stood once, and its version then.
     pub stale: BTreeMap<usize, (u64, Vec<Entry>)>,
 }
@@ -122,6 +131,22 @@
         list
     }
 
+    /// What becomes of the next call of a copy, where it does not go as it should.
+    fn trouble(&self, copy: usize, troubles: &Troubles) -> Option<Trouble> {
+        match self {
+            Table { down: true, .. } => None,
+            _ if self.crowded.contains(&copy) => Some(troubles.in_crowd(copy, self.crowds)),
+            Table { behind: true, .. } => Some(troubles.behind(copy)),
+            _ if self.troubled > 0.0 => troubles.next(copy, self.troubled),
+            _ => None,
+        }
+    }
+
+    /// What a watch is told from behind: the version that it named and no change, or the whole list as it was before.
+    fn nothing_after(&self, rev: u64, caller: Caller) -> Value {
+        if rev == 0 { self.before(caller) } else { json!({"rev": rev, "all": false, "targets": []}) }
+    }
+
     /// The entries that changed after a version, as discovery words them to a caller, and how many they are.
     fn after(&self, rev: u64, Caller { zone, tier, .. }: Caller) -> (Value, usize) {
         let (all, (now, entries)) = (rev == 0, self.seen(zone));
@@ -141,12 +166,33 @@
 
 type Body = BoxBody<Bytes, io::Error>;
 
-/// Serves the list to one copy until the world is taken down.
-pub async fn serve(listener: TcpListener, caller: Caller, behind: Behind) {
+/// Serves the list to one copy until the world is taken down. Where discovery refuses connections while it is down,
+/// nothing listens then, and those that were open are closed.
+pub async fn serve(mut listener: TcpListener, caller: Caller, behind: Behind) -> io::Result<()> {
+    let address = listener.local_addr()?;
+    let mut table = behind.table.clone();
     loop {
-        let Ok((stream, _)) = listener.accept().await else { continue };
+        serve_while_up(listener, caller, &behind).await;
+        if table.wait_for(|table| !table.down).await.is_err() {
+            return Ok(());
+        }
+        listener = network::listen(address).await?;
+    }
+}
+
+/// Serves until nothing is to listen.
+async fn serve_while_up(listener: TcpListener, caller: Caller, behind: &Behind) {
+    let mut table = behind.table.clone();
+    let mut connections = JoinSet::new();
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            Some(_) = connections.join_next() => continue,
+            _ = table.wait_for(|table| table.down), if behind.desk.refuses_connections() => return,
+        };
+        let Ok((stream, _)) = accepted else { continue };
         let behind = behind.clone();
-        tokio::spawn(async move {
+        connections.spawn(async move {
             let service = service_fn(|request| {
                 let behind = behind.clone();
                 async move { answer(&request, caller, behind).await }
@@ -176,6 +222,17 @@
     Response::new(body.boxed())
 }
 
+/// An answer that begins with this text and is reset after so long.
+async fn reset_after_saying(text: String, after: Duration) -> Response<Body> {
+    let (mut lines, body) = Channel::<Bytes, io::Error>::new(16);
+    let _ = lines.send_data(Bytes::from(text)).await; // fails only where nobody listens
+    tokio::spawn(async move {
+        sleep(after).await;
+        lines.abort(io::ErrorKind::ConnectionReset.into());
+    });
+    Response::new(body.boxed())
+}
+
 /// An answer, or a connection that is closed without one. A list that is not told whole is not counted as written.
 async fn answer(
     request: &Request<Incoming>,
@@ -186,11 +243,10 @@
     let value = |name: &str| query.split('&').find_map(|pair| pair.strip_prefix(name)?.strip_prefix('='));
     let watch = value("watch") == Some("1");
     let after = value("after").and_then(|rev| rev.parse().ok()).filter(|_| watch).unwrap_or(0);
-    let (count, part) = {
+    let (count, trouble) = {
         let now = behind.table.borrow();
-        (now.after(after, caller).1, if now.down { 0.0 } else { now.troubled })
+        (now.after(after, caller).1, now.trouble(caller.copy, &behind.troubles))
     };
-    let trouble = if part > 0.0 { behind.troubles.next(caller.copy, part) } else { None };
     match trouble {
         Some(Trouble::NeverAnswered) => pending::<()>().await,
         Some(Trouble::Broken) => return Err(io::ErrorKind::ConnectionReset.into()),
@@ -216,6 +272,11 @@
             let text = behind.desk.lay_out(&behind.table.borrow().before(caller)) + "\n";
             return Ok(silent_after(text).await);
         }
+        Some(Trouble::FromBehind(reset_after)) if watch => {
+            let text = behind.desk.lay_out(&behind.table.borrow().nothing_after(after, caller)) + "\n";
+            behind.tellings.opened(caller.copy);
+            return Ok(reset_after_saying(text, reset_after).await);
+        }
         _ => {}
     }
     let pause = if trouble == Some(Trouble::SlowPieces) { PIECES_APART } else { Duration::ZERO };
@@ -275,9 +336,13 @@
 async fn follow(mut lines: Lines, mut told: u64, caller: Caller, behind: Behind, pause: Duration) {
     let Behind { mut table, desk, tellings, .. } = behind;
     let mut first = true;
-    let silenced = table.borrow().silenced;
+    let (silenced, resets) = (table.borrow().silenced, table.borrow().resets);
     loop {
         let first = std::mem::replace(&mut first, false);
+        if table.borrow().resets > resets {
+            lines.abort(io::ErrorKind::ConnectionReset.into());
+            return;
+        }
         if table.borrow().silenced > silenced {
             // Its connection stays up, and nothing more is said on it.
             while table.changed().await.is_ok() {}
--- a/lab/src/discovery/desk.rs
+++ b/lab/src/discovery/desk.rs
@@ -59,6 +59,11 @@
         self.open.store(true, Ordering::SeqCst);
     }
 
+    /// Whether nothing listens while discovery is down.
+    pub(super) fn refuses_connections(&self) -> bool {
+        self.while_down == WhileDown::RefusesConnections
+    }
+
     /// A list in the words that callers get.
     pub(super) fn lay_out(&self, list: &Value) -> String {
         if self.indented { format!("{list:#}") } else { list.to_string() }
--- a/lab/src/discovery/trouble.rs
+++ b/lab/src/discovery/trouble.rs
@@ -3,6 +3,7 @@
 use crate::seeds::{Part, draws};
 use rand::Rng;
 use rand::seq::IndexedRandom;
+use rand_pcg::Pcg64;
 use std::collections::HashMap;
 use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
@@ -11,6 +12,10 @@
 const IN_A_ROW: u32 = 2;
 /// A late refusal comes after so long.
 const LATE_MS: std::ops::Range<u64> = 300..3000;
+/// A call that is refused late while discovery is crowded waits for so long.
+const CROWDED_LATE_MS: std::ops::Range<u64> = 0..3000;
+/// A watch that is answered from behind is reset after so long.
+const RESET_MS: std::ops::Range<u64> = 10..80;
 
 /// What becomes of one call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -33,6 +38,9 @@
     OlderList,
     /// It gets the list in slow pieces.
     SlowPieces,
+    /// A watch is told the version that it named and no change, though discovery may have newer ones, and is reset
+    /// after so long: a replica answers that has just taken over.
+    FromBehind(Duration),
 }
 
 /// The troubles of a discovery's calls: drawn by seed, copy and the number of the copy's call.
@@ -75,7 +83,39 @@
             Trouble::HalfList,
             Trouble::OlderList,
             Trouble::SlowPieces,
+            from_behind(&mut draws),
         ];
         all.choose(&mut draws).copied()
     }
+
+    /// What becomes of the next call of a copy while discovery is crowded for the so manieth time: all its calls are
+    /// refused early or late, closed or never answered in one manner, or each in its own.
+    pub fn in_crowd(&self, copy: usize, crowd: u64) -> Trouble {
+        let mut call = self.call(copy);
+        let late = Duration::from_millis(call.random_range(CROWDED_LATE_MS));
+        let all = [Trouble::Refused, Trouble::RefusedLate(late), Trouble::Broken, Trouble::NeverAnswered];
+        let manner = draws(self.seed, Part::Crowd, (copy as u64) << 32 | crowd).random_range(0..=all.len());
+        let own = call.random_range(0..all.len());
+        *all.get(manner).unwrap_or(&all[own])
+    }
+
+    /// The next call of a copy, answered from behind.
+    pub fn behind(&self, copy: usize) -> Trouble {
+        from_behind(&mut self.call(copy))
+    }
+
+    /// The draws of the next call of a copy, with which no row of troubles goes on.
+    fn call(&self, copy: usize) -> Pcg64 {
+        let mut copies = self.copies.lock().unwrap_or_else(PoisonError::into_inner);
+        let calls = copies.entry(copy).or_default();
+        (calls.made, calls.in_a_row) = (calls.made + 1, 0);
+        draws(self.seed, Part::Trouble, (copy as u64) << 32 | calls.made)
+    }
 }
+
+fn from_behind(draws: &mut Pcg64) -> Trouble {
+    Trouble::FromBehind(Duration::from_millis(draws.random_range(RESET_MS)))
+}
+
+#[cfg(test)]
+mod tests;
--- a/lab/src/experiment/draw.rs
+++ b/lab/src/experiment/draw.rs
@@ -17,6 +17,9 @@
 /// In a drawn deployment a drain lasts longer than any term after which it counts as told, or no send could be late.
 const DRAINS_LEAST: Duration = Duration::from_secs(9);
 
+/// Discovery is crowded for so long.
+const CROWDED_MS: std::ops::RangeInclusive<u64> = 3000..=9000;
+
 /// What schedules are drawn from.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
@@ -71,6 +74,9 @@
         if draw.vary && what == What::Drain {
             lasts = DRAINS_LEAST + draw.longest.mul_f64(draws.random());
         }
+        if what == What::DiscoveryCrowded {
+            lasts = Duration::from_millis(draws.random_range(CROWDED_MS));
+        }
         let room = draw.until.checked_sub(draw.from + lasts)?;
         let at = draw.from + room.mul_f64(draws.random());
         let mut fault = Fault { at, lasts: Some(lasts), what, of: String::new(), to: None, by: 0.0 };
@@ -86,6 +92,8 @@
         let zones = self.zone.iter().map(|zone| zone.name.clone());
         let endpoints = self.endpoints().into_iter().map(|endpoint| endpoint.name);
         let known = copies.chain(zones).chain(endpoints).chain([String::new()]);
+        // A crowd at discovery is felt by all.
+        let known = known.filter(|of| what != What::DiscoveryCrowded || of.is_empty());
         let fits = |of: &String| self.target(&Fault { of: of.clone(), ..fault.clone() }).is_ok();
         let of: Vec<String> = known.filter(fits).collect();
         fault.of = of.choose(draws)?.clone();
--- a/lab/src/experiment/faults.rs
+++ b/lab/src/experiment/faults.rs
@@ -37,7 +37,7 @@
     Term,
     /// The same, with signals in series: its discovery moves twice, and it is told to end twice.
     Signals,
-    /// A copy's discovery moves: a new configuration and SIGHUP.
+    /// The discovery of a copy, or of all of a zone's, moves: a new configuration and SIGHUP.
     Reload,
     /// A copy stands still.
     Pause,
@@ -103,6 +103,13 @@
     /// So large a part of the calls at discovery meets trouble: never answered, lost, reset, refused early or late,
     /// half answered, told an older list, or told slowly. Discovery counts as reachable all the time.
     DiscoveryTroubled,
+    /// Discovery is up, and so crowded that every call of all copies, of a zone's or of one is refused early or late,
+    /// closed or never answered. It counts as reachable all the time; watches that are open go on.
+    DiscoveryCrowded,
+    /// New watches are answered from behind and reset: a replica has just taken over.
+    DiscoveryBehind,
+    /// All watches that are open are reset; those opened from then on are not.
+    DiscoveryReset,
     /// Discovery tells that an endpoint, or all of a zone, is removed, though it lives.
     DiscoveryMissing,
 }
--- a/lab/src/experiment/fits.rs
+++ b/lab/src/experiment/fits.rs
@@ -129,10 +129,18 @@
             return Err("say with `lasts` when the older folder is put back".to_owned());
         }
         match fault.what {
-            What::Kill | What::Term | What::Signals | What::Reload | What::Pause => {
-                if copies.contains(&fault.of) { Ok(()) } else { missing("copy", copies) }
+            What::Kill | What::Term | What::Signals | What::Pause => {
+                if copies.contains(&fault.of) {
+                    Ok(())
+                } else {
+                    missing("copy", copies)
+                }
             }
-            What::PowerCut
+            // Without a name all copies.
+            What::DiscoveryCrowded if fault.of.is_empty() => Ok(()),
+            What::Reload
+            | What::DiscoveryCrowded
+            | What::PowerCut
             | What::DiskFull
             | What::DiskFailing
             | What::DiskSlow
@@ -164,9 +172,12 @@
                 let known_so = zones.contains(&fault.of) || known.contains(&fault.of);
                 if known_so { Ok(()) } else { missing("endpoint", known) }
             }
-            What::DiscoveryDown | What::DiscoveryTorn | What::DiscoverySilent | What::DiscoveryTroubled => {
-                Ok(())
-            }
+            What::DiscoveryDown
+            | What::DiscoveryTorn
+            | What::DiscoverySilent
+            | What::DiscoveryTroubled
+            | What::DiscoveryBehind
+            | What::DiscoveryReset => Ok(()),
         }
     }
 
--- a/lab/src/experiment/vary.rs
+++ b/lab/src/experiment/vary.rs
@@ -46,8 +46,8 @@
         let discovery = &mut self.discovery;
         discovery.indented = draws.random();
         discovery.pieces = if draws.random() { draws.random_range(5..80) } else { 0 };
-        discovery.while_down =
-            *[WhileDown::Refused, WhileDown::Waits].choose(&mut draws).unwrap_or(&discovery.while_down);
+        let while_down = [WhileDown::Refused, WhileDown::Waits, WhileDown::RefusesConnections];
+        discovery.while_down = *while_down.choose(&mut draws).unwrap_or(&discovery.while_down);
         let mode = if draws.random() { "watch" } else { "ask" };
         self.set_of_copies("discovery", "mode", mode.into());
         let sockets = *SOCKETS.choose(&mut draws).unwrap_or(&SOCKETS[0]);
--- a/lab/src/experiment/world.rs
+++ b/lab/src/experiment/world.rs
@@ -323,13 +323,15 @@
 
 /// How calls end while discovery is down.
 #[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
-#[serde(rename_all = "lowercase")]
+#[serde(rename_all = "kebab-case")]
 pub enum WhileDown {
     /// With 503 at once.
     #[default]
     Refused,
     /// With 503 after the patience, also where discovery has returned by then.
     Waits,
+    /// Nothing listens: connections are refused, and those that were open are closed.
+    RefusesConnections,
 }
 
 impl Default for Discovery {
--- a/lab/src/seeds.rs
+++ b/lab/src/seeds.rs
@@ -32,6 +32,8 @@
     Trouble,
     /// How an endpoint leaves, by its number.
     Leave,
+    /// How calls end while discovery is crowded, by copy and crowded time.
+    Crowd,
 }
 
 /// The draws of one part, for one thing among many.
--- a/lab/tests/discovery.rs
+++ b/lab/tests/discovery.rs
@@ -1,13 +1,19 @@
-//! Discovery's desk and what is known of who was told what, on a made clock.
+//! Discovery's desk and what is known of who was told what, on a made clock; and how watches end, on loopback.
 
-use gullpulley_lab::discovery::{Desk, Table};
+use gullpulley_lab::discovery::{self, Behind, Caller, Desk, Entry, Table, Troubles};
 use gullpulley_lab::experiment::{Abandoned, Discovery, WhileDown};
 use gullpulley_lab::telling::{Tellings, within};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout};
+
+/// A watch that has said what it has to say is silent for so long, and comes from behind no later.
+const SOON: Duration = Duration::from_millis(300);
 
 /// A desk that takes 100 ms for a call and 10 ms for a line, with a patience of 250 ms.
 fn desk(abandoned: Abandoned, while_down: WhileDown) -> (watch::Sender<Table>, Arc<Desk>) {
@@ -151,3 +157,77 @@
     );
     assert_eq!(within([].iter(), 0.99), None);
 }
+
+/// Discovery on loopback with one endpoint that drains as version 2, and the table that it tells.
+async fn discovery(while_down: WhileDown) -> (watch::Sender<Table>, SocketAddr) {
+    let address: SocketAddr = "127.0.0.1:9".parse().unwrap();
+    let entry = Entry {
+        uid: "one".to_owned(),
+        zone: "a".to_owned(),
+        cell: 0,
+        tier: 0,
+        addresses: vec![address],
+        state: "draining",
+        boot_ms: 0,
+        rev: 2,
+    };
+    let table = watch::Sender::new(Table { rev: 2, entries: vec![entry], ..Table::default() });
+    let described = Discovery { while_down, ..Discovery::default() };
+    let behind = Behind {
+        table: table.subscribe(),
+        desk: Arc::new(Desk::new(&described, table.subscribe())),
+        troubles: Arc::new(Troubles::new(1)),
+        tellings: Arc::new(Tellings::new(Duration::ZERO, vec![0])),
+    };
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let at = listener.local_addr().unwrap();
+    tokio::spawn(discovery::serve(listener, Caller { copy: 0, zone: 0, tier: 0 }, behind));
+    (table, at)
+}
+
+/// What a watch after a version brings within [`SOON`], and whether it is over by then; none where nothing listens.
+async fn told(at: SocketAddr, after: u64, amid: impl FnOnce()) -> Option<(String, bool)> {
+    let mut stream = TcpStream::connect(at).await.ok()?;
+    let call = format!("GET /api/targets?watch=1&after={after} HTTP/1.1\r\nHost: d\r\n\r\n");
+    stream.write_all(call.as_bytes()).await.unwrap();
+    let (mut bytes, mut text) = ([0; 4096], String::new());
+    let mut amid = Some(amid);
+    loop {
+        match timeout(SOON, stream.read(&mut bytes)).await {
+            Ok(Ok(count)) if count > 0 => text += &String::from_utf8_lossy(&bytes[..count]),
+            Ok(_) => return Some((text, true)),
+            Err(_) => return Some((text, false)),
+        }
+        if let Some(amid) = amid.take_if(|_| text.contains("rev")) {
+            amid();
+        }
+    }
+}
+
+#[tokio::test]
+async fn a_watch_is_told_from_behind_and_reset_or_reset_or_refused_as_discovery_stands() {
+    let quiet = || {};
+    let (table, at) = discovery(WhileDown::RefusesConnections).await;
+    let shows = |told: &Option<(String, bool)>| {
+        told.as_ref().map(|(text, over)| (text.contains("draining"), text.contains("200 OK"), *over))
+    };
+    let first = told(at, 1, quiet).await;
+    assert_eq!(shows(&first), Some((true, true, false)), "{first:?}");
+    let reset = told(at, 1, || table.send_modify(|table| table.resets += 1)).await;
+    assert_eq!(shows(&reset), Some((true, true, true)), "{reset:?}");
+    table.send_modify(|table| table.behind = true);
+    for (after, wording) in [(1, "\"all\":false,\"rev\":1,\"targets\":[]"), (0, "\"state\":\"up\"")] {
+        let behind = told(at, after, quiet).await;
+        assert_eq!(shows(&behind), Some((false, true, true)), "{behind:?}");
+        assert!(behind.as_ref().unwrap().0.contains(wording), "{behind:?}");
+    }
+    table.send_modify(|table| table.crowded.extend([0]));
+    assert!(!told(at, 1, quiet).await.unwrap().0.contains("200 OK"), "crowded goes before behind");
+    table.send_modify(|table| (table.down, table.downs) = (true, 1));
+    sleep(SOON).await;
+    assert_eq!(told(at, 1, quiet).await, None, "nothing listens");
+    table.send_modify(|table| *table = Table { down: false, behind: false, ..table.clone() });
+    table.send_modify(|table| table.crowded.clear());
+    sleep(SOON).await;
+    assert_eq!(shows(&told(at, 1, quiet).await), Some((true, true, false)), "back");
+}
