--- a/src/api/endpoints.rs
+++ b/src/api/endpoints.rs
@@ -42,8 +42,13 @@
     Cached(Vec<EndpointInfo>),
     /// Changed entries only.
     Delta(Vec<EndpointInfo>),
-    /// Changed entries that the discovery which was moved from had still to tell; no watch is up by them.
-    Late(Vec<EndpointInfo>),
+    /// What the discovery which was moved from had still to tell; no watch is up by it.
+    Late {
+        /// The complete list: what is missing from it is gone.
+        whole: bool,
+        /// Its entries.
+        entries: Vec<EndpointInfo>,
+    },
     /// The list as a watch at an address that discovery has moved to first tells it, with no newer version: it may be
     /// behind, as one that has just taken over is. The watch is up; whether the list is current is not known yet.
     Unconfirmed {
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -25,7 +25,9 @@
 /// of them has to do for two calls, as the first may fail.
 const SILENCE: Duration = Duration::from_secs(3);
 /// A watch on which nothing came for longer than this has missed the line that is due every 2 s.
-const HEARTBEAT_LATE: Duration = Duration::from_millis(2500);
+const HEARTBEAT_LATE: Duration = Duration::from_millis(2200);
+/// A list on a watch that is up has come whole so long after the last word: changes behind it wait for its end.
+const LIST_TIME: Duration = Duration::from_millis(4500);
 /// A list older than one that was heard is an old answer, unless discovery tells nothing newer for so long: then it
 /// has begun to count anew.
 const OLDER_FOR: Duration = Duration::from_secs(6);
@@ -61,6 +63,8 @@
     rev: Cell<u64>,
     /// Since when only older lists have come.
     older_since: Cell<Option<Instant>>,
+    /// When a watch that is up last told something whole, a list or an empty line; the start where none has.
+    told_at: Cell<Instant>,
     /// Discovery has moved, and no watch has shown since that it tells what discovery has.
     unconfirmed: Cell<bool>,
     health: Rc<DiscoveryHealth>,
@@ -105,6 +109,7 @@
             translator,
             rev: Cell::default(),
             older_since: Cell::default(),
+            told_at: Cell::new(began),
             unconfirmed: Cell::default(),
             health,
             watches: RefCell::default(),
@@ -171,8 +176,7 @@
             return;
         }
         info!(%address, "discovery: now at {address}");
-        let unheard = self.health.unheard();
-        if unheard > HEARTBEAT_LATE && !self.watches.borrow().is_empty() {
+        if self.told_at.get().elapsed() > HEARTBEAT_LATE && !self.watches.borrow().is_empty() {
             // What the watch that is left behind has missed counts by its silence, which may be before the move's 4 s.
             self.failed("the watch was silent as discovery moved", DiscoveryFailure::WatchSilent);
         }
@@ -250,8 +254,8 @@
         let mut body = response.into_body();
         let mut lists = ListReader::default();
         let mut silent_at = Instant::now() + SILENCE;
-        // Since when it is up without having told anything newer after a move.
-        let mut unconfirmed_since: Option<Instant> = None;
+        // When it first told a list, and that after a move.
+        let (mut told_since, mut unconfirmed_since): (Option<Instant>, Option<Instant>) = (None, None);
         loop {
             let frame = match timeout_at(silent_at, body.frame()).await {
                 Err(_) => return Over::Silent,
@@ -274,21 +278,34 @@
                 if self.is_old_answer(list.rev) {
                     return Over::Older { told: list.rev, held: self.rev.get() };
                 }
-                self.left_behind.take();
                 self.watches.borrow_mut().retain(|watch| watch.number == number);
-                let confirmed = !self.unconfirmed.get() || list.rev != self.rev.get();
-                unconfirmed_since = (!confirmed).then(|| unconfirmed_since.unwrap_or_else(Instant::now));
-                self.take(list, confirmed);
+                let now = Instant::now();
+                told_since.get_or_insert(now);
+                if self.unconfirmed.get() {
+                    unconfirmed_since.get_or_insert(now);
+                }
+                let newer = list.rev != self.rev.get();
+                self.take(list, newer || !self.unconfirmed.get());
+            }
+            let now = Instant::now();
+            if lists.is_amid() {
+                // Empty lines behind half a list keep up a watch that tells nothing any more; and who waits for the end
+                // of a list does not hear what comes behind it.
+                if !piece.trim_ascii().is_empty() {
+                    let list_by = told_since.map(|_| self.told_at.get() + LIST_TIME);
+                    silent_at = list_by.map_or(now + SILENCE, |by| by.min(now + SILENCE));
+                }
+                continue;
+            }
+            silent_at = now + SILENCE;
+            if told_since.is_some() {
+                self.told_at.set(now);
             }
-            let told_on = unconfirmed_since.is_some_and(|since| since.elapsed() >= LISTING_DELAY);
+            let told_on = unconfirmed_since.is_some_and(|since| now >= since + LISTING_DELAY);
             if told_on && !self.is_left_behind(number) {
                 unconfirmed_since = None;
                 self.confirm();
             }
-            // Empty lines behind half a list keep up a watch that tells nothing any more.
-            if !lists.is_amid() || !piece.trim_ascii().is_empty() {
-                silent_at = Instant::now() + SILENCE;
-            }
         }
     }
 
@@ -303,10 +320,12 @@
         }
         self.rev.set(list.rev);
         info!(rev = list.rev, entries = list.targets.len(), "list: told by the address before");
-        let mut news = self.translator.news(List { all: false, ..list });
-        if let Membership::Delta(entries) = news.membership {
-            news.membership = Membership::Late(entries);
-        }
+        let mut news = self.translator.news(list);
+        news.membership = match news.membership {
+            Membership::Full(entries) => Membership::Late { whole: true, entries },
+            Membership::Delta(entries) => Membership::Late { whole: false, entries },
+            other => other,
+        };
         self.tell(news);
     }
 
@@ -347,9 +366,8 @@
         self.heard.send_replace(Heard::Lists);
         match confirmed {
             true => self.schedule.borrow_mut().heard(self.began.elapsed()),
-            false => self.schedule.borrow_mut().watch_opened(),
+            false => self.schedule.borrow_mut().watch_opened(self.began.elapsed()),
         }
-        self.unconfirmed.set(!confirmed);
         self.plan_call(None);
         self.failing.take();
         if !list.targets.is_empty() {
@@ -371,6 +389,7 @@
     /// A watch at the address that was moved to has told on for long enough to have brought what discovery had.
     fn confirm(&self) {
         self.unconfirmed.set(false);
+        self.left_behind.take();
         self.schedule.borrow_mut().heard(self.began.elapsed());
         info!(rev = self.rev.get(), "list: confirmed at discovery's new address");
         self.tell(News::unchanged());
@@ -378,7 +397,7 @@
 
     /// Tells that a call or watch has failed; for how long nothing had been heard.
     fn failed(&self, reason: &str, failure: DiscoveryFailure) -> Duration {
-        let unheard = self.health.unheard();
+        let unheard = self.told_at.get().elapsed();
         // Said once for each reason until a list comes; the driver counts the others.
         if self.failing.replace(Some(reason.to_owned())).is_none_or(|before| before != reason) {
             warn!(address = %self.address.get(), "discovery: {reason}");
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -292,8 +292,10 @@
         }
         let (whole, entries) = match &news.membership {
             Membership::Full(entries) | Membership::Cached(entries) => (true, entries),
-            Membership::Delta(entries) | Membership::Late(entries) => (false, entries),
-            Membership::Unconfirmed { whole, entries } => (*whole, entries),
+            Membership::Delta(entries) => (false, entries),
+            Membership::Late { whole, entries } | Membership::Unconfirmed { whole, entries } => {
+                (*whole, entries)
+            }
             Membership::Failed { .. } => {
                 self.count("discovery failed");
                 return self.handle(Event::Membership(news.membership));
--- a/src/policy/discovery_schedule.rs
+++ b/src/policy/discovery_schedule.rs
@@ -110,12 +110,13 @@
 
     /// A watch is up, the list is current by what it told, and all other calls are over.
     pub fn heard(&mut self, now: Duration) {
-        self.watch_opened();
+        self.watch_opened(now);
         self.lease.grant(now);
     }
 
     /// A watch is up, and all other calls are over. It has yet to show that it tells what discovery has.
-    pub fn watch_opened(&mut self) {
+    pub fn watch_opened(&mut self, now: Duration) {
+        self.lease.watch_told(now);
         (self.watched, self.calls_out, self.planned) = (true, 0, None);
     }
 
@@ -132,7 +133,9 @@
         let watched = std::mem::replace(&mut self.watched, false);
         self.calls_out = if watched { 0 } else { self.calls_out.saturating_sub(1) };
         self.lease.watch_ended(now, unheard);
-        self.lease.call_failed(now, failure.evidence());
+        if !watched {
+            self.lease.call_failed(now, failure.evidence());
+        }
         let due = now + self.wait_after(now, watched, failure);
         // Beside another call: its failure puts off nothing that was planned after this one's.
         let planned = self.planned.filter(|at| *at > now).map_or(due, |at| at.min(due));
@@ -163,10 +166,10 @@
         (self.few || now < end) && now + wait + ANSWER_TAKES > end
     }
 
-    /// Whether a call out of its slot makes no crowd: of a few processes, or of those whose call was lost.
+    /// Whether a call out of its slot makes no crowd: of a few processes, or of those whose call was lost,
+    /// or found nothing listening, which a second call has to prove.
     fn may_hurry(&self, failure: DiscoveryFailure) -> bool {
-        use DiscoveryFailure::{NotListening, RefusedAtOnce, SentAway};
-        self.few || !matches!(failure, NotListening | RefusedAtOnce | SentAway)
+        self.few || !matches!(failure, DiscoveryFailure::RefusedAtOnce | DiscoveryFailure::SentAway)
     }
 
     fn spread(&mut self, wait: Duration) -> Duration {
--- a/src/policy/list.rs
+++ b/src/policy/list.rs
@@ -70,18 +70,15 @@
                 }
                 return;
             }
-            Membership::Late(entries) => return self.update_endpoints(now, entries),
-            Membership::Delta(entries) | Membership::Unconfirmed { whole: false, entries } => {
-                self.update_endpoints(now, entries);
+            Membership::Late { whole, entries } => {
+                self.take_entries(now, whole, entries);
+                return;
             }
-            Membership::Full(entries)
-            | Membership::Cached(entries)
-            | Membership::Unconfirmed { whole: true, entries } => {
-                for endpoint in &mut self.endpoints {
-                    endpoint.info.state = EndpointState::Gone;
-                }
-                self.update_endpoints(now, entries);
+            Membership::Delta(entries) => self.take_entries(now, false, entries),
+            Membership::Full(entries) | Membership::Cached(entries) => {
+                self.take_entries(now, true, entries);
             }
+            Membership::Unconfirmed { whole, entries } => self.take_entries(now, whole, entries),
         }
         if !self.started && self.settings.discovery == Discovery::Ask {
             let wait = self.schedule.first(now, self.endpoints.len(), self.processes > 1.0);
@@ -90,7 +87,7 @@
             if confirmed {
                 self.schedule.heard(now)
             } else {
-                self.schedule.watch_opened()
+                self.schedule.watch_opened(now)
             }
             self.cancel_discovery_call();
         }
@@ -126,8 +123,11 @@
         self.lease_timer = None;
         let lease = self.schedule.lease();
         if let Some(end) = lease.end().filter(|_| !lease.holds(now)) {
-            let text = format!("list lease: run out, sending only by endpoints' own health: {}", end.term);
-            out.push(Action::Log(text));
+            let then = match self.settings.limits.probes {
+                true => "sending only to endpoints whose health check passes",
+                false => "requests are held",
+            };
+            out.push(Action::Log(format!("list lease: run out, {then}: {}", end.term)));
         }
     }
 
@@ -171,6 +171,16 @@
         self.choose_part(now);
     }
 
+    /// Takes the entries of a list; what a whole one does not name is gone.
+    fn take_entries(&mut self, now: Duration, whole: bool, entries: Vec<EndpointInfo>) {
+        if whole {
+            for endpoint in &mut self.endpoints {
+                endpoint.info.state = EndpointState::Gone;
+            }
+        }
+        self.update_endpoints(now, entries);
+    }
+
     fn update_endpoints(&mut self, now: Duration, entries: Vec<EndpointInfo>) {
         let warm_within = self.settings.rules.warm_within;
         self.resumed.retain(|_, at| now.saturating_sub(*at) < warm_within);
--- a/src/policy/list_lease.rs
+++ b/src/policy/list_lease.rs
@@ -64,10 +64,14 @@
     end: Option<LeaseEnd>,
     /// From then on the list may lack a change that counts as known by the settings' time for asking.
     doubted_at: Option<Duration>,
-    /// Discovery has moved, and has not shown since that its list is current.
-    moved: bool,
+    /// When discovery moved, where it has not shown since that its list is current.
+    moved: Option<Duration>,
+    /// When the watch that is up first told something after that move.
+    told_since_move: Option<Duration>,
     /// When the last call found nothing listening, if the last call did.
     refused: Option<Duration>,
+    /// A call has failed since the list was current that does not prove that discovery was down.
+    maybe_up: bool,
     /// For how long it has been out of force, up to its last renewal.
     lapsed: Duration,
 }
@@ -85,21 +89,37 @@
             doubted_within,
             end,
             doubted_at: asked.then(|| now + ANSWER_IN_CROWD),
-            moved: false,
+            moved: None,
+            told_since_move: None,
             refused: None,
+            maybe_up: false,
             lapsed: Duration::ZERO,
         }
     }
 
-    /// A watch is up, and by what it told the list is current.
+    /// A watch is up, and by what it told the list is current. Until what discovery had at a move counts as
+    /// known, that takes a watch that tells on for a while: one that ends before that may have ended
+    /// instead of telling.
     pub fn grant(&mut self, now: Duration) {
+        if self.moved.is_some_and(|moved| now < moved + KNOWN_AFTER_MOVE) {
+            let first_told = *self.told_since_move.get_or_insert(now);
+            if now < first_told + LISTING_DELAY {
+                return;
+            }
+        }
         self.lapsed = self.lapsed(now);
         (self.end, self.doubted_at, self.started, self.refused) = (None, None, None, None);
-        self.moved = false;
+        (self.moved, self.told_since_move, self.maybe_up) = (None, None, false);
+    }
+
+    /// A watch is up, and has told nothing newer since a move: that does not make the list current yet.
+    pub fn watch_told(&mut self, now: Duration) {
+        self.told_since_move.get_or_insert(now);
     }
 
     /// No watch is up, and for `unheard` the last one had told nothing. Says nothing new where none was.
     pub fn watch_ended(&mut self, now: Duration, unheard: Duration) {
+        self.told_since_move = None;
         let complete = self.started.unwrap_or(now.saturating_sub(unheard + LISTING_DELAY));
         let end = LeaseEnd { at: complete + self.known_within, term: LeaseTerm::SinceWatch };
         self.end.get_or_insert(end);
@@ -111,38 +131,33 @@
         let moved = LeaseEnd { at: now + KNOWN_AFTER_MOVE, term: LeaseTerm::SinceMove };
         self.end = Some(self.end.map_or(moved, |end| if end.at <= moved.at { end } else { moved }));
         self.doubted_at = Some(self.doubted_at.map_or(moved.at, |at| at.min(moved.at)));
-        (self.moved, self.refused) = (true, None);
+        (self.moved, self.told_since_move, self.refused) = (Some(now), None, None);
     }
 
     /// What a failed call proves. Between two calls in a row that found nothing listening discovery was
-    /// down, and a change counts from its return. One alone may be a fault on the way: it puts the end off
-    /// only until the next call. What counts as known by now is not taken back.
+    /// down, and a change counts from its return: one alone may be a fault on the way. Where discovery may
+    /// have been up since the list was current it may have had a change by then, and so the end stays; what
+    /// counts as known by now is not taken back either.
     pub fn call_failed(&mut self, now: Duration, evidence: DiscoveryEvidence) {
-        if evidence != DiscoveryEvidence::Down || !self.holds(now) {
+        self.maybe_up |= evidence != DiscoveryEvidence::Down;
+        if self.maybe_up || !self.holds(now) {
             self.refused = None;
             return;
         }
-        if let Some(down_since) = self.refused.replace(now) {
-            let from_return = self.end_by_refusal(down_since);
-            self.end = self.end.map(|end| if end.at < from_return.at { from_return } else { end });
-        }
-    }
-
-    fn end_by_refusal(&self, refused: Duration) -> LeaseEnd {
-        let known_within = if self.moved { KNOWN_AFTER_MOVE } else { self.known_within };
-        LeaseEnd { at: refused + known_within, term: LeaseTerm::SinceRefusal }
+        let Some(down_since) = self.refused.replace(now) else { return };
+        let known_within = if self.moved.is_some() { KNOWN_AFTER_MOVE } else { self.known_within };
+        let from_return = LeaseEnd { at: down_since + known_within, term: LeaseTerm::SinceRefusal };
+        self.end = self.end.map(|end| if end.at < from_return.at { from_return } else { end });
     }
 
     /// When it runs out, and by which term; none while a watch keeps the list current.
     pub fn end(&self) -> Option<LeaseEnd> {
-        let end = self.end?;
-        let by_refusal = self.refused.map(|at| self.end_by_refusal(at)).filter(|later| later.at > end.at);
-        Some(by_refusal.unwrap_or(end))
+        self.end
     }
 
     /// Whether requests may be sent by the list.
     pub fn holds(&self, now: Duration) -> bool {
-        self.end().is_none_or(|end| now < end.at)
+        self.end.is_none_or(|end| now < end.at)
     }
 
     /// Whether the list may lack a change by now: of what it names, only what shows that it takes calls is
@@ -153,6 +168,6 @@
 
     /// For how long it has been out of force since the start.
     pub fn lapsed(&self, now: Duration) -> Duration {
-        self.lapsed + self.end().map_or(Duration::ZERO, |end| now.saturating_sub(end.at))
+        self.lapsed + self.end.map_or(Duration::ZERO, |end| now.saturating_sub(end.at))
     }
 }
--- a/src/policy/requests.rs
+++ b/src/policy/requests.rs
@@ -89,6 +89,8 @@
         }
         let trust_before = self.trust;
         self.advance(now, id, out);
+        let held = self.held.last() == Some(&id);
+        self.held_without_lease += u64::from(held && self.trust == ListTrust::Healthy);
         self.log_trust(trust_before, out);
         self.probe_endpoints(now, out);
     }
@@ -123,7 +125,6 @@
             return self.give_up(id, out);
         }
         let Some(i) = self.pick(now, id) else {
-            self.held_without_lease += u64::from(self.trust == ListTrust::Healthy);
             self.held.push(id);
             return self.set_recheck(out);
         };
--- a/tests/discovery_schedule.rs
+++ b/tests/discovery_schedule.rs
@@ -346,10 +346,10 @@
         for tick in 0..400 {
             // Watched until 2 s; from 3 s on three are leaving, and nobody says so; all is told at 18 s.
             if tick == 40 {
-                // A watch is lost, or a call can't be made; from then on nothing listens at discovery.
+                // A watch is lost, or nothing listens at the first call; from then on nothing does.
                 let failure = match heard_first {
                     true => DiscoveryFailure::Unanswered,
-                    false => DiscoveryFailure::NotConnected,
+                    false => DiscoveryFailure::NotListening,
                 };
                 d.list(Membership::Failed { unheard: Duration::ZERO, failure });
             }
