Failing test: a large body that trickles is waited for without end

Class: each piece renews the wait. Bodies that are held must keep half of the slowest pace (net/request.rs BODY_PACE); one over 64 KiB has only 3 s from piece to piece (net/passing.rs BODY_STALL) up to UPLOAD_MOST, 1,100 s, also in `discard` after its answer. Measured: 70 kB of 100 kB at once, then a byte each 0.5 s: neither an error nor a close for 7.18 s, where that pace would have brought all of it by 5.93 s.

--- a/tests/stopped_clients.rs
+++ b/tests/stopped_clients.rs
@@ -68,3 +68,24 @@
     let took = waits(client.stream(), stopped);
     assert!(took.is_some_and(|took| took <= OWED), "neither an error nor a close for {took:?}");
 }
+
+#[test]
+fn a_large_body_that_trickles_is_cut_off() {
+    let peer = Peer::serving("ok");
+    let sidecar = Sidecar::start(&config(&[&peer]));
+    let (mut client, connected) = (sidecar.client(), Instant::now());
+    client.send(&head("r1", 100_000));
+    client.send(&"b".repeat(70_000));
+    // At half of the slowest pace that clients keep, from the last moment for a first body on, it would be over by then.
+    let most = Duration::from_millis(2800)
+        + Duration::from_secs_f64(100_000.0 / 32_000.0)
+        + Duration::from_secs(1);
+    client.stream().set_read_timeout(Some(Duration::from_millis(500))).unwrap();
+    while let Err(e) = client.stream().read(&mut [0; 1]) {
+        if e.kind() != std::io::ErrorKind::WouldBlock {
+            break;
+        }
+        assert!(connected.elapsed() < most, "neither an error nor a close for {:?}", connected.elapsed());
+        client.send("b");
+    }
+}
