Read the orders by hand again right before a new process takes its first client

What callers saw: an order said yes to by an older process while a new one started was not in force as the new one began to serve: its requests went to an endpoint taken out 1.3 s before and earlier. Cause: the orders were read once at the start, up to 5.5 s before the first client (pushes, the first list, the binds), and `Door::follow` looked for the first time 50 ms after it. Change: `Door::look` reads the file where its version is another and waits until the driver has what it says; it is called once both addresses are bound, right before clients are taken, and `follow` goes on from that version. Why it works: what the driver is told comes before any request in its queue, and the version is read before the file: an order given between the two is read again 50 ms later, in time for the 1 s that an order has.

--- a/src/net/bans.rs
+++ b/src/net/bans.rs
@@ -83,6 +83,9 @@
     Content(#[from] serde_json::Error),
 }
 
+/// A version of the file, another one each time it is replaced: which file that is, and when it was written.
+pub type Version = (u64, SystemTime);
+
 /// A sidecar's name as a part of a file's.
 pub fn plain(name: &str) -> String {
     name.chars().map(|c| if c.is_ascii_alphanumeric() { c } else { '_' }).collect()
@@ -113,8 +116,8 @@
         }
     }
 
-    /// Which version of the file is there: another one each time it is replaced.
-    pub fn version(&self) -> Option<(u64, SystemTime)> {
+    /// Which version of the file is there; none where there is no file yet.
+    pub fn version(&self) -> Option<Version> {
         use std::os::unix::fs::MetadataExt;
         let data = fs::metadata(&self.file).ok()?;
         Some((data.ino(), data.modified().ok()?))
--- a/src/net/control.rs
+++ b/src/net/control.rs
@@ -1,6 +1,6 @@
 //! The operators' door: readiness, figures, and taking endpoints out and back. One call to a connection.
 
-use super::bans::{Bans, BansError, Order, Standing};
+use super::bans::{Bans, BansError, Order, Standing, Version};
 use super::counters::Counters;
 use super::guard::Guard;
 use super::inbound::Inbound;
@@ -111,22 +111,25 @@
         }
     }
 
-    /// Carries out what other processes of this sidecar were ordered.
-    pub async fn follow(self: Rc<Self>) {
-        let mut seen = None;
+    /// Carries out what other processes of this sidecar were ordered, from this version on.
+    pub async fn follow(self: Rc<Self>, mut seen: Option<Version>) {
         loop {
             sleep(FOLLOW).await;
-            let version = self.bans.version();
-            if version == seen {
-                continue;
-            }
+            seen = self.look(seen).await;
+        }
+    }
+
+    /// Has the orders in force as the file says them, where that is no longer the version seen; which one it is now.
+    pub async fn look(&self, seen: Option<Version>) -> Option<Version> {
+        let version = self.bans.version();
+        if version != seen {
             let _turn = self.ordering.lock().await;
             match self.bans.read() {
                 Ok(standing) => self.enforce(standing).await,
                 Err(problem) => error!("suspended endpoints: {problem}; what is in force stays"),
             }
-            seen = version;
         }
+        version
     }
 
     /// Makes room where it is wanted, at the cost of the caller that has been silent longest.
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -212,7 +212,9 @@
             .map_err(|e| format!("control: {control}: {e}"))?;
         info!(sidecar = name, %control, "the operators' door is open");
         let behind = Door::new(bans, counters, inbound.clone(), inbox);
-        spawn_local(behind.clone().follow());
+        // Orders given to an older process since this one began hold from the first client on.
+        let seen = behind.look(None).await;
+        spawn_local(behind.clone().follow(seen));
         spawn_local(behind.serve(door));
     }
     info!(sidecar = name, %listen, version = env!("CARGO_PKG_VERSION"), "serving");
