A process told to end before it serves ends without taking anyone

What callers saw: a process told to end while it still waited for its first list listened all the same, took clients, and was killed with 12 of 24 requests never answered. Cause: SIGTERM was looked at only once the process served, up to 5.5 s after it came, and the drain counts from that look. Change: the waits for pushes, the list and the two addresses are one step that SIGTERM ends; then nothing has been bound that clients come to, and the process leaves its fleet and ends. The clients' address is bound last, after the operators' door: a wait or a failure at the door no longer keeps clients waiting in a backlog that may then be closed under them. Why it works: the bind is the last that the step does, so either nobody can have been dealt to this process, or `serve` begins at once and counts from the signal. Where it has a fleet it stays 50 ms more, for the word of its leaving to go out (that it arrives was not measured).

--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -66,7 +66,7 @@
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::{spawn_blocking, spawn_local};
-use tokio::time::{Instant, timeout};
+use tokio::time::{Instant, sleep, timeout};
 use tracing::{error, info, warn};
 
 /// How often other processes of this sidecar are looked for.
@@ -85,6 +85,8 @@
 /// A process joins its fleet when its start is durable, or after this without it: a disk that hangs, or that an older
 /// process still has, must not keep it out.
 const DISK_WAIT: Duration = Duration::from_secs(5);
+/// A process that ends before it took any client stays for so long, for its fleet to hear that it leaves.
+const LEAVING: Duration = Duration::from_millis(50);
 /// Connections that may wait to be accepted; the system may allow fewer.
 const BACKLOG: u32 = 1024;
 
@@ -106,7 +108,7 @@
         fleet,
         ..
     } = config;
-    let term = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
+    let mut term = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
     let hup = signal(SignalKind::hangup()).map_err(|e| format!("SIGHUP: {e}"))?;
     let clock = Clock::start();
     let balancer =
@@ -194,22 +196,44 @@
     let mut driver = spawn_local(driver.run(inputs));
     spawn_local(discovery.clone().run(asked));
     spawn_local(outbound.clone().sweep());
-    if settings.discovery == gullpulley::Discovery::Push {
-        let _ = timeout(PUSH_WAIT, discovery.tried()).await;
-    }
-    if let Some(sharing) = sharing {
-        if older > 0 {
-            // The older process serves meanwhile; the list known at its start may have aged with it.
-            let _ = timeout(LIST_WAIT, discovery.heard()).await;
+    let getting_ready = async {
+        if settings.discovery == gullpulley::Discovery::Push {
+            let _ = timeout(PUSH_WAIT, discovery.tried()).await;
         }
-        spawn_local(sharing.keep_up());
-    }
-    let bind = || listen_at(listen, control.is_some());
-    let listener = patiently(bind).await.map_err(|e| format!("listen: {listen}: {e}"))?;
-    if let Some(control) = control {
-        let door = patiently(|| listen_at(control, false))
-            .await
-            .map_err(|e| format!("control: {control}: {e}"))?;
+        if let Some(sharing) = sharing {
+            if older > 0 {
+                // The older process serves meanwhile; the list known at its start may have aged with it.
+                let _ = timeout(LIST_WAIT, discovery.heard()).await;
+            }
+            spawn_local(sharing.keep_up());
+        }
+        let door = match control {
+            Some(control) => {
+                let bind = patiently(|| listen_at(control, false));
+                Some((control, bind.await.map_err(|e| format!("control: {control}: {e}"))?))
+            }
+            None => None,
+        };
+        // Last: from here on clients may wait in the backlog.
+        let bind = patiently(|| listen_at(listen, control.is_some()));
+        let listener = bind.await.map_err(|e| format!("listen: {listen}: {e}"))?;
+        Ok::<_, String>((door, listener))
+    };
+    let ready = tokio::select! {
+        biased;
+        _ = term.recv() => None,
+        ready = getting_ready => Some(ready?),
+    };
+    // Its time until it is killed runs already: whom it took now it might not answer.
+    let Some((door, listener)) = ready else {
+        info!("told to end before it took any client");
+        if let Some(peers) = &peers {
+            peers.leave();
+            sleep(LEAVING).await;
+        }
+        return Ok(());
+    };
+    if let Some((control, door)) = door {
         info!(sidecar = name, %control, "the operators' door is open");
         let behind = Door::new(bans, counters, inbound.clone(), inbox);
         // Orders given to an older process since this one began hold from the first client on.
@@ -237,7 +261,7 @@
     loop {
         match bind() {
             Err(e) if is_passing(&e) && Instant::now() < until => {
-                tokio::time::sleep(BIND_LOOK).await;
+                sleep(BIND_LOOK).await;
             }
             bound => return bound,
         }
@@ -283,7 +307,7 @@
 
     async fn keep_up(self) {
         loop {
-            tokio::time::sleep(LOOK).await;
+            sleep(LOOK).await;
             self.inbound.succeeded(self.look() > 0);
         }
     }
@@ -333,7 +357,7 @@
             if read.is_ok() || looks == RELOAD_LOOKS {
                 return read;
             }
-            tokio::time::sleep(RELOAD_LOOK).await;
+            sleep(RELOAD_LOOK).await;
         }
     }
 
