Refuse what comes whole after a drain gave up, instead of sending it on

What callers saw: bodies that came whole in the last 0.15 s of a drain were sent to an endpoint, and the process ended under them: three of six sent on were never answered. Cause: GiveUp fails once what is open at that moment; what arrived after it was taken like any other. Change: `Phase` (Starting, Serving, Draining, GivenUp) takes the place of the two flags `serving` and `draining`; from GivenUp on a request that has come whole is refused with 503 before the driver hears of it. Why it works: the phase changes right before GiveUp is put in the driver's queue, on the same thread, so each request is either before it there, and failed by it, or refused.

--- a/src/net/inbound.rs
+++ b/src/net/inbound.rs
@@ -5,6 +5,7 @@
 use super::message::{Answer, Arrival, Content, Forward, Inbox, Input};
 use super::outbound::{BUFFER_MOST, Outbound};
 use super::passing::{LARGE_MOST, Pieces, Upload};
+use super::phase::Phase;
 use super::reply::{PassingAnswer, Reply, ReplyBody, Waiting, plain, say_when};
 use super::request::{Wording, drop_hop_headers, hold};
 use super::stream::ClientStream;
@@ -79,9 +80,7 @@
     next: Cell<u64>,
     /// The X-Request-IDs of the requests in work, as clients choose them.
     ids: Rc<RefCell<HashSet<String>>>,
-    /// Clients are let in.
-    serving: Cell<bool>,
-    draining: Cell<bool>,
+    phase: Cell<Phase>,
     /// Told when the operators want it to end.
     asked_to_drain: Notify,
     /// Another process of this sidecar takes clients too.
@@ -109,8 +108,7 @@
             inbox,
             next: Cell::new(0),
             ids: Rc::default(),
-            serving: Cell::new(false),
-            draining: Cell::new(false),
+            phase: Cell::new(Phase::Starting),
             asked_to_drain: Notify::new(),
             succeeded: Cell::new(false),
             failing: Cell::new(false),
@@ -120,7 +118,7 @@
 
     /// Whether this process takes clients.
     pub fn takes_clients(&self) -> bool {
-        self.serving.get() && !self.draining.get()
+        self.phase.get() == Phase::Serving
     }
 
     /// Ends it as SIGTERM does.
@@ -136,7 +134,7 @@
     /// Serves until told to end, then drains: all that the kernel has accepted is answered.
     /// `ending` is called as the drain begins.
     pub async fn serve(self: Rc<Self>, listener: TcpListener, mut term: Signal, ending: impl FnOnce()) {
-        self.serving.set(true);
+        self.phase.set(Phase::Serving);
         loop {
             tokio::select! {
                 _ = term.recv() => break,
@@ -146,7 +144,7 @@
         }
         let asked = Instant::now();
         info!(clients = self.budget.clients(), "draining");
-        self.draining.set(true);
+        self.phase.set(Phase::Draining);
         ending();
         let longest = self.wording.settings.classes.iter().map(|c| c.deadline).max().unwrap_or_default();
         let until = asked + longest.min(DEADLINE_MOST) + DRAIN_SLACK;
@@ -162,6 +160,7 @@
         self.close_listener(listener);
         self.close.send_replace(());
         if timeout_at(until, self.all_gone()).await.is_err() {
+            self.phase.set(Phase::GivenUp);
             let _ = self.inbox.send(Input::GiveUp);
             let _ = timeout(LAST_ANSWERS, self.all_gone()).await;
         }
@@ -272,7 +271,7 @@
     /// Waits until connections are to make room, and not only to end.
     async fn room_wanted(&self, close: &mut watch::Receiver<()>) {
         // The sender lives as long as this does.
-        while close.changed().await.is_ok() && self.draining.get() {}
+        while close.changed().await.is_ok() && self.phase.get().ending() {}
     }
 
     async fn talk(
@@ -304,10 +303,10 @@
                     _ if turn.busy.get() => turn.last.set(true),
                     // On a new connection the first request is as good as taken: to close it now
                     // would lose what the client is just writing.
-                    None if self.draining.get() => fresh_until = Some(Instant::now() + FRESH_WAIT),
+                    None if self.phase.get().ending() => fresh_until = Some(Instant::now() + FRESH_WAIT),
                     // One just used is likely to be used again at once, and a request that crosses
                     // our closing is lost, or sent twice: the next answer says that it is the last.
-                    Some(idle) if self.draining.get() || idle >= IDLE_LEAST => {
+                    Some(idle) if self.phase.get().ending() || idle >= IDLE_LEAST => {
                         connection.as_mut().graceful_shutdown();
                     }
                     _ => turn.last.set(true),
@@ -375,7 +374,7 @@
         }
         // Who only asks whether we are ready and stays takes a place that requests want, where few are left.
         let in_the_way = asks_ready && self.budget.crowded();
-        if self.draining.get() || shed || turn.last.get() || in_the_way {
+        if self.phase.get().ending() || shed || turn.last.get() || in_the_way {
             reply.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
         }
         Ok(reply)
@@ -409,6 +408,9 @@
             Some(_) => Some(self.budget.take(Holder::Request).ok_or(busy)?),
             None => None,
         };
+        if self.phase.get() == Phase::GivenUp {
+            return Err((StatusCode::SERVICE_UNAVAILABLE, "ending"));
+        }
         // The client counts from its last byte.
         let came = Instant::now();
         let named = head.headers.get("x-request-id").and_then(|id| id.to_str().ok()).unwrap_or_default();
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -7,7 +7,7 @@
 //! `progress`, `passing`: how far an attempt is, bodies that pass through;
 //! `outbound`, `discovery`: connections to endpoints and to discovery;
 //! `log_text`, `message`, `open`, `driver`: turns what happens there into the policy's events, and carries out its actions;
-//! `stream`, `request`, `turn`, `reply`, `inbound`: clients' words, connections and answers;
+//! `phase`, `stream`, `request`, `turn`, `reply`, `inbound`: how far this process is, clients' words, connections and answers;
 //! `control`: the operators' door.
 
 mod bans;
@@ -30,6 +30,7 @@
 mod overlap;
 mod passing;
 mod peers;
+mod phase;
 mod progress;
 mod reply;
 mod request;
