A start once told stays true until a later one is told

What callers saw: after an older list came into force, an endpoint that had just started got the even share of a warm one: 16 to 19 of 80 requests beside three warm ones, 3 where its start was told again. Cause: `StartTimes::started` took any start other than the last one told, also an earlier one or 0 (long ago). Change: what is known of an endpoint stands unless a later start is told; `retain` still forgets it once it is gone from a whole list. Why it works: a process does not become older; who tells an earlier start tells of the process before it. What it gives up: a restart told with a start before the last one (discovery's clock put back in between) is not seen as one.

--- a/src/net/start_times.rs
+++ b/src/net/start_times.rs
@@ -8,7 +8,7 @@
 /// them can be compared, and none with the time here.
 #[derive(Default)]
 pub struct StartTimes {
-    /// The start that each endpoint was last told with, and when that was for this process.
+    /// The latest start that each endpoint was told with, and when that was for this process.
     known: HashMap<EndpointId, (u64, Duration)>,
     /// The latest start of any, and when it was first told: by then that clock stood there or later.
     latest: Option<(u64, Duration)>,
@@ -22,21 +22,21 @@
     }
 
     /// When an endpoint told with this start counts as started; none where that was long ago. It is as old as it must be:
-    /// at least since it was first told, and by as much as its start lies before the latest.
+    /// at least since it was first told, and by as much as its start lies before the latest. An earlier start than it
+    /// was told with before, or one long ago, is an older list's: what has started since stays so.
     pub fn started(&mut self, endpoint: EndpointId, start: u64, now: Duration) -> Option<Duration> {
+        if let Some((told, at)) = self.known.get(&endpoint)
+            && *told >= start
+        {
+            return Some(*at);
+        }
         if start == 0 {
-            self.known.remove(&endpoint);
             return None;
         }
-        match self.known.get(&endpoint) {
-            Some((told, at)) if *told == start => Some(*at),
-            _ => {
-                let age = Duration::from_millis(self.at_least(now).saturating_sub(start));
-                let at = now.saturating_sub(age);
-                self.known.insert(endpoint, (start, at));
-                Some(at)
-            }
-        }
+        let age = Duration::from_millis(self.at_least(now).saturating_sub(start));
+        let at = now.saturating_sub(age);
+        self.known.insert(endpoint, (start, at));
+        Some(at)
     }
 
     /// Forgets endpoints that are no longer listed.
--- a/src/net/start_times/tests.rs
+++ b/src/net/start_times/tests.rs
@@ -25,3 +25,20 @@
     starts.retain(|id| id == ids[0]);
     assert_eq!(starts.known.len(), 1);
 }
+
+#[test]
+fn an_older_list_takes_no_start_back_and_a_later_start_counts() {
+    let (mut starts, second, id) = (StartTimes::default(), Duration::from_secs, EndpointId(1));
+    let mut told = |start: u64, at: u64| {
+        starts.take([start].into_iter(), second(at));
+        starts.started(id, start, second(at))
+    };
+    assert_eq!(told(0, 100), None);
+    assert_eq!(told(OTHER, 110), Some(second(110)));
+    assert_eq!(told(0, 120), Some(second(110)), "its forerunner's, long ago");
+    assert_eq!(told(OTHER - 50_000, 121), Some(second(110)), "its forerunner's");
+    assert_eq!(told(OTHER, 122), Some(second(110)));
+    assert_eq!(told(OTHER + 20_000, 130), Some(second(130)));
+    starts.retain(|_| false);
+    assert_eq!(starts.started(id, 0, second(140)), None, "its name is another's now");
+}
