A failed look at the other process's mark leaves what was seen last

What callers saw: during an upgrade a process that lacked descriptors said "processes of this sidecar: 1" while the other one served, and took back the whole of what both may hold, and the whole budget of cold endpoints. Cause: a mark that could not be opened or tried counted as a dead process's, a folder that could not be read as empty. Change: `lives` tells a failure from an end (a mark that is gone, or whose lock is free), and `Overlap` remembers which marks were seen to live: each failed look leaves what the last one saw of that mark, a folder that can't be read all of them. Why it works: only what shows that a process has ended counts as its end. A mark never yet looked at with success counts for nobody, as before: one left in a shared folder that may not be opened would otherwise count for good. What it gives up: if $TMPDIR itself goes away, the number of processes stays as last seen.

--- a/src/net/overlap.rs
+++ b/src/net/overlap.rs
@@ -1,6 +1,8 @@
 //! Which processes of this sidecar live: during an upgrade there are two, and together they are one.
 
 use super::bans::plain;
+use std::cell::RefCell;
+use std::collections::HashSet;
 use std::fs::{self, File, TryLockError};
 use std::io;
 use std::path::{Path, PathBuf};
@@ -12,6 +14,8 @@
     stem: String,
     own: PathBuf,
     _held: File,
+    /// Marks of others that were seen to live at the last look that told.
+    living: RefCell<HashSet<PathBuf>>,
 }
 
 impl Overlap {
@@ -25,18 +29,32 @@
         held.lock()?;
         let own = directory.join(format!("{stem}{process}"));
         fs::rename(&new, &own)?;
-        Ok(Overlap { directory: directory.to_owned(), stem, own, _held: held })
+        let living = RefCell::default();
+        Ok(Overlap { directory: directory.to_owned(), stem, own, _held: held, living })
     }
 
-    /// How many other processes live. Removes what dead ones have left.
+    /// How many other processes live. Removes what dead ones have left. A look that fails says nothing of whom it was
+    /// at, as where descriptors lack: then what was seen last stands.
     pub fn others(&self) -> usize {
-        let Ok(entries) = fs::read_dir(&self.directory) else { return 0 };
-        let marked = |path: &PathBuf| {
+        if let Ok(marks) = self.marks() {
+            let before = self.living.take();
+            let alive = marks.into_iter().filter(|mark| lives(mark).unwrap_or(before.contains(mark)));
+            self.living.replace(alive.collect());
+        }
+        self.living.borrow().len()
+    }
+
+    /// The marks of all other processes, living or dead.
+    fn marks(&self) -> io::Result<Vec<PathBuf>> {
+        let mut marks = Vec::new();
+        for entry in fs::read_dir(&self.directory)? {
+            let path = entry?.path();
             let name = path.file_name().and_then(|name| name.to_str());
-            name.is_some_and(|name| name.starts_with(&self.stem)) && *path != self.own
-        };
-        let others = entries.flatten().map(|entry| entry.path()).filter(marked);
-        others.filter(|path| lives(path)).count()
+            if name.is_some_and(|name| name.starts_with(&self.stem)) && path != self.own {
+                marks.push(path);
+            }
+        }
+        Ok(marks)
     }
 }
 
@@ -46,14 +64,18 @@
     }
 }
 
-fn lives(path: &Path) -> bool {
-    let Ok(file) = File::open(path) else { return false };
+/// Whether the process of this mark lives; its mark goes with a dead one.
+fn lives(mark: &Path) -> io::Result<bool> {
+    let file = match File::open(mark) {
+        Err(e) if e.kind() == io::ErrorKind::NotFound => return Ok(false),
+        opened => opened?,
+    };
     match file.try_lock() {
-        Err(TryLockError::WouldBlock) => true,
-        Err(TryLockError::Error(_)) => false,
+        Err(TryLockError::WouldBlock) => Ok(true),
+        Err(TryLockError::Error(e)) => Err(e),
         Ok(()) => {
-            let _ = fs::remove_file(path);
-            false
+            let _ = fs::remove_file(mark);
+            Ok(false)
         }
     }
 }
--- a/src/net/overlap/tests.rs
+++ b/src/net/overlap/tests.rs
@@ -22,3 +22,29 @@
     assert!(!directory.join(format!("process-n_0-{}", std::process::id())).exists());
     fs::remove_dir_all(&directory).unwrap();
 }
+
+#[test]
+fn a_look_that_fails_leaves_what_was_seen_last() {
+    let folder = tempfile::tempdir().unwrap();
+    let (directory, away) = (folder.path().join("marks"), folder.path().join("away"));
+    fs::create_dir(&directory).unwrap();
+    let overlap = Overlap::join(&directory, "n/0").unwrap();
+    let mark = directory.join("process-n_0-living");
+    let living = File::create(&mark).unwrap();
+    living.lock().unwrap();
+    assert_eq!(overlap.others(), 1);
+    // The whole folder can't be read.
+    fs::rename(&directory, &away).unwrap();
+    assert_eq!(overlap.others(), 1);
+    fs::rename(&away, &directory).unwrap();
+    // One mark can't be opened: a link to itself has no end.
+    fs::rename(&mark, folder.path().join("aside")).unwrap();
+    std::os::unix::fs::symlink(&mark, &mark).unwrap();
+    assert_eq!(overlap.others(), 1);
+    // Of whom nothing was ever seen nothing is known.
+    let unseen = directory.join("process-n_0-unseen");
+    std::os::unix::fs::symlink(&unseen, &unseen).unwrap();
+    assert_eq!(overlap.others(), 1);
+    fs::remove_file(&mark).unwrap();
+    assert_eq!(overlap.others(), 0, "what is gone has ended");
+}
