Look again at a version of the orders' file that could not be read

What callers saw: after one failed read of the orders (as where descriptors lack) that process never carried them out, until somebody gave another order: 0 endpoints out 3.5 s after the file was whole again. Cause: `follow` marked a version as seen whether it could be read or not. Change: `Followed` says whether a version is in force or could not be read; what is not in force is read again each 50 ms. The log tells of a version that can't be read once, as before. Why it works: only a standing that the driver has confirmed ends the looks at its version.

--- a/src/net/control.rs
+++ b/src/net/control.rs
@@ -52,6 +52,15 @@
     callers: RefCell<VecDeque<Caller>>,
 }
 
+/// How far a process has followed the file of orders; none is the version of a file that is not there.
+#[derive(Clone, Copy, PartialEq)]
+pub enum Followed {
+    /// This version is in force.
+    InForce(Option<Version>),
+    /// This version could not be read when last looked at, which the log says once: it is looked at again until it can be.
+    Unread(Option<Version>),
+}
+
 struct Caller {
     /// Its call has come whole.
     asked: Rc<Cell<bool>>,
@@ -111,25 +120,34 @@
         }
     }
 
-    /// Carries out what other processes of this sidecar were ordered, from this version on.
-    pub async fn follow(self: Rc<Self>, mut seen: Option<Version>) {
+    /// Carries out what other processes of this sidecar were ordered, from here on.
+    pub async fn follow(self: Rc<Self>, mut followed: Followed) {
         loop {
             sleep(FOLLOW).await;
-            seen = self.look(seen).await;
+            followed = self.look(followed).await;
         }
     }
 
-    /// Has the orders in force as the file says them, where that is no longer the version seen; which one it is now.
-    pub async fn look(&self, seen: Option<Version>) -> Option<Version> {
+    /// Has the orders in force as the file says them, where they are not yet; how far that came.
+    pub async fn look(&self, followed: Followed) -> Followed {
         let version = self.bans.version();
-        if version != seen {
-            let _turn = self.ordering.lock().await;
-            match self.bans.read() {
-                Ok(standing) => self.enforce(standing).await,
-                Err(problem) => error!("suspended endpoints: {problem}; what is in force stays"),
+        if followed == Followed::InForce(version) {
+            return followed;
+        }
+        let _turn = self.ordering.lock().await;
+        match self.bans.read() {
+            Ok(standing) => {
+                self.enforce(standing).await;
+                Followed::InForce(version)
+            }
+            Err(problem) => {
+                let unread = Followed::Unread(version);
+                if followed != unread {
+                    error!("suspended endpoints: {problem}; what is in force stays");
+                }
+                unread
             }
         }
-        version
     }
 
     /// Makes room where it is wanted, at the cost of the caller that has been silent longest.
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -42,7 +42,7 @@
 use bans::{Bans, Standing};
 use budget::Budget;
 use clock::Clock;
-use control::Door;
+use control::{Door, Followed};
 use counters::Counters;
 use discovery::{Call, Discovery};
 use discovery_health::DiscoveryHealth;
@@ -238,8 +238,8 @@
         info!(sidecar = name, %control, "the operators' door is open");
         let behind = Door::new(bans, counters, inbound.clone(), inbox);
         // Orders given to an older process since this one began hold from the first client on.
-        let seen = behind.look(None).await;
-        spawn_local(behind.clone().follow(seen));
+        let followed = behind.look(Followed::InForce(None)).await;
+        spawn_local(behind.clone().follow(followed));
         spawn_local(behind.serve(door));
     }
     info!(sidecar = name, %listen, version = env!("CARGO_PKG_VERSION"), "serving");
