--- a/tests/health_checks.rs
+++ b/tests/health_checks.rs
@@ -89,3 +89,34 @@
     assert_eq!((played.probes, played.served), (0, 0));
     assert!(played.last_sent.values().all(|at| *at < KNOWN_AFTER_MOVE));
 }
+
+#[test]
+fn an_answer_from_behind_does_not_renew_a_lease_that_is_out() {
+    let mut settings = Settings { discovery: Discovery::Ask, ..Settings::default() };
+    settings.limits.probes = false;
+    let mut driver = Driver::new(settings, endpoints(6));
+    driver.list(Membership::Delta(vec![]));
+    driver.list(Membership::Moved);
+    driver.advance(KNOWN_AFTER_MOVE + ms(1000));
+    driver.list(Membership::Unconfirmed { whole: false, entries: vec![] });
+    assert!(sends(&driver.request(ms(900)).1).is_empty(), "not confirmed yet");
+    driver.advance(ms(1000));
+    driver.list(Membership::Delta(vec![]));
+    assert_eq!(sends(&driver.request(ms(900)).1).len(), 1, "confirmed");
+}
+
+#[test]
+fn calls_that_find_nothing_listening_do_not_revive_a_lease_that_is_out() {
+    let mut settings = Settings { discovery: Discovery::Ask, ..Settings::default() };
+    settings.limits.probes = false;
+    let mut driver = Driver::new(settings, endpoints(6));
+    driver.list(Membership::Delta(vec![]));
+    let failed = |failure| Membership::Failed { unheard: Duration::ZERO, failure };
+    driver.list(failed(DiscoveryFailure::Unanswered));
+    driver.advance(ms(7000));
+    for _ in 0..4 {
+        driver.list(failed(DiscoveryFailure::NotListening));
+        driver.advance(ms(500));
+        assert!(sends(&driver.request(ms(300)).1).is_empty(), "what counts as known is not taken back");
+    }
+}
