--- a/tests/health_checks.rs
+++ b/tests/health_checks.rs
@@ -120,3 +120,37 @@
         assert!(sends(&driver.request(ms(300)).1).is_empty(), "what counts as known is not taken back");
     }
 }
+
+#[test]
+fn an_attempt_that_still_connects_is_not_written_after_the_lease_on_the_list() {
+    let settings = Settings { discovery: Discovery::Ask, ..Settings::default() };
+    let mut driver = Driver::new(settings, endpoints(6));
+    driver.list(Membership::Delta(vec![]));
+    let failure = DiscoveryFailure::Unanswered;
+    driver.list(Membership::Failed { unheard: Duration::ZERO, failure });
+    let lost = driver.now;
+    driver.advance(ms(4900));
+    let (_, actions) = driver.request(ms(2000));
+    let within = actions.iter().find_map(|action| match action {
+        Action::Send { write_within, .. } => *write_within,
+        _ => None,
+    });
+    let known = lost + ms(6000) - LISTING_DELAY;
+    assert_eq!(within, Some(known - driver.now));
+}
+
+#[test]
+fn a_health_check_of_long_ago_speaks_for_nobody() {
+    let settings = Settings { discovery: Discovery::Ask, ..Settings::default() };
+    let mut driver = Driver::new(settings, endpoints(6));
+    driver.list(Membership::Delta(vec![]));
+    driver.list(Membership::Moved);
+    driver.advance(KNOWN_AFTER_MOVE);
+    let (id, actions) = driver.request(ms(300));
+    assert!(answer_probes(&mut driver, actions, false) > 0);
+    driver.end(id, Outcome::Ok, ms(1));
+    driver.advance(HEALTH_HOLDS + ms(100));
+    let (_, actions) = driver.request(ms(300));
+    assert!(sends(&actions).is_empty(), "it is asked again first");
+    assert!(actions.iter().any(|action| matches!(action, Action::Probe { .. })));
+}
