--- a/tests/health_checks.rs
+++ b/tests/health_checks.rs
@@ -141,7 +141,8 @@
 
 #[test]
 fn a_health_check_of_long_ago_speaks_for_nobody() {
-    let settings = Settings { discovery: Discovery::Ask, ..Settings::default() };
+    let mut settings = Settings { discovery: Discovery::Ask, ..Settings::default() };
+    settings.limits.probes = true;
     let mut driver = Driver::new(settings, endpoints(6));
     driver.list(Membership::Delta(vec![]));
     driver.list(Membership::Moved);
