--- a/tests/health_checks.rs
+++ b/tests/health_checks.rs
@@ -155,3 +155,27 @@
     assert!(sends(&actions).is_empty(), "it is asked again first");
     assert!(actions.iter().any(|action| matches!(action, Action::Probe { .. })));
 }
+
+#[test]
+fn answers_from_behind_whose_watches_end_at_once_do_not_keep_a_list_in_use() {
+    let mut settings = Settings { discovery: Discovery::Ask, ..Settings::default() };
+    settings.limits.probes = false;
+    let mut driver = Driver::new(settings.clone(), endpoints(6));
+    driver.list(Membership::Delta(vec![]));
+    let failure = DiscoveryFailure::Unanswered;
+    let lost = driver.now;
+    let mut last_sent = Duration::ZERO;
+    while driver.now < lost + PLAY {
+        driver.list(Membership::Failed { unheard: ms(50), failure });
+        let (id, actions) = driver.request(ms(300));
+        if !sends(&actions).is_empty() {
+            last_sent = driver.now - lost;
+            driver.end(id, Outcome::Ok, ms(1));
+        }
+        driver.advance(ms(500));
+        driver.list(Membership::Delta(vec![]));
+        driver.advance(ms(50));
+    }
+    let latest = settings.rules.known_within + settings.rules.drain_grace;
+    assert!(last_sent <= latest, "sent {last_sent:?} after the watch was lost");
+}
