--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -3,6 +3,7 @@
 
 mod harness;
 mod late_answer;
+mod memory;
 
 use harness::{Record, Verdict, trouble};
 use std::path::Path;
@@ -10,6 +11,11 @@
 
 fn main() {
     let arguments: Vec<String> = std::env::args().collect();
+    if let [_, name, count] = &arguments[..]
+        && name == "endpoints"
+    {
+        return memory::serve_endpoints(count.parse().expect("a number of endpoints"));
+    }
     let [_, name, path] = &arguments[..] else {
         eprintln!("usage: cases NAME RECORD");
         exit(Verdict::CouldNotRun.code());
@@ -21,6 +27,7 @@
     record.say(&format!("case {name}, disruption: {}", trouble()));
     let verdict = match name.as_str() {
         "late-answer" => late_answer::play(&record),
+        "memory" => memory::play(&record),
         _ => Verdict::CouldNotRun,
     };
     record.result(match verdict {
