Review, case 3: a client that reads a large answer slowly is cut off

A client counts as gone when no frame of the answer was asked for in 20 s, which at 64 kB a second happens though it reads all the time.

--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -4,6 +4,7 @@
 mod harness;
 mod late_answer;
 mod memory;
+mod slow_reader;
 
 use harness::{Record, Verdict, trouble};
 use std::path::Path;
@@ -28,6 +29,7 @@
     let verdict = match name.as_str() {
         "late-answer" => late_answer::play(&record),
         "memory" => memory::play(&record),
+        "slow-reader" => slow_reader::play(&record),
         _ => Verdict::CouldNotRun,
     };
     record.result(match verdict {
