Say why a large answer ended early, in the log and as a counter

Neither log nor metrics said what had ended the answer, so six hypotheses (docs/incidents) looked alike.

A line `answer ended early` now has the reason, the bytes received, the time since a frame was last asked for and since the client's socket has been full; `gullpulley_answers_ended_early_total{reason}` counts the same. Clients that merely leave are logged at debug.

--- a/src/net/connection_state.rs
+++ b/src/net/connection_state.rs
@@ -1,6 +1,9 @@
 //! The state of a client's connection, and the deadlines after which it may be closed.
 
+use super::early_end::EarlyEnd;
+use super::monitored_connection::WriteProgress;
 use std::cell::Cell;
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::Notify;
 use tokio::time::Instant;
@@ -30,13 +33,17 @@
     pub close_after_answer: Cell<bool>,
     /// When a frame of a streamed answer was last asked for; none while no answer is being streamed.
     pub last_progress: Cell<Option<Instant>>,
+    /// Whether the client takes what is written to it.
+    pub write_progress: Rc<WriteProgress>,
+    /// Why the connection is being closed amid an answer; none while it is not.
+    pub close_reason: Cell<Option<EarlyEnd>>,
     /// Notified when a streamed answer begins or ends.
     pub streaming_changed: Notify,
 }
 
 impl ConnectionState {
     /// The state of a connection just accepted.
-    pub fn new() -> Self {
+    pub fn new(write_progress: Rc<WriteProgress>) -> Self {
         let (answering, last_answer_at, close_after_answer, last_progress) = Default::default();
         ConnectionState {
             accepted_at: Instant::now(),
@@ -44,6 +51,8 @@
             last_answer_at,
             close_after_answer,
             last_progress,
+            write_progress,
+            close_reason: Cell::new(None),
             streaming_changed: Notify::new(),
         }
     }
--- a/src/net/counters.rs
+++ b/src/net/counters.rs
@@ -2,6 +2,7 @@
 //! of endpoints and of unavailable ones come from the policy.
 
 use super::discovery_health::DiscoveryHealth;
+use super::early_end::EarlyEnd;
 use super::peers::Peers;
 use super::persistence::Persistence;
 use crate::logging::LogHandle;
@@ -47,6 +48,8 @@
     /// Request durations by class and outcome; each class also has direct access to its own.
     durations: Family<Labels, Histogram>,
     decision_times: Histogram,
+    /// Large answers that ended early, by reason.
+    early_ends: Family<Labels, Counter>,
     log: LogHandle,
     health: Rc<DiscoveryHealth>,
     persistence: Option<Rc<Persistence>>,
@@ -93,6 +96,7 @@
             pending,
             durations,
             decision_times,
+            early_ends: Family::default(),
             log,
             health,
             persistence,
@@ -172,6 +176,8 @@
         registry.register_with_unit("request", help, Unit::Seconds, self.durations.clone());
         let help = "Time that the module took to decide on an event";
         registry.register_with_unit("decision", help, Unit::Seconds, self.decision_times.clone());
+        let help = "Large answers that ended before they were complete, by what ended them";
+        registry.register("answers_ended_early", help, self.early_ends.clone());
         let attempts = ConstCounter::new(self.attempts.get());
         registry.register("attempts", "Attempts written to endpoints", attempts);
         let dropped = ConstCounter::new(self.dropped_lines());
@@ -220,6 +226,12 @@
 }
 
 impl PendingRequest {
+    /// Records why its large answer ended early.
+    pub fn record_early_end(&self, reason: EarlyEnd) {
+        let reason = vec![("reason", reason.name().to_owned())];
+        self.counters.early_ends.get_or_create(&reason).inc();
+    }
+
     /// Records the outcome and the duration.
     pub fn end(self, end: End) {
         self.counters.record_end(self.class, end);
--- /dev/null
+++ b/src/net/early_end.rs
@@ -0,0 +1,40 @@
+//! Why a large body or answer that was being forwarded ended before it was complete.
+
+/// Why forwarding ended early.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EarlyEnd {
+    /// The client took no more bytes of its answer.
+    ClientStalled,
+    /// The client closed or reset its connection.
+    ClientLeft,
+    /// The endpoint closed its connection or broke the framing.
+    EndpointBroke,
+    /// The endpoint sent no more bytes.
+    EndpointStalled,
+    /// The answer exceeds the maximum length.
+    TooLong,
+    /// The answer does not end within the client's time.
+    Endless,
+    /// The client's connection failed, or this process ended.
+    ConnectionClosed,
+}
+
+impl EarlyEnd {
+    /// Its name in the log and the metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            EarlyEnd::ClientStalled => "client stalled",
+            EarlyEnd::ClientLeft => "client left",
+            EarlyEnd::EndpointBroke => "endpoint broke",
+            EarlyEnd::EndpointStalled => "endpoint stalled",
+            EarlyEnd::TooLong => "too long",
+            EarlyEnd::Endless => "endless",
+            EarlyEnd::ConnectionClosed => "connection closed",
+        }
+    }
+
+    /// Whether a client that goes away is all that it means.
+    pub fn is_usual(self) -> bool {
+        matches!(self, EarlyEnd::ClientLeft | EarlyEnd::ConnectionClosed)
+    }
+}
--- a/src/net/inbound.rs
+++ b/src/net/inbound.rs
@@ -3,6 +3,7 @@
 use super::budget::{Budget, Holder, Permit};
 use super::connection_state::{ConnectionState, FIRST_HEAD_TIMEOUT};
 use super::counters::{Counters, End};
+use super::early_end::EarlyEnd;
 use super::message::{Answer, ForwardedRequest, Inbox, IncomingRequest, Input, RequestBody};
 use super::outbound::{MAX_CONNECTION_BUFFER, Outbound};
 use super::process_phase::Phase;
@@ -287,7 +288,7 @@
         shed: bool,
         close_signal: &mut watch::Receiver<()>,
     ) -> CloseMode {
-        let state = Rc::new(ConnectionState::new());
+        let state = Rc::new(ConnectionState::new(stream.write_progress()));
         let service = service_fn(|request| self.handle_request(request, shed, &state));
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
@@ -306,7 +307,10 @@
                 biased;
                 _ = connection.as_mut() => return CloseMode::Graceful, // an error: the client left
                 // A client that has left gets no answer, whatever else it had sent.
-                () = client_left.as_mut() => return CloseMode::Immediate,
+                () = client_left.as_mut() => {
+                    state.close_reason.set(Some(EarlyEnd::ClientLeft));
+                    return CloseMode::Immediate;
+                }
                 _ = close_signal.changed() => match state.idle_time() {
                     _ if state.answering.get() => state.close_after_answer.set(true),
                     // On a new connection the first request is probably already on its way: closing now
@@ -337,6 +341,7 @@
                 }
                 () = sleep_until_some(state.client_stalled_at()) => {
                     if state.client_stalled_at().is_some_and(|at| at <= Instant::now()) {
+                        state.close_reason.set(Some(EarlyEnd::ClientStalled));
                         return CloseMode::Immediate;
                     }
                 }
@@ -482,16 +487,10 @@
         }
         if let Ok(Ok(Answer::Streamed(mut streamed))) = answer {
             streamed.body.set_deadline(answer_by);
-            let (answer, state) = (Some(*streamed), state.clone());
+            let (answer, state) = (*streamed, state.clone());
             state.last_progress.set(Some(Instant::now()));
             state.streaming_changed.notify_one();
-            let streamed = StreamedReply {
-                answer,
-                pending_count: Some(pending_count),
-                state,
-                _memory: memory,
-                _request: in_flight,
-            };
+            let streamed = StreamedReply::new(answer, pending_count, state, memory, in_flight);
             return Ok(Response::new(ReplyBody::Streamed(Box::new(streamed))));
         }
         pending_count.end(match &answer {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,10 +1,11 @@
 //! The sidecar's I/O. This file has start-up, signals and the wiring of the modules; the modules, in an
 //! order in which each depends only on those before it:
 //!
-//! `abort_on_drop`, `clock`, `start_times`, `list_translator`, `budget`, `persistence`, `discovery_health`,
-//! `discovery_call`, `peers`, `counters`, `manual_ejections`, `hot_restart`: tasks, time, lists in the
-//! policy's types, limits on sockets and memory, persisted state, metrics of discovery, calls to it, the
-//! fleet, counters, suspended endpoints, other processes of this sidecar;
+//! `abort_on_drop`, `clock`, `early_end`, `monitored_connection`, `start_times`, `list_translator`, `budget`,
+//! `persistence`, `discovery_health`, `discovery_call`, `peers`, `counters`, `manual_ejections`,
+//! `hot_restart`: tasks, time, reasons and records of stalled transfers, lists in the policy's types, limits
+//! on sockets and memory, persisted state, metrics of discovery, calls to it, the fleet, counters, suspended
+//! endpoints, other processes of this sidecar;
 //! `progress`, `streamed_body`: progress of an attempt, streamed bodies;
 //! `outbound`, `discovery`: connections to endpoints and to discovery;
 //! `log_text`, `message`, `request_state`, `driver`: turn I/O into the policy's events, and carry out
@@ -23,12 +24,14 @@
 mod discovery_call;
 mod discovery_health;
 mod driver;
+mod early_end;
 mod hot_restart;
 mod inbound;
 mod list_translator;
 mod log_text;
 mod manual_ejections;
 mod message;
+mod monitored_connection;
 mod outbound;
 mod peers;
 mod persistence;
--- a/src/net/reply.rs
+++ b/src/net/reply.rs
@@ -3,6 +3,7 @@
 use super::budget::Permit;
 use super::connection_state::ConnectionState;
 use super::counters::{End, PendingRequest};
+use super::early_end::EarlyEnd;
 use super::message::{Inbox, Input};
 use super::outbound::StreamedAnswer;
 use super::streamed_body::BodyError;
@@ -18,6 +19,7 @@
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 use tokio::time::Instant;
+use tracing::{debug, info};
 
 /// A request in progress: when dropped, tells the driver if the client left before its answer.
 pub struct InFlightRequest {
@@ -56,18 +58,63 @@
 /// A large answer being streamed to the client. If it is dropped before its end, the client has left.
 pub struct StreamedReply {
     /// None once the answer has ended.
-    pub answer: Option<StreamedAnswer>,
+    answer: Option<StreamedAnswer>,
     /// Counts the request as pending; none once the answer has ended.
-    pub pending_count: Option<PendingRequest>,
+    pending_count: Option<PendingRequest>,
     /// The state of the client's connection.
-    pub state: Rc<ConnectionState>,
+    state: Rc<ConnectionState>,
+    started_at: Instant,
     /// The permit for the memory it may use.
-    pub _memory: Permit,
+    _memory: Permit,
     /// Keeps the request in progress until the end.
-    pub _request: InFlightRequest,
+    request: InFlightRequest,
 }
 
 impl StreamedReply {
+    /// An answer of which nothing has been forwarded.
+    pub fn new(
+        answer: StreamedAnswer,
+        pending_count: PendingRequest,
+        state: Rc<ConnectionState>,
+        memory: Permit,
+        request: InFlightRequest,
+    ) -> Self {
+        StreamedReply {
+            answer: Some(answer),
+            pending_count: Some(pending_count),
+            state,
+            started_at: Instant::now(),
+            _memory: memory,
+            request,
+        }
+    }
+
+    /// Logs and counts that the answer has ended before it was complete.
+    fn report_early_end(&self, reason: EarlyEnd) {
+        if let Some(pending_count) = &self.pending_count {
+            pending_count.record_early_end(reason);
+        }
+        let milliseconds_since = |at: Option<Instant>| at.map(|at| at.elapsed().as_millis() as u64);
+        let (request, reason_name) = (&self.request.x_request_id, reason.name());
+        let bytes = self.answer.as_ref().map(|answer| answer.body.received_bytes());
+        let ms = self.started_at.elapsed().as_millis() as u64;
+        let asked_ms_ago = milliseconds_since(self.state.last_progress.get());
+        let blocked_ms = milliseconds_since(self.state.write_progress.blocked_since());
+        if reason.is_usual() {
+            debug!(
+                request,
+                reason = reason_name,
+                bytes,
+                ms,
+                asked_ms_ago,
+                blocked_ms,
+                "answer ended early"
+            );
+        } else {
+            info!(request, reason = reason_name, bytes, ms, asked_ms_ago, blocked_ms, "answer ended early");
+        }
+    }
+
     fn finish(&mut self, end: End) {
         if let Some(pending_count) = self.pending_count.take() {
             pending_count.end(end);
@@ -83,6 +130,14 @@
     }
 }
 
+impl Drop for StreamedReply {
+    fn drop(&mut self) {
+        if self.answer.is_some() {
+            self.report_early_end(self.state.close_reason.get().unwrap_or(EarlyEnd::ConnectionClosed));
+        }
+    }
+}
+
 impl Body for ReplyBody {
     type Data = Bytes;
     type Error = BodyError;
@@ -103,7 +158,11 @@
         let complete = answer.body.is_complete();
         match &frame {
             // The client notices the failure: the announced length, or the last chunk, never arrives.
-            Some(Err(_)) => reply.finish(End::Failed),
+            Some(Err(error)) => {
+                let reason = error.early_end();
+                reply.report_early_end(reason);
+                reply.finish(End::Failed);
+            }
             None => reply.finish(End::Completed),
             Some(Ok(_)) if complete => reply.finish(End::Completed),
             Some(Ok(_)) => {}
--- a/src/net/stream.rs
+++ b/src/net/stream.rs
@@ -1,7 +1,7 @@
 //! A client's connection below HTTP: requests are served through one handle, and its end is detected
 //! through another.
 
-use gullpulley::TcpConnection;
+use super::monitored_connection::{MonitoredConnection, WriteProgress};
 use std::future::poll_fn;
 use std::io;
 use std::pin::{Pin, pin};
@@ -24,19 +24,24 @@
 
 /// A handle to a client's connection, which closes when the last handle is dropped.
 #[derive(Clone)]
-pub struct ClientStream(Rc<TcpConnection>);
+pub struct ClientStream(Rc<MonitoredConnection>);
 
 impl ClientStream {
     /// The first handle. Written data is sent without delay.
     pub fn new(stream: TcpStream) -> Self {
-        ClientStream(Rc::new(TcpConnection::new(stream)))
+        ClientStream(Rc::new(MonitoredConnection::accepted(stream)))
+    }
+
+    /// The record of the writes to the client.
+    pub fn write_progress(&self) -> Rc<WriteProgress> {
+        self.0.write_progress()
     }
 
     /// Waits until the client has closed, reset or half-closed the connection while `relevant` holds. The
     /// HTTP library does not check for this as long as it has buffered bytes of a next request.
     pub async fn client_left(&self, relevant: impl Fn() -> bool) {
         // No urgent data is expected, so that only the end of the other side makes this ready.
-        let mut ended = pin!(self.0.ready(Interest::PRIORITY));
+        let mut ended = pin!(self.0.connection().ready(Interest::PRIORITY));
         let mut ended_seen = false;
         poll_fn(|context| {
             ended_seen = ended_seen || ended.as_mut().poll(context).is_ready();
@@ -49,10 +54,11 @@
     pub async fn close(self) {
         let deadline = Instant::now() + MAX_LINGER;
         let mut buffer = [0; DISCARD_BUFFER];
-        let _ = self.0.shutdown_write(); // fails if the client has left, which the next read reports
-        let readable = || self.0.ready(Interest::READABLE);
+        let connection = self.0.connection();
+        let _ = connection.shutdown_write(); // fails if the client has left, which the next read reports
+        let readable = || connection.ready(Interest::READABLE);
         while let Ok(Ok(_)) = timeout_at(deadline.min(Instant::now() + LINGER_GAP), readable()).await {
-            match self.0.try_read(&mut buffer) {
+            match connection.try_read(&mut buffer) {
                 Ok(1..) => yield_now().await, // a flood of data must not delay other tasks
                 Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted) => {}
                 Ok(0) | Err(_) => return,
@@ -67,7 +73,7 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        self.0.poll_read_some(context, buffer)
+        self.0.connection().poll_read_some(context, buffer)
     }
 }
 
@@ -93,6 +99,6 @@
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(self.0.shutdown_write())
+        Poll::Ready(self.0.connection().shutdown_write())
     }
 }
--- a/src/net/streamed_body.rs
+++ b/src/net/streamed_body.rs
@@ -1,6 +1,7 @@
 //! Bodies too large to be buffered: they are streamed frame by frame in both directions. Unread data stays
 //! in the sockets, so that memory use is bounded however slow the reader is.
 
+use super::early_end::EarlyEnd;
 use super::progress::Progress;
 use http_body_util::Full;
 use hyper::body::{Body, Bytes, Frame, Incoming, SizeHint};
@@ -52,6 +53,18 @@
     Consumed,
 }
 
+impl BodyError {
+    /// What it means of an answer that is being forwarded.
+    pub fn early_end(&self) -> EarlyEnd {
+        match self {
+            BodyError::Broken(_) | BodyError::Consumed => EarlyEnd::EndpointBroke,
+            BodyError::Stalled => EarlyEnd::EndpointStalled,
+            BodyError::TooLong => EarlyEnd::TooLong,
+            BodyError::Endless => EarlyEnd::Endless,
+        }
+    }
+}
+
 /// A body as a stream of frames: the bytes read already, then the rest.
 pub struct StreamedBody {
     buffered: Option<Bytes>,
@@ -114,6 +127,11 @@
         self.buffered.is_none() && self.rest.is_end_stream()
     }
 
+    /// Bytes received so far.
+    pub fn received_bytes(&self) -> u64 {
+        self.received_bytes
+    }
+
     /// What is still to come, as far as it is known.
     pub fn size_hint(&self) -> SizeHint {
         let buffered = self.buffered.as_ref().map_or(0, |b| b.len() as u64);
