Judge whether a client still reads by the bytes that its system takes

The regression test on the commit before: 7 of 10 readers cut off, each with "client stalled", blocked_ms=20001 (rates of 16 and 64 kB/s, pieces of 2 to 640 kB, receive buffers from the system's own to 4 MiB, counted and chunked).

Cause: a client counted as stopped when no frame of its answer was asked for in 20 s.

Change: the system is told to hold at most 64 KiB of unsent bytes for a connection (TCP_NOTSENT_LOWAT), so that it asks for more about as often as the client's system takes any; the time-out runs from when a write found no room, and ends with the next byte taken. What then remains is the client's own receive buffer: its system tells of reads in steps. It costs the system less memory than before, and the process none.

Measured: the test passes, all ten answers whole; a client that stops after 1 kB or 1 MB is cut off after 20 s as before (both builds).

--- a/src/connection.rs
+++ b/src/connection.rs
@@ -62,6 +62,16 @@
         self.0.try_read(buffer)
     }
 
+    /// Limits how many bytes that have not been sent yet the system holds before it reports the socket as
+    /// full; without a limit the system's own settings hold.
+    ///
+    /// # Errors
+    /// Those of `setsockopt`, where the system has no such limit.
+    pub fn limit_unsent(&self, bytes: Option<u32>) -> io::Result<()> {
+        const SYSTEM_DEFAULT: u32 = 0;
+        socket2::SockRef::from(&self.0).set_tcp_notsent_lowat(bytes.unwrap_or(SYSTEM_DEFAULT))
+    }
+
     /// Shuts down the writing side.
     ///
     /// # Errors
--- a/src/net/connection_state.rs
+++ b/src/net/connection_state.rs
@@ -1,7 +1,7 @@
 //! The state of a client's connection, and the deadlines after which it may be closed.
 
 use super::early_end::EarlyEnd;
-use super::monitored_connection::WriteProgress;
+use super::monitored_connection::{StallTimeout, WriteProgress};
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
@@ -18,8 +18,9 @@
 const LATE_HEAD_BODY_GRACE: Duration = Duration::from_millis(800);
 /// How long the body of a later request may fall behind the minimum rate.
 const BODY_GRACE: Duration = Duration::from_secs(2);
-/// A client that reads nothing of a large answer for this long has stopped reading it.
-const CLIENT_READ_TIMEOUT: Duration = Duration::from_secs(20);
+/// A client whose system takes nothing of a large answer for this long has stopped reading it.
+pub const CLIENT_READ_TIMEOUT: StallTimeout =
+    StallTimeout { min: Duration::from_secs(20), max: Duration::from_secs(60) };
 
 /// The state of a client's connection.
 pub struct ConnectionState {
@@ -75,9 +76,9 @@
         }
     }
 
-    /// When a client that reads nothing of a streamed answer is given up.
-    pub fn client_stalled_at(&self) -> Option<Instant> {
-        self.last_progress.get().map(|at| at + CLIENT_READ_TIMEOUT)
+    /// Whether an answer is being streamed.
+    pub fn is_streaming(&self) -> bool {
+        self.last_progress.get().is_some()
     }
 
     /// Records that an answer has been given.
--- a/src/net/inbound.rs
+++ b/src/net/inbound.rs
@@ -1,7 +1,7 @@
 //! Client connections: accepts requests, returns final answers, and drains on shutdown.
 
 use super::budget::{Budget, Holder, Permit};
-use super::connection_state::{ConnectionState, FIRST_HEAD_TIMEOUT};
+use super::connection_state::{CLIENT_READ_TIMEOUT, ConnectionState, FIRST_HEAD_TIMEOUT};
 use super::counters::{Counters, End};
 use super::early_end::EarlyEnd;
 use super::message::{Answer, ForwardedRequest, Inbox, IncomingRequest, Input, RequestBody};
@@ -288,16 +288,17 @@
         shed: bool,
         close_signal: &mut watch::Receiver<()>,
     ) -> CloseMode {
-        let state = Rc::new(ConnectionState::new(stream.write_progress()));
+        let state = Rc::new(ConnectionState::new(stream.connection().write_progress()));
         let service = service_fn(|request| self.handle_request(request, shed, &state));
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(HEAD_TIMEOUT)
             .keep_alive(!shed)
             .max_buf_size(MAX_CONNECTION_BUFFER)
-            .serve_connection(TokioIo::new(stream.clone()), service);
+            .serve_connection(TokioIo::new(stream.connection().clone()), service);
         let client_left = stream.client_left(|| state.answering.get());
-        tokio::pin!(connection, client_left);
+        let client_stalled = state.write_progress.stalled(CLIENT_READ_TIMEOUT);
+        tokio::pin!(connection, client_left, client_stalled);
         // Over the limit there are few slots even for refusals: silent connections must not take them.
         let first_head_deadline =
             if shed { state.accepted_at + SHED_HEAD_TIMEOUT } else { state.first_head_deadline() };
@@ -339,11 +340,9 @@
                         connection.as_mut().graceful_shutdown();
                     }
                 }
-                () = sleep_until_some(state.client_stalled_at()) => {
-                    if state.client_stalled_at().is_some_and(|at| at <= Instant::now()) {
-                        state.close_reason.set(Some(EarlyEnd::ClientStalled));
-                        return CloseMode::Immediate;
-                    }
+                () = client_stalled.as_mut(), if state.is_streaming() => {
+                    state.close_reason.set(Some(EarlyEnd::ClientStalled));
+                    return CloseMode::Immediate;
                 }
                 () = sleep_until_some(new_connection_until) => {
                     new_connection_until = None;
@@ -362,6 +361,7 @@
         state: &Rc<ConnectionState>,
     ) -> Result<Reply, Infallible> {
         state.answering.set(true);
+        state.write_progress.start_message();
         let is_readiness_check = request.uri().path() == "/-/ready";
         let mut reply = if is_readiness_check {
             let status = if self.is_serving() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
--- a/src/net/monitored_connection.rs
+++ b/src/net/monitored_connection.rs
@@ -1,17 +1,46 @@
 //! A connection that records whether the other side still takes what is written to it.
+//!
+//! Two buffers lie between a write and the program that reads it. Without a limit Linux lets the send buffer
+//! grow to several MiB, and reports it as writable again only once a third of it is free: a reader that takes
+//! long for a third would look like one that has stopped. So the system is told to hold few unsent bytes. The
+//! receive buffer is the other side's, and its system tells of reads only in steps that grow with it, to
+//! several hundred KiB: a reader gets the time that it needs for such a step.
 
 use gullpulley::TcpConnection;
 use std::cell::Cell;
+use std::future::poll_fn;
 use std::io::{self, IoSlice};
+use std::pin::{Pin, pin};
 use std::rc::Rc;
 use std::task::{Context, Poll};
-use tokio::net::TcpStream;
-use tokio::time::Instant;
+use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::time::{Instant, sleep};
+
+/// Unsent bytes that the system holds for one connection. What is under way to the other side does not
+/// count, so this does not limit the speed.
+const MAX_UNSENT_BYTES: u32 = 64 * 1024;
+/// Bytes per second at which the slowest readers read.
+const SLOWEST_READ_RATE: f64 = 64_000.0;
+/// How much of what the other side's system took at once may be read before it tells of any of it.
+const UNREPORTED_SHARE: f64 = 0.5;
 
 /// Whether the writes to a connection proceed.
 #[derive(Default)]
 pub struct WriteProgress {
     blocked_since: Cell<Option<Instant>>,
+    /// Bytes taken since writes were last blocked.
+    burst_bytes: Cell<usize>,
+    largest_burst: Cell<usize>,
+}
+
+/// After how long without a byte taken a reader counts as stopped.
+#[derive(Clone, Copy)]
+pub struct StallTimeout {
+    /// Where the other side's receive buffer is small.
+    pub min: Duration,
+    /// However large it is.
+    pub max: Duration,
 }
 
 impl WriteProgress {
@@ -20,34 +49,65 @@
         self.blocked_since.get()
     }
 
+    /// A new message begins: what was taken of earlier ones says nothing about the buffer by now.
+    pub fn start_message(&self) {
+        self.burst_bytes.set(0);
+        self.largest_burst.set(0);
+    }
+
+    /// When the reader counts as stopped; none while bytes are being taken.
+    pub fn stalled_at(&self, timeout: StallTimeout) -> Option<Instant> {
+        let unreported_bytes = self.largest_burst.get() as f64 * UNREPORTED_SHARE;
+        let reading_time = Duration::from_secs_f64(unreported_bytes / SLOWEST_READ_RATE);
+        self.blocked_since().map(|since| since + reading_time.clamp(timeout.min, timeout.max))
+    }
+
+    /// Waits until the reader counts as stopped. Must be polled after the connection, in the same task: the
+    /// writes of another task don't wake it.
+    pub async fn stalled(&self, timeout: StallTimeout) {
+        let mut timer = pin!(sleep(timeout.min));
+        poll_fn(|context| {
+            let Some(at) = self.stalled_at(timeout) else { return Poll::Pending };
+            if timer.deadline() != at {
+                timer.as_mut().reset(at);
+            }
+            timer.as_mut().poll(context)
+        })
+        .await;
+    }
+
     fn record(&self, write: &Poll<io::Result<usize>>) {
-        let blocked_since = match write {
-            Poll::Pending => self.blocked_since.get().or_else(|| Some(Instant::now())),
-            Poll::Ready(_) => None,
-        };
-        self.blocked_since.set(blocked_since);
+        match write {
+            Poll::Pending if self.blocked_since.get().is_none() => {
+                self.blocked_since.set(Some(Instant::now()));
+                self.burst_bytes.set(0);
+            }
+            Poll::Pending => {}
+            Poll::Ready(taken) => {
+                self.blocked_since.set(None);
+                self.burst_bytes.set(self.burst_bytes.get() + taken.as_ref().unwrap_or(&0));
+                self.largest_burst.set(self.largest_burst.get().max(self.burst_bytes.get()));
+            }
+        }
     }
 }
 
-/// A connection whose writes are recorded.
+/// A handle to a connection whose writes are recorded; it closes when the last handle is dropped.
+#[derive(Clone)]
 pub struct MonitoredConnection {
-    connection: TcpConnection,
+    connection: Rc<TcpConnection>,
     progress: Rc<WriteProgress>,
 }
 
 impl MonitoredConnection {
-    /// Wraps a connection on which nothing has been written.
+    /// The first handle to a connection on which nothing has been written.
     pub fn new(connection: TcpConnection) -> Self {
-        MonitoredConnection { connection, progress: Rc::default() }
-    }
-
-    /// Wraps an accepted stream.
-    pub fn accepted(stream: TcpStream) -> Self {
-        MonitoredConnection::new(TcpConnection::new(stream))
+        let _ = connection.limit_unsent(Some(MAX_UNSENT_BYTES)); // without it, progress shows less often
+        MonitoredConnection { connection: Rc::new(connection), progress: Rc::default() }
     }
 
     /// The connection itself.
-    pub fn connection(&self) -> &TcpConnection {
+    pub fn tcp(&self) -> &TcpConnection {
         &self.connection
     }
 
@@ -55,10 +115,25 @@
     pub fn write_progress(&self) -> Rc<WriteProgress> {
         self.progress.clone()
     }
+}
+
+impl AsyncRead for MonitoredConnection {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        self.connection.poll_read_some(context, buffer)
+    }
+}
+
+impl AsyncWrite for MonitoredConnection {
+    fn poll_write(self: Pin<&mut Self>, context: &mut Context<'_>, data: &[u8]) -> Poll<io::Result<usize>> {
+        self.poll_write_vectored(context, &[IoSlice::new(data)])
+    }
 
-    /// Writes from buffers, waiting until there is space.
-    pub fn poll_write_some(
-        &self,
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
         context: &mut Context<'_>,
         data: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
@@ -66,4 +141,16 @@
         self.progress.record(&write);
         write
     }
+
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(())) // nothing is buffered here
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(self.connection.shutdown_write())
+    }
 }
--- a/src/net/stream.rs
+++ b/src/net/stream.rs
@@ -1,14 +1,14 @@
 //! A client's connection below HTTP: requests are served through one handle, and its end is detected
 //! through another.
 
-use super::monitored_connection::{MonitoredConnection, WriteProgress};
+use super::monitored_connection::MonitoredConnection;
+use gullpulley::TcpConnection;
 use std::future::poll_fn;
 use std::io;
-use std::pin::{Pin, pin};
-use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::pin::pin;
+use std::task::Poll;
 use std::time::Duration;
-use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
+use tokio::io::Interest;
 use tokio::net::TcpStream;
 use tokio::task::yield_now;
 use tokio::time::{Instant, timeout_at};
@@ -24,24 +24,24 @@
 
 /// A handle to a client's connection, which closes when the last handle is dropped.
 #[derive(Clone)]
-pub struct ClientStream(Rc<MonitoredConnection>);
+pub struct ClientStream(MonitoredConnection);
 
 impl ClientStream {
     /// The first handle. Written data is sent without delay.
     pub fn new(stream: TcpStream) -> Self {
-        ClientStream(Rc::new(MonitoredConnection::accepted(stream)))
+        ClientStream(MonitoredConnection::new(TcpConnection::new(stream)))
     }
 
-    /// The record of the writes to the client.
-    pub fn write_progress(&self) -> Rc<WriteProgress> {
-        self.0.write_progress()
+    /// The connection, to be served.
+    pub fn connection(&self) -> &MonitoredConnection {
+        &self.0
     }
 
     /// Waits until the client has closed, reset or half-closed the connection while `relevant` holds. The
     /// HTTP library does not check for this as long as it has buffered bytes of a next request.
     pub async fn client_left(&self, relevant: impl Fn() -> bool) {
         // No urgent data is expected, so that only the end of the other side makes this ready.
-        let mut ended = pin!(self.0.connection().ready(Interest::PRIORITY));
+        let mut ended = pin!(self.0.tcp().ready(Interest::PRIORITY));
         let mut ended_seen = false;
         poll_fn(|context| {
             ended_seen = ended_seen || ended.as_mut().poll(context).is_ready();
@@ -54,7 +54,7 @@
     pub async fn close(self) {
         let deadline = Instant::now() + MAX_LINGER;
         let mut buffer = [0; DISCARD_BUFFER];
-        let connection = self.0.connection();
+        let connection = self.0.tcp();
         let _ = connection.shutdown_write(); // fails if the client has left, which the next read reports
         let readable = || connection.ready(Interest::READABLE);
         while let Ok(Ok(_)) = timeout_at(deadline.min(Instant::now() + LINGER_GAP), readable()).await {
@@ -66,39 +66,3 @@
         }
     }
 }
-
-impl AsyncRead for ClientStream {
-    fn poll_read(
-        self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        self.0.connection().poll_read_some(context, buffer)
-    }
-}
-
-impl AsyncWrite for ClientStream {
-    fn poll_write(self: Pin<&mut Self>, context: &mut Context<'_>, data: &[u8]) -> Poll<io::Result<usize>> {
-        self.0.poll_write_some(context, &[io::IoSlice::new(data)])
-    }
-
-    fn poll_write_vectored(
-        self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        data: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        self.0.poll_write_some(context, data)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        true
-    }
-
-    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(Ok(())) // nothing is buffered here
-    }
-
-    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(self.0.connection().shutdown_write())
-    }
-}
--- a/tests/passing.rs
+++ b/tests/passing.rs
@@ -2,57 +2,19 @@
 
 #[path = "support/node.rs"]
 mod support;
+#[path = "support/transfers.rs"]
+mod transfers;
 
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::TcpStream;
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::thread;
 use std::time::Duration;
 use support::*;
+use transfers::*;
 
 const LARGE: usize = 1 << 20;
 
-fn large(length: usize) -> Vec<u8> {
-    (0..length).map(|n| (n % 251) as u8).collect()
-}
-
-/// An endpoint that does this with each connection, given what follows the head of its first request.
-fn endpoint(serve: impl Fn(&str, BufReader<TcpStream>) + Send + Sync + 'static) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let address = listener.local_addr().unwrap();
-    let serve = std::sync::Arc::new(serve);
-    thread::spawn(move || {
-        for stream in listener.incoming().flatten() {
-            let serve = serve.clone();
-            thread::spawn(move || {
-                let mut reader = BufReader::new(stream);
-                let mut head = String::new();
-                while !head.ends_with("\r\n\r\n") && reader.read_line(&mut head).is_ok_and(|n| n > 0) {}
-                if head.ends_with("\r\n\r\n") {
-                    serve(&head, reader);
-                }
-            });
-        }
-    });
-    address
-}
-
-/// Reads a chunked body to its end.
-fn read_chunks(reader: &mut impl BufRead) -> Option<Vec<u8>> {
-    let mut all = Vec::new();
-    loop {
-        let mut line = String::new();
-        reader.read_line(&mut line).ok()?;
-        let size = usize::from_str_radix(line.trim_end(), 16).ok()?;
-        let mut piece = vec![0; size + 2];
-        reader.read_exact(&mut piece).ok()?;
-        if size == 0 {
-            return Some(all);
-        }
-        all.extend_from_slice(&piece[..size]);
-    }
-}
-
 /// A signal that one thread gives and another waits for.
 fn signal() -> (Sender<()>, std::sync::Mutex<Receiver<()>>) {
     let (give, wait) = channel();
