Wait for an endpoint that reads a large body slowly

Callers saw: a large body whose endpoint reads it at 64 kB/s is refused (503) some 6 s after it began.

An endpoint counted as unreachable once no frame of the body had been asked for in 5 s, and none is asked for while a send buffer of some MB drains.

Change: connections to endpoints hold 64 KiB of unsent bytes too, and the 5 s run from when a write found no room until the next byte is taken. 5 s are short beside the steps in which a system tells of reads, so the estimate of such a step is used here as well, up to 30 s: 128 KiB, and a quarter of what was taken at once, at 32 kB/s; or three times the longest wait so far. A body that stalls is logged with its request.

An endpoint that reads nothing, or 50 kB, is given up after 5 to 7 s before and now; one that took over 2 MB at once and then stops is now waited for longer, by the estimate.

--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -454,7 +454,10 @@
         let request = pending.forward.attempt_request(address, &progress);
         let upload = match &pending.forward.body {
             RequestBody::Buffered(_) => None,
-            RequestBody::Streamed(upload) => Some(upload.clone()),
+            RequestBody::Streamed(upload) => {
+                upload.attempt_started();
+                Some((upload.clone(), pending.forward.x_request_id().to_owned()))
+            }
         };
         let (outbound, inbox) = (self.context.outbound.clone(), self.context.inbox.clone());
         let write_by = write_within.map(|within| now + within);
@@ -465,7 +468,12 @@
             let timed_out = async {
                 match upload {
                     None => sleep_until(attempt_deadline).await,
-                    Some(upload) => upload.timed_out().await,
+                    Some((upload, request)) => {
+                        upload.timed_out().await;
+                        if !upload.is_complete() {
+                            info!(request, "endpoint takes no more of a large body");
+                        }
+                    }
                 }
             };
             let result = tokio::select! {
--- a/src/net/monitored_connection.rs
+++ b/src/net/monitored_connection.rs
@@ -4,7 +4,8 @@
 //! grow to several MiB, and reports it as writable again only once a third of it is free: a reader that takes
 //! long for a third would look like one that has stopped. So the system is told to hold few unsent bytes. The
 //! receive buffer is the other side's, and its system tells of reads only in steps that grow with it, to
-//! several hundred KiB: a reader gets the time that it needs for such a step.
+//! several hundred KiB: a reader gets the time that it needs for such a step, and longer than it has needed
+//! for any before.
 
 use gullpulley::TcpConnection;
 use std::cell::Cell;
@@ -21,9 +22,13 @@
 /// count, so this does not limit the speed.
 const MAX_UNSENT_BYTES: u32 = 64 * 1024;
 /// Bytes per second at which the slowest readers read.
-const SLOWEST_READ_RATE: f64 = 64_000.0;
-/// How much of what the other side's system took at once may be read before it tells of any of it.
-const UNREPORTED_SHARE: f64 = 0.5;
+const SLOWEST_READ_RATE: f64 = 32_000.0;
+/// So many bytes may be read before the other side's system tells of any of them, ...
+const UNREPORTED_BYTES: f64 = 128.0 * 1024.0;
+/// ... and this share of what it took at once.
+const UNREPORTED_SHARE: f64 = 0.25;
+/// How many times as long as ever before a reader may take for a step: pauses and steps add up unevenly.
+const MAX_WAIT_GROWTH: u32 = 3;
 
 /// Whether the writes to a connection proceed.
 #[derive(Default)]
@@ -32,6 +37,8 @@
     /// Bytes taken since writes were last blocked.
     burst_bytes: Cell<usize>,
     largest_burst: Cell<usize>,
+    /// The longest that writes have been blocked before more bytes were taken.
+    longest_wait: Cell<Duration>,
 }
 
 /// After how long without a byte taken a reader counts as stopped.
@@ -53,13 +60,15 @@
     pub fn start_message(&self) {
         self.burst_bytes.set(0);
         self.largest_burst.set(0);
+        self.longest_wait.set(Duration::ZERO);
     }
 
     /// When the reader counts as stopped; none while bytes are being taken.
     pub fn stalled_at(&self, timeout: StallTimeout) -> Option<Instant> {
-        let unreported_bytes = self.largest_burst.get() as f64 * UNREPORTED_SHARE;
+        let unreported_bytes = UNREPORTED_BYTES + self.largest_burst.get() as f64 * UNREPORTED_SHARE;
         let reading_time = Duration::from_secs_f64(unreported_bytes / SLOWEST_READ_RATE);
-        self.blocked_since().map(|since| since + reading_time.clamp(timeout.min, timeout.max))
+        let allowed = reading_time.max(self.longest_wait.get() * MAX_WAIT_GROWTH);
+        self.blocked_since().map(|since| since + allowed.clamp(timeout.min, timeout.max))
     }
 
     /// Waits until the reader counts as stopped. Must be polled after the connection, in the same task: the
@@ -84,7 +93,8 @@
             }
             Poll::Pending => {}
             Poll::Ready(taken) => {
-                self.blocked_since.set(None);
+                let waited = self.blocked_since.take().map_or(Duration::ZERO, |since| since.elapsed());
+                self.longest_wait.set(self.longest_wait.get().max(waited));
                 self.burst_bytes.set(self.burst_bytes.get() + taken.as_ref().unwrap_or(&0));
                 self.largest_burst.set(self.largest_burst.get().max(self.burst_bytes.get()));
             }
--- a/src/net/outbound.rs
+++ b/src/net/outbound.rs
@@ -3,6 +3,7 @@
 use super::abort_on_drop::AbortOnDrop;
 use super::budget::{Budget, Holder, Permit};
 use super::counters::Counters;
+use super::monitored_connection::{MonitoredConnection, WriteProgress};
 use super::progress::Progress;
 use super::streamed_body::{AttemptBody, MAX_BODY, StreamedBody};
 use gullpulley::{EndpointId, LoadField, Outcome, Settings, TcpConnection};
@@ -114,6 +115,7 @@
     address: SocketAddr,
     opened: Instant,
     idle_since: Instant,
+    write_progress: Rc<WriteProgress>,
     /// Dropping this closes the connection, even if an answer is still to come.
     _connection: AbortOnDrop,
     _permit: Permit,
@@ -196,8 +198,13 @@
                 );
             }
             // A streamed body counts as written only with its last frame, and sets this itself.
-            let buffered = matches!(request.body(), AttemptBody::Buffered(_));
-            progress.set_written(buffered);
+            match request.body() {
+                AttemptBody::Buffered(_) => progress.set_written(true),
+                AttemptBody::Streamed { upload, .. } => {
+                    progress.set_written(false);
+                    upload.connected(connection.write_progress.clone());
+                }
+            }
             match connection.sender.try_send_request(request).await {
                 Ok(response) => break (connection, response),
                 Err(mut error) => match error.take_message() {
@@ -363,6 +370,8 @@
         let until = Instant::now() + self.connect_timeout;
         let until = write_by.map_or(until, |by| by.min(until));
         let connection = timeout_at(until, TcpConnection::connect(address)).await.ok()?.ok()?;
+        let connection = MonitoredConnection::new(connection);
+        let write_progress = connection.write_progress();
         let connection = TokioIo::new(connection);
         let handshake = http1::Builder::new().max_buf_size(MAX_CONNECTION_BUFFER).handshake(connection);
         let (sender, connection) = handshake.await.ok()?;
@@ -372,6 +381,7 @@
             address,
             opened: Instant::now(),
             idle_since: Instant::now(),
+            write_progress,
             _connection: AbortOnDrop::new(task.abort_handle()),
             _permit: permit,
         })
--- a/src/net/streamed_body.rs
+++ b/src/net/streamed_body.rs
@@ -2,6 +2,7 @@
 //! in the sockets, so that memory use is bounded however slow the reader is.
 
 use super::early_end::EarlyEnd;
+use super::monitored_connection::{StallTimeout, WriteProgress};
 use super::progress::Progress;
 use http_body_util::Full;
 use hyper::body::{Body, Bytes, Frame, Incoming, SizeHint};
@@ -21,7 +22,8 @@
 /// A client whose body makes no progress for this long has stopped sending it.
 const CLIENT_STALL_TIMEOUT: Duration = Duration::from_secs(3);
 /// An endpoint that accepts no more of a body for this long is taken to be unreachable.
-const UPLOAD_STALL_TIMEOUT: Duration = Duration::from_secs(5);
+const UPLOAD_STALL_TIMEOUT: StallTimeout =
+    StallTimeout { min: Duration::from_secs(5), max: Duration::from_secs(30) };
 /// An endpoint whose answer makes no progress for this long has stopped sending it.
 const ANSWER_STALL_TIMEOUT: Duration = Duration::from_secs(10);
 /// Bytes per second that an answer of unknown length must reach once its client's time is up, and how far
@@ -194,8 +196,10 @@
     pub answer_time: Duration,
     /// When the answer must be on its way; known once the body is complete.
     deadline: watch::Sender<Option<Instant>>,
-    /// When a frame was last forwarded.
-    last_progress: Cell<Instant>,
+    /// When the attempt that may forward it began.
+    attempt_started_at: Cell<Instant>,
+    /// How the writes to that attempt's endpoint proceed; none until it is connected.
+    write_progress: RefCell<Option<Rc<WriteProgress>>>,
     /// Called with the deadline once the body is complete.
     on_complete: Box<dyn Fn(Instant)>,
 }
@@ -209,8 +213,8 @@
         on_complete: impl Fn(Instant) + 'static,
     ) -> Rc<Self> {
         let (size, deadline) = (body.size_hint(), watch::Sender::new(None));
-        let (body, last_progress) = (RefCell::new(Some(body)), Cell::new(Instant::now()));
-        let (send_started, failed_at_client) = Default::default();
+        let (body, attempt_started_at) = (RefCell::new(Some(body)), Cell::new(Instant::now()));
+        let (send_started, failed_at_client, write_progress) = Default::default();
         let on_complete = Box::new(on_complete);
         Rc::new(Upload {
             body,
@@ -219,7 +223,8 @@
             size,
             answer_time,
             deadline,
-            last_progress,
+            attempt_started_at,
+            write_progress,
             on_complete,
         })
     }
@@ -239,23 +244,41 @@
         self.deadline.borrow().is_some()
     }
 
-    /// Waits until the deadline of a complete body, or until an incomplete one has stalled.
+    /// An attempt that may forward it begins.
+    pub fn attempt_started(&self) {
+        self.attempt_started_at.set(Instant::now());
+        self.write_progress.replace(None);
+    }
+
+    /// It is about to be written to a connection to an endpoint.
+    pub fn connected(&self, write_progress: Rc<WriteProgress>) {
+        write_progress.start_message();
+        self.write_progress.replace(Some(write_progress));
+    }
+
+    /// Waits until the deadline of a complete body, or until the endpoint of an incomplete one has stalled.
     pub async fn timed_out(&self) {
         let mut deadline = self.deadline.subscribe();
-        self.last_progress.set(Instant::now());
-        loop {
-            let stalled_at = self.last_progress.get() + UPLOAD_STALL_TIMEOUT;
-            match timeout_at(stalled_at, deadline.wait_for(Option::is_some))
-                .await
-                .map(|known| known.ok().and_then(|at| *at))
-            {
+        while Instant::now() < self.endpoint_stalls_at() {
+            let known = timeout_at(self.endpoint_stalls_at(), deadline.wait_for(Option::is_some)).await;
+            match known.map(|known| known.ok().and_then(|at| *at)) {
                 Ok(Some(at)) => return sleep_until(at).await,
-                Err(_) if self.last_progress.get() + UPLOAD_STALL_TIMEOUT > Instant::now() => {}
-                _ => return,
+                Ok(None) => return,
+                Err(_) => {} // looked at again: more may have been taken meanwhile
             }
         }
     }
 
+    /// When the endpoint counts as stalled if it takes no more.
+    fn endpoint_stalls_at(&self) -> Instant {
+        match &*self.write_progress.borrow() {
+            None => self.attempt_started_at.get() + UPLOAD_STALL_TIMEOUT.min,
+            Some(progress) => progress
+                .stalled_at(UPLOAD_STALL_TIMEOUT)
+                .unwrap_or_else(|| Instant::now() + UPLOAD_STALL_TIMEOUT.min),
+        }
+    }
+
     /// Reads and drops the rest of a body that was answered before it was complete: its client is still
     /// sending, and closing the connection would lose the answer.
     pub async fn discard(&self) {
@@ -325,7 +348,6 @@
                     return Poll::Ready(None);
                 }
                 let frame = ready!(stream.poll_frame(context));
-                upload.last_progress.set(Instant::now());
                 upload.failed_at_client.set(matches!(frame, Some(Err(_))));
                 if frame.is_none() || stream.is_complete() {
                     progress.set_written(true);
--- /dev/null
+++ b/tests/slow_endpoints.rs
@@ -0,0 +1,151 @@
+//! Endpoints that read a large body slowly, beside such that have stopped reading it. What an endpoint reads shows
+//! only when its system tells of it, in steps that grow with its receive buffer.
+
+#[path = "support/node.rs"]
+mod support;
+#[path = "support/transfers.rs"]
+mod transfers;
+
+use socket2::{Domain, Socket, Type};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::thread;
+use std::time::{Duration, Instant};
+use support::*;
+use transfers::*;
+
+/// More than all buffers between a client and an endpoint hold.
+const BODY_BYTES: usize = 24 << 20;
+/// For so long an endpoint reads slowly, several times as long as one that has stopped is waited for.
+const SLOW_TIME: Duration = Duration::from_secs(25);
+/// An endpoint with a small receive buffer that takes nothing for this long is given up.
+const GIVEN_UP_AFTER: Duration = Duration::from_secs(5);
+/// No end is seen later than this.
+const SLACK: Duration = Duration::from_secs(2);
+
+/// An endpoint that reads slowly.
+#[derive(Clone, Copy, Debug)]
+struct Reader {
+    bytes_per_second: usize,
+    /// So much is read at once; the pause before the next follows from the rate.
+    piece: usize,
+    /// So much is read as fast as it comes at first.
+    fast_bytes: usize,
+    /// Its receive buffer; the system's own choice if none.
+    receive_buffer: Option<usize>,
+    /// The client sends chunks.
+    chunked: bool,
+}
+
+const READER: Reader =
+    Reader { bytes_per_second: 64_000, piece: 8_000, fast_bytes: 0, receive_buffer: None, chunked: false };
+
+/// Reads a body slowly for a while and then all the rest, and answers 200 if it came whole.
+fn read_slowly(reader: Reader, mut from: BufReader<TcpStream>) -> std::io::Result<()> {
+    let mut raw = vec![0; reader.fast_bytes];
+    from.read_exact(&mut raw)?;
+    let (mut piece, began) = (vec![0; reader.piece], Instant::now());
+    while began.elapsed() < SLOW_TIME {
+        from.read_exact(&mut piece)?;
+        raw.extend_from_slice(&piece);
+        let due = (raw.len() - reader.fast_bytes) as f64 / reader.bytes_per_second as f64;
+        thread::sleep(Duration::from_secs_f64(due).saturating_sub(began.elapsed()).min(SLOW_TIME));
+    }
+    let ended =
+        |raw: &[u8]| if reader.chunked { raw.ends_with(b"0\r\n\r\n") } else { raw.len() == BODY_BYTES };
+    while !ended(&raw) {
+        let bytes = from.fill_buf()?.to_vec();
+        if bytes.is_empty() {
+            return Ok(());
+        }
+        from.consume(bytes.len());
+        raw.extend_from_slice(&bytes);
+    }
+    let body = if reader.chunked { read_chunks(&mut &raw[..]) } else { Some(raw) };
+    let status = if body == Some(large(BODY_BYTES)) { "200 OK" } else { "500 not whole" };
+    from.into_inner().write_all(answer(status, "", "read").as_bytes())
+}
+
+/// A listener whose connections have this receive buffer.
+fn listener(receive_buffer: Option<usize>) -> TcpListener {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    if let Some(bytes) = receive_buffer {
+        socket.set_recv_buffer_size(bytes).unwrap();
+    }
+    socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+    socket.listen(16).unwrap();
+    TcpListener::from(socket)
+}
+
+/// Sends a large body as fast as it is taken; the status of the answer, and how long after the beginning it came.
+fn send_body(sidecar: &Sidecar, chunked: bool) -> (u16, Duration) {
+    let mut stream = TcpStream::connect(sidecar.address).unwrap();
+    stream.set_read_timeout(Some(SLOW_TIME + PATIENCE)).unwrap();
+    let length = format!("Content-Length: {BODY_BYTES}");
+    let framing = if chunked { "Transfer-Encoding: chunked" } else { &length };
+    let head = request("book", "r1", "20000m").replace("Content-Length: 4", framing);
+    stream.write_all(head.trim_end_matches("body").as_bytes()).unwrap();
+    let mut to = stream.try_clone().unwrap();
+    let began = Instant::now();
+    thread::spawn(move || {
+        for piece in large(BODY_BYTES).chunks(64_000) {
+            if chunked {
+                write!(to, "{:x}\r\n", piece.len())?;
+            }
+            to.write_all(piece)?;
+            if chunked {
+                to.write_all(b"\r\n")?;
+            }
+        }
+        if chunked { to.write_all(b"0\r\n\r\n") } else { Ok(()) }
+    });
+    let answer = Message::read(&mut BufReader::new(stream));
+    (answer.map_or(0, |answer| answer.status()), began.elapsed())
+}
+
+#[test]
+fn an_endpoint_that_reads_a_large_body_slowly_gets_all_of_it() {
+    let readers = [
+        READER,
+        Reader { chunked: true, ..READER },
+        Reader { bytes_per_second: 32_000, piece: 4_000, ..READER },
+        Reader { bytes_per_second: 100_000, piece: 100, ..READER },
+        Reader { piece: 128_000, ..READER },
+        Reader { piece: 192_000, ..READER },
+        Reader { fast_bytes: 8 << 20, ..READER },
+        Reader { receive_buffer: Some(2_048), ..READER },
+        Reader { receive_buffer: Some(1 << 20), chunked: true, ..READER },
+        Reader { receive_buffer: Some(4 << 20), ..READER },
+    ];
+    let sending = readers.map(|reader| {
+        let sending = thread::spawn(move || {
+            let at = endpoint_at(listener(reader.receive_buffer), move |_, from| {
+                let _ = read_slowly(reader, from); // fails where the sidecar gave up
+            });
+            let sidecar = Sidecar::start(&config_at(&[at]));
+            let (status, took) = send_body(&sidecar, reader.chunked);
+            (status, took)
+        });
+        (reader, sending)
+    });
+    let ends = sending.map(|(reader, thread)| (reader, thread.join().unwrap()));
+    let given_up: Vec<_> = ends.iter().filter(|(_, (status, ..))| *status != 200).collect();
+    assert!(given_up.is_empty(), "{given_up:#?}");
+}
+
+#[test]
+fn an_endpoint_that_has_stopped_reading_a_large_body_is_given_up_in_its_time() {
+    for read_first in [0, 50_000] {
+        let at = endpoint(move |_, mut from| {
+            let _ = from.read_exact(&mut vec![0; read_first]);
+            thread::sleep(PATIENCE);
+        });
+        let sidecar = Sidecar::start(&config_at(&[at]));
+        let (status, took) = send_body(&sidecar, false);
+        assert_eq!(status, 503, "its last byte was never written");
+        assert!(
+            took + Duration::from_secs(1) > GIVEN_UP_AFTER && took < GIVEN_UP_AFTER + SLACK,
+            "{took:?}"
+        );
+    }
+}
