Go on with large answers that are still read when the drain time is up

Cause: when the drain time was up the process waited 0.15 s for last answers to be written and exited, though SIGKILL comes 0.7 s after the longest deadline at the earliest. An answer that had begun counted for neither.

Change: requests without an answer are failed as before; the process then waits for the clients to which a large answer is being streamed. In that moment the limit on unsent bytes is lifted, so that the system holds what it can and goes on sending it after SIGKILL. As the system then asks for more more seldom, a client counts as stopped after 60 s.

--- a/src/net/connection_state.rs
+++ b/src/net/connection_state.rs
@@ -2,6 +2,7 @@
 
 use super::early_end::EarlyEnd;
 use super::monitored_connection::{StallTimeout, WriteProgress};
+use super::streaming_clients::Registration;
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
@@ -21,6 +22,9 @@
 /// A client whose system takes nothing of a large answer for this long has stopped reading it.
 pub const CLIENT_READ_TIMEOUT: StallTimeout =
     StallTimeout { min: Duration::from_secs(20), max: Duration::from_secs(60) };
+/// The same once the system may hold as much unsent as it likes: then it asks for more more seldom.
+pub const UNLIMITED_READ_TIMEOUT: StallTimeout =
+    StallTimeout { min: Duration::from_secs(60), max: Duration::from_secs(60) };
 
 /// The state of a client's connection.
 pub struct ConnectionState {
@@ -38,6 +42,8 @@
     pub write_progress: Rc<WriteProgress>,
     /// Why the connection is being closed amid an answer; none while it is not.
     pub close_reason: Cell<Option<EarlyEnd>>,
+    /// Registers the client from its first large answer on, until the connection ends.
+    pub streaming_client: Registration,
     /// Notified when a streamed answer begins or ends.
     pub streaming_changed: Notify,
 }
@@ -54,6 +60,7 @@
             last_progress,
             write_progress,
             close_reason: Cell::new(None),
+            streaming_client: Registration::default(),
             streaming_changed: Notify::new(),
         }
     }
--- a/src/net/inbound.rs
+++ b/src/net/inbound.rs
@@ -1,7 +1,9 @@
 //! Client connections: accepts requests, returns final answers, and drains on shutdown.
 
 use super::budget::{Budget, Holder, Permit};
-use super::connection_state::{CLIENT_READ_TIMEOUT, ConnectionState, FIRST_HEAD_TIMEOUT};
+use super::connection_state::{
+    CLIENT_READ_TIMEOUT, ConnectionState, FIRST_HEAD_TIMEOUT, UNLIMITED_READ_TIMEOUT,
+};
 use super::counters::{Counters, End};
 use super::early_end::EarlyEnd;
 use super::message::{Answer, ForwardedRequest, Inbox, IncomingRequest, Input, RequestBody};
@@ -11,6 +13,7 @@
 use super::request::{RequestParser, buffer_body, drop_hop_headers};
 use super::stream::ClientStream;
 use super::streamed_body::{MAX_BODY, StreamedBody, Upload};
+use super::streaming_clients::StreamingClients;
 use gullpulley::{RequestId, is_local_failure};
 use http_body_util::Full;
 use hyper::body::{Body, Incoming};
@@ -83,6 +86,7 @@
     /// The client-chosen X-Request-IDs of the requests in progress.
     request_ids: Rc<RefCell<HashSet<String>>>,
     phase: Cell<Phase>,
+    streaming_clients: StreamingClients,
     /// Notified when an operator requests a drain.
     drain_requested: Notify,
     /// Another process of this sidecar is serving clients too.
@@ -111,6 +115,7 @@
             next_id: Cell::new(0),
             request_ids: Rc::default(),
             phase: Cell::new(Phase::Starting),
+            streaming_clients: StreamingClients::new(),
             drain_requested: Notify::new(),
             other_process_serving: Cell::new(false),
             accept_failing: Cell::new(false),
@@ -134,7 +139,8 @@
     }
 
     /// Serves until SIGTERM or a drain request, then drains: every connection that the kernel has accepted
-    /// is answered. `on_drain` is called when the drain begins.
+    /// is answered, and large answers that have begun go on until they end or SIGKILL comes. `on_drain` is
+    /// called when the drain begins.
     pub async fn serve(self: Rc<Self>, listener: TcpListener, mut term: Signal, on_drain: impl FnOnce()) {
         self.phase.set(Phase::Serving);
         loop {
@@ -165,7 +171,13 @@
         if timeout_at(until, self.clients_gone()).await.is_err() {
             self.phase.set(Phase::DrainTimedOut);
             let _ = self.inbox.send(Input::FailPending);
+            self.close_signal.send_replace(());
             let _ = timeout(FINAL_ANSWERS_TIME, self.clients_gone()).await;
+            let streaming = self.streaming_clients.count();
+            if streaming > 0 {
+                info!(clients = streaming, "waiting for the ends of large answers");
+            }
+            self.streaming_clients.gone().await;
         }
         info!(ms = drain_started.elapsed().as_millis() as u64, "drained");
     }
@@ -312,21 +324,28 @@
                     state.close_reason.set(Some(EarlyEnd::ClientLeft));
                     return CloseMode::Immediate;
                 }
-                _ = close_signal.changed() => match state.idle_time() {
-                    _ if state.answering.get() => state.close_after_answer.set(true),
-                    // On a new connection the first request is probably already on its way: closing now
-                    // would lose what the client is just sending.
-                    None if self.phase.get().is_ending() => {
-                        new_connection_until = Some(Instant::now() + NEW_CONNECTION_GRACE);
+                _ = close_signal.changed() => {
+                    // SIGKILL may come any moment.
+                    if self.phase.get() == Phase::DrainTimedOut {
+                        stream.unlimit_unsent();
+                        client_stalled.set(state.write_progress.stalled(UNLIMITED_READ_TIMEOUT));
                     }
-                    // A connection used recently is likely to be used again at once, and a request that
-                    // crosses the close is lost, or sent twice: the next answer announces the close
-                    // instead.
-                    Some(idle) if self.phase.get().is_ending() || idle >= MIN_IDLE_TIME => {
-                        connection.as_mut().graceful_shutdown();
+                    match state.idle_time() {
+                        _ if state.answering.get() => state.close_after_answer.set(true),
+                        // On a new connection the first request is probably already on its way: closing
+                        // now would lose what the client is just sending.
+                        None if self.phase.get().is_ending() => {
+                            new_connection_until = Some(Instant::now() + NEW_CONNECTION_GRACE);
+                        }
+                        // A connection used recently is likely to be used again at once, and a request that
+                        // crosses the close is lost, or sent twice: the next answer announces the close
+                        // instead.
+                        Some(idle) if self.phase.get().is_ending() || idle >= MIN_IDLE_TIME => {
+                            connection.as_mut().graceful_shutdown();
+                        }
+                        _ => state.close_after_answer.set(true),
                     }
-                    _ => state.close_after_answer.set(true),
-                },
+                }
                 () = sleep_until_some(first_head_until) => {
                     first_head_until = None;
                     // The part of a head that has arrived by now is not a request.
@@ -489,6 +508,7 @@
             streamed.body.set_deadline(answer_by);
             let (answer, state) = (*streamed, state.clone());
             state.last_progress.set(Some(Instant::now()));
+            state.streaming_client.replace(Some(self.streaming_clients.register()));
             state.streaming_changed.notify_one();
             let streamed = StreamedReply::new(answer, pending_count, state, memory, in_flight);
             return Ok(Response::new(ReplyBody::Streamed(Box::new(streamed))));
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -10,8 +10,8 @@
 //! `outbound`, `discovery`: connections to endpoints and to discovery;
 //! `log_text`, `message`, `request_state`, `driver`: turn I/O into the policy's events, and carry out
 //! its actions;
-//! `process_phase`, `stream`, `request`, `connection_state`, `reply`, `inbound`: phase of this process,
-//! client connections, requests and answers;
+//! `process_phase`, `streaming_clients`, `stream`, `request`, `connection_state`, `reply`, `inbound`: phase of
+//! this process, client connections, requests and answers;
 //! `control`: the admin API.
 
 mod abort_on_drop;
@@ -43,6 +43,7 @@
 mod start_times;
 mod stream;
 mod streamed_body;
+mod streaming_clients;
 
 use crate::logging::LogHandle;
 use budget::Budget;
--- a/src/net/stream.rs
+++ b/src/net/stream.rs
@@ -37,6 +37,11 @@
         &self.0
     }
 
+    /// Lets the system hold as much unsent as it likes, which it goes on sending when this process has ended.
+    pub fn unlimit_unsent(&self) {
+        let _ = self.0.tcp().limit_unsent(None); // the limit stays, and more is lost if the process is killed
+    }
+
     /// Waits until the client has closed, reset or half-closed the connection while `relevant` holds. The
     /// HTTP library does not check for this as long as it has buffered bytes of a next request.
     pub async fn client_left(&self, relevant: impl Fn() -> bool) {
--- a/tests/support/transfers.rs
+++ b/tests/support/transfers.rs
@@ -54,3 +54,11 @@
         all.extend_from_slice(&piece[..size]);
     }
 }
+
+/// Whether these bytes are the head of a message and this whole body behind it.
+pub fn is_whole(raw: &[u8], body: &[u8]) -> bool {
+    let Some(end) = raw.windows(4).position(|bytes| bytes == b"\r\n\r\n") else { return false };
+    let (head, mut rest) = raw.split_at(end + 4);
+    let chunked = String::from_utf8_lossy(head).to_lowercase().contains("chunked");
+    if chunked { read_chunks(&mut rest).is_some_and(|chunks| chunks == body) } else { rest == body }
+}
