Count what a reader's system takes within 3 s, not between short waits

Callers saw: in one run beside another run of the tests, a client at 64 kB/s with a receive buffer of 4 MiB was still cut off, after 28.7 s. Its buffer of some 8 MB had been filled in several bursts, as each wait of a moment ended one, so the estimate of the steps in which its system tells of reads came out too small.

Change: a burst is what is taken within 3 s.

--- a/src/net/connection_state.rs
+++ b/src/net/connection_state.rs
@@ -21,10 +21,10 @@
 const BODY_GRACE: Duration = Duration::from_secs(2);
 /// A client whose system takes nothing of a large answer for this long has stopped reading it.
 pub const CLIENT_READ_TIMEOUT: StallTimeout =
-    StallTimeout { min: Duration::from_secs(20), max: Duration::from_secs(60) };
+    StallTimeout { min: Duration::from_secs(20), max: Duration::from_secs(60), min_rate: 64_000.0 };
 /// The same once the system may hold as much unsent as it likes: then it asks for more more seldom.
 pub const UNLIMITED_READ_TIMEOUT: StallTimeout =
-    StallTimeout { min: Duration::from_secs(60), max: Duration::from_secs(60) };
+    StallTimeout { min: Duration::from_secs(60), ..CLIENT_READ_TIMEOUT };
 
 /// The state of a client's connection.
 pub struct ConnectionState {
--- a/src/net/monitored_connection.rs
+++ b/src/net/monitored_connection.rs
@@ -21,12 +21,11 @@
 /// Unsent bytes that the system holds for one connection. What is under way to the other side does not
 /// count, so this does not limit the speed.
 const MAX_UNSENT_BYTES: u32 = 64 * 1024;
-/// Bytes per second at which the slowest readers read.
-const SLOWEST_READ_RATE: f64 = 32_000.0;
 /// So many bytes may be read before the other side's system tells of any of them, ...
 const UNREPORTED_BYTES: f64 = 128.0 * 1024.0;
-/// ... and this share of what it took at once.
+/// ... and this share of what it took at once, in a burst of at most `BURST_TIME`.
 const UNREPORTED_SHARE: f64 = 0.25;
+const BURST_TIME: Duration = Duration::from_secs(3);
 /// How many times as long as ever before a reader may take for a step: pauses and steps add up unevenly.
 const MAX_WAIT_GROWTH: u32 = 3;
 
@@ -34,7 +33,8 @@
 #[derive(Default)]
 pub struct WriteProgress {
     blocked_since: Cell<Option<Instant>>,
-    /// Bytes taken since writes were last blocked.
+    /// Start of the current burst.
+    burst_started_at: Cell<Option<Instant>>,
     burst_bytes: Cell<usize>,
     largest_burst: Cell<usize>,
     /// The longest that writes have been blocked before more bytes were taken.
@@ -48,6 +48,8 @@
     pub min: Duration,
     /// However large it is.
     pub max: Duration,
+    /// Bytes per second that a reader with a large buffer reads at least.
+    pub min_rate: f64,
 }
 
 impl WriteProgress {
@@ -58,7 +60,7 @@
 
     /// A new message begins: what was taken of earlier ones says nothing about the buffer by now.
     pub fn start_message(&self) {
-        self.burst_bytes.set(0);
+        self.burst_started_at.set(None);
         self.largest_burst.set(0);
         self.longest_wait.set(Duration::ZERO);
     }
@@ -66,7 +68,7 @@
     /// When the reader counts as stopped; none while bytes are being taken.
     pub fn stalled_at(&self, timeout: StallTimeout) -> Option<Instant> {
         let unreported_bytes = UNREPORTED_BYTES + self.largest_burst.get() as f64 * UNREPORTED_SHARE;
-        let reading_time = Duration::from_secs_f64(unreported_bytes / SLOWEST_READ_RATE);
+        let reading_time = Duration::from_secs_f64(unreported_bytes / timeout.min_rate);
         let allowed = reading_time.max(self.longest_wait.get() * MAX_WAIT_GROWTH);
         self.blocked_since().map(|since| since + allowed.clamp(timeout.min, timeout.max))
     }
@@ -89,17 +91,24 @@
         match write {
             Poll::Pending if self.blocked_since.get().is_none() => {
                 self.blocked_since.set(Some(Instant::now()));
-                self.burst_bytes.set(0);
             }
             Poll::Pending => {}
             Poll::Ready(taken) => {
                 let waited = self.blocked_since.take().map_or(Duration::ZERO, |since| since.elapsed());
                 self.longest_wait.set(self.longest_wait.get().max(waited));
-                self.burst_bytes.set(self.burst_bytes.get() + taken.as_ref().unwrap_or(&0));
-                self.largest_burst.set(self.largest_burst.get().max(self.burst_bytes.get()));
+                self.add_to_burst(*taken.as_ref().unwrap_or(&0));
             }
         }
     }
+
+    fn add_to_burst(&self, bytes: usize) {
+        if self.burst_started_at.get().is_none_or(|at| at.elapsed() > BURST_TIME) {
+            self.burst_started_at.set(Some(Instant::now()));
+            self.burst_bytes.set(0);
+        }
+        self.burst_bytes.set(self.burst_bytes.get() + bytes);
+        self.largest_burst.set(self.largest_burst.get().max(self.burst_bytes.get()));
+    }
 }
 
 /// A handle to a connection whose writes are recorded; it closes when the last handle is dropped.
--- a/src/net/streamed_body.rs
+++ b/src/net/streamed_body.rs
@@ -23,7 +23,7 @@
 const CLIENT_STALL_TIMEOUT: Duration = Duration::from_secs(3);
 /// An endpoint that accepts no more of a body for this long is taken to be unreachable.
 const UPLOAD_STALL_TIMEOUT: StallTimeout =
-    StallTimeout { min: Duration::from_secs(5), max: Duration::from_secs(30) };
+    StallTimeout { min: Duration::from_secs(5), max: Duration::from_secs(30), min_rate: 32_000.0 };
 /// An endpoint whose answer makes no progress for this long has stopped sending it.
 const ANSWER_STALL_TIMEOUT: Duration = Duration::from_secs(10);
 /// Bytes per second that an answer of unknown length must reach once its client's time is up, and how far
