Cut off clients that read none of their small answers

Callers saw: nothing was lost, but a client that asks for many answers of up to 64 KiB, reads none and stays kept its connection and its place for ever, and so did one that stopped at the last 64 KiB of a large answer.

Cause: the time-out for clients that read nothing ran only while a large answer was being streamed. Small answers wait in the HTTP library's buffer, and nothing looked at whether they left it.

Change: the time-out holds for all that is written to a client. The time at which a frame was last asked for is kept for the log alone and named so.

--- a/src/net/connection_state.rs
+++ b/src/net/connection_state.rs
@@ -19,7 +19,7 @@
 const LATE_HEAD_BODY_GRACE: Duration = Duration::from_millis(800);
 /// How long the body of a later request may fall behind the minimum rate.
 const BODY_GRACE: Duration = Duration::from_secs(2);
-/// A client whose system takes nothing of a large answer for this long has stopped reading it.
+/// A client whose system takes nothing of its answers for this long has stopped reading them.
 pub const CLIENT_READ_TIMEOUT: StallTimeout =
     StallTimeout { min: Duration::from_secs(20), max: Duration::from_secs(60), min_rate: 64_000.0 };
 /// The same once the system may hold as much unsent as it likes: then it asks for more more seldom.
@@ -37,7 +37,7 @@
     /// The next answer is the last one on this connection, and announces the close.
     pub close_after_answer: Cell<bool>,
     /// When a frame of a streamed answer was last asked for; none while no answer is being streamed.
-    pub last_progress: Cell<Option<Instant>>,
+    pub frame_asked_at: Cell<Option<Instant>>,
     /// Whether the client takes what is written to it.
     pub write_progress: Rc<WriteProgress>,
     /// Why the connection is being closed amid an answer; none while it is not.
@@ -51,13 +51,13 @@
 impl ConnectionState {
     /// The state of a connection just accepted.
     pub fn new(write_progress: Rc<WriteProgress>) -> Self {
-        let (answering, last_answer_at, close_after_answer, last_progress) = Default::default();
+        let (answering, last_answer_at, close_after_answer, frame_asked_at) = Default::default();
         ConnectionState {
             accepted_at: Instant::now(),
             answering,
             last_answer_at,
             close_after_answer,
-            last_progress,
+            frame_asked_at,
             write_progress,
             close_reason: Cell::new(None),
             streaming_client: Registration::default(),
@@ -83,11 +83,6 @@
         }
     }
 
-    /// Whether an answer is being streamed.
-    pub fn is_streaming(&self) -> bool {
-        self.last_progress.get().is_some()
-    }
-
     /// Records that an answer has been given.
     pub fn answer_finished(&self) {
         self.answering.set(false);
--- a/src/net/inbound.rs
+++ b/src/net/inbound.rs
@@ -359,7 +359,7 @@
                         connection.as_mut().graceful_shutdown();
                     }
                 }
-                () = client_stalled.as_mut(), if state.is_streaming() => {
+                () = client_stalled.as_mut() => {
                     state.close_reason.set(Some(EarlyEnd::ClientStalled));
                     return CloseMode::Immediate;
                 }
@@ -507,7 +507,7 @@
         if let Ok(Ok(Answer::Streamed(mut streamed))) = answer {
             streamed.body.set_deadline(answer_by);
             let (answer, state) = (*streamed, state.clone());
-            state.last_progress.set(Some(Instant::now()));
+            state.frame_asked_at.set(Some(Instant::now()));
             state.streaming_client.replace(Some(self.streaming_clients.register()));
             state.streaming_changed.notify_one();
             let streamed = StreamedReply::new(answer, pending_count, state, memory, in_flight);
--- a/src/net/reply.rs
+++ b/src/net/reply.rs
@@ -98,7 +98,7 @@
         let (request, reason_name) = (&self.request.x_request_id, reason.name());
         let bytes = self.answer.as_ref().map(|answer| answer.body.received_bytes());
         let ms = self.started_at.elapsed().as_millis() as u64;
-        let asked_ms_ago = milliseconds_since(self.state.last_progress.get());
+        let asked_ms_ago = milliseconds_since(self.state.frame_asked_at.get());
         let blocked_ms = milliseconds_since(self.state.write_progress.blocked_since());
         if reason.is_usual() {
             debug!(
@@ -125,7 +125,7 @@
             answer.complete();
         }
         self.state.answer_finished();
-        self.state.last_progress.set(None);
+        self.state.frame_asked_at.set(None);
         self.state.streaming_changed.notify_one();
     }
 }
@@ -153,7 +153,7 @@
             ReplyBody::Streamed(reply) => reply,
         };
         let Some(answer) = &mut reply.answer else { return Poll::Ready(None) };
-        reply.state.last_progress.set(Some(Instant::now()));
+        reply.state.frame_asked_at.set(Some(Instant::now()));
         let frame = ready!(answer.body.poll_frame(context));
         let complete = answer.body.is_complete();
         match &frame {
--- a/tests/slow_readers.rs
+++ b/tests/slow_readers.rs
@@ -93,15 +93,6 @@
     request("quote", id, "20000m").replace("X-Timeout", "Connection: close\r\nX-Timeout")
 }
 
-/// Whether these bytes are a head and the whole body behind it.
-fn is_whole(raw: &[u8]) -> bool {
-    let Some(end) = raw.windows(4).position(|bytes| bytes == b"\r\n\r\n") else { return false };
-    let (head, mut body) = raw.split_at(end + 4);
-    let chunked = String::from_utf8_lossy(head).to_lowercase().contains("chunked");
-    let body = if chunked { read_chunks(&mut body) } else { Some(body.to_vec()) };
-    body.is_some_and(|body| body == large(ANSWER_BYTES))
-}
-
 /// Reads slowly for a while and then all the rest; how many bytes came if they are not the whole answer.
 fn read_slowly(sidecar: SocketAddr, number: usize, reader: Reader) -> Result<(), usize> {
     let mut stream = connect(sidecar, reader.receive_buffer);
@@ -123,7 +114,7 @@
         thread::sleep(Duration::from_secs_f64(due).saturating_sub(began.elapsed()).min(SLOW_TIME));
     }
     let _ = stream.read_to_end(&mut raw); // what came until an error counts
-    if is_whole(&raw) { Ok(()) } else { Err(raw.len()) }
+    if is_whole(&raw, &large(ANSWER_BYTES)) { Ok(()) } else { Err(raw.len()) }
 }
 
 #[test]
@@ -168,3 +159,23 @@
         assert!(sidecar.log().contains("client stalled"), "{}", sidecar.log());
     }
 }
+
+/// One that had asked for many small answers kept its place for ever.
+#[test]
+fn a_client_that_reads_none_of_its_small_answers_does_not_keep_its_place() {
+    let peer = Peer::new(|_| Do::Write(answer("200 OK", "", &"x".repeat(60_000))));
+    let sidecar = Sidecar::start(&config(&[&peer]));
+    let mut client = connect(sidecar.address, None);
+    for number in 0..200 {
+        client.write_all(request("quote", &format!("r{number}"), "20000m").as_bytes()).unwrap();
+    }
+    wait_for("its answers to stop", || {
+        let before = peer.count();
+        thread::sleep(Duration::from_millis(500));
+        before > 1 && peer.count() == before
+    });
+    let (stopped, descriptors) = (Instant::now(), sidecar.descriptors());
+    assert!(peer.count() < 200, "the buffers hold all of its answers");
+    wait_for("its end", || sidecar.descriptors() < descriptors);
+    assert!(stopped.elapsed() < CUT_OFF_AFTER + SLACK, "{:?}", stopped.elapsed());
+}
