--- a/src/net/inbound.rs
+++ b/src/net/inbound.rs
@@ -1,79 +1,44 @@
 //! Client connections: accepts requests, returns final answers, and drains on shutdown.
+//!
+//! `connection` serves one connection, `drain` all of them until the process ends; requests and answers are here.
+
+mod connection;
+mod drain;
 
 use super::budget::{Budget, Holder, Permit};
-use super::connection_state::{
-    CLIENT_READ_TIMEOUT, ConnectionState, FIRST_HEAD_TIMEOUT, UNLIMITED_READ_TIMEOUT,
-};
+use super::connection_state::{ConnectionState, FIRST_HEAD_TIMEOUT};
 use super::counters::{Counters, End};
-use super::early_end::EarlyEnd;
 use super::message::{Answer, ForwardedRequest, Inbox, IncomingRequest, Input, RequestBody};
-use super::outbound::{MAX_CONNECTION_BUFFER, Outbound};
+use super::outbound::Outbound;
 use super::process_phase::Phase;
 use super::reply::{InFlightRequest, Reply, ReplyBody, StreamedReply, set_retry_after, text_reply};
 use super::request::{RequestParser, buffer_body, drop_hop_headers};
-use super::stream::ClientStream;
 use super::streamed_body::{MAX_BODY, StreamedBody, Upload};
 use super::streaming_clients::StreamingClients;
 use gullpulley::{RequestId, is_local_failure};
 use http_body_util::Full;
 use hyper::body::{Body, Incoming};
 use hyper::header::{self, HeaderValue};
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
-use hyper_util::rt::{TokioIo, TokioTimer};
 use std::cell::{Cell, RefCell};
 use std::collections::HashSet;
 use std::convert::Infallible;
-use std::io;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::signal::unix::Signal;
 use tokio::sync::{Notify, oneshot, watch};
 use tokio::task::spawn_local;
-use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
-use tracing::{Level, debug, enabled, error, info};
+use tokio::time::{Instant, sleep, timeout_at};
+use tracing::{Level, debug, enabled, error};
 
 /// Subtracted from the client's time-out, so that the answer reaches it in time.
 const ANSWER_MARGIN: Duration = Duration::from_millis(10);
-/// A connection over the limit has this long to send the head that is answered with a refusal.
-const SHED_HEAD_TIMEOUT: Duration = Duration::from_millis(500);
-/// The head of a later request must arrive within this of the previous answer, so that a silent client does
-/// not hold its socket forever.
-const HEAD_TIMEOUT: Duration = Duration::from_secs(30);
 /// Time limit for a streamed body: the largest one at the slowest rate.
 const MAX_UPLOAD_TIME: Duration = Duration::from_secs(1100);
 /// Wait after a failed accept: without free descriptors the next call would fail at once, in a busy loop.
 const ACCEPT_ERROR_DELAY: Duration = Duration::from_millis(10);
 /// Wait after a connection that was aborted before it was accepted.
 const ABORTED_ACCEPT_DELAY: Duration = Duration::from_millis(1);
-/// Failed accepts after which the listener is closed regardless: a shortage that lasts this long will not
-/// pass soon.
-const MAX_CLOSE_ERRORS: u32 = 64;
-/// New connections arrive for up to 0.4 s after SIGTERM, so accepting goes on slightly longer than that.
-const DRAIN_ACCEPT_TIME: Duration = Duration::from_millis(500);
-/// The backlog counts as empty once no connection has come from it for this long.
-const BACKLOG_IDLE_TIME: Duration = Duration::from_millis(30);
-/// When slots are needed, only connections that have been idle between requests for this long are closed.
-const MIN_IDLE_TIME: Duration = Duration::from_secs(1);
-/// While draining, a connection on which nothing has arrived yet is closed after this.
-const NEW_CONNECTION_GRACE: Duration = Duration::from_millis(200);
-/// SIGKILL comes no sooner than the longest deadline, but at most `MAX_DRAIN_DEADLINE`, plus 0.7 s. What is
-/// pending this long after that deadline is failed, which leaves time to send the answers.
-const DRAIN_MARGIN: Duration = Duration::from_millis(450);
-const MAX_DRAIN_DEADLINE: Duration = Duration::from_secs(3);
-/// Time for the last answers to be sent.
-const FINAL_ANSWERS_TIME: Duration = Duration::from_millis(150);
-
-/// How a connection is to be closed.
-#[derive(PartialEq)]
-enum CloseMode {
-    /// The client may still be sending, or have an answer to read.
-    Graceful,
-    /// The client has left, or does not read its answer.
-    Immediate,
-}
 
 /// State shared by all client connections.
 pub struct Inbound {
@@ -138,85 +103,6 @@
         self.other_process_serving.set(serving);
     }
 
-    /// Serves until SIGTERM or a drain request, then drains: every connection that the kernel has accepted
-    /// is answered, and large answers that have begun go on until they end or SIGKILL comes. `on_drain` is
-    /// called when the drain begins.
-    pub async fn serve(self: Rc<Self>, listener: TcpListener, mut term: Signal, on_drain: impl FnOnce()) {
-        self.phase.set(Phase::Serving);
-        loop {
-            tokio::select! {
-                _ = term.recv() => break,
-                () = self.drain_requested.notified() => break,
-                () = self.accept(&listener) => {}
-            }
-        }
-        let drain_started = Instant::now();
-        info!(clients = self.budget.clients(), "draining");
-        self.phase.set(Phase::Draining);
-        on_drain();
-        let longest = self.parser.settings.classes.iter().map(|c| c.deadline).max().unwrap_or_default();
-        let until = drain_started + longest.min(MAX_DRAIN_DEADLINE) + DRAIN_MARGIN;
-        // Connections still in the backlog count as accepted by then: closing the listener would reset
-        // them.
-        while Instant::now() < until && !self.other_process_serving.get() {
-            let wait = (drain_started + DRAIN_ACCEPT_TIME).max(Instant::now() + BACKLOG_IDLE_TIME);
-            if timeout_at(wait, self.accept(&listener)).await.is_err() {
-                break;
-            }
-        }
-        // A successor process may be noticed only now. Accepting beside it for as long as clients come
-        // would leave requests unfinished when the drain time is up.
-        self.accept_backlog_and_close(listener);
-        self.close_signal.send_replace(());
-        if timeout_at(until, self.clients_gone()).await.is_err() {
-            self.phase.set(Phase::DrainTimedOut);
-            let _ = self.inbox.send(Input::FailPending);
-            self.close_signal.send_replace(());
-            let _ = timeout(FINAL_ANSWERS_TIME, self.clients_gone()).await;
-            let streaming = self.streaming_clients.count();
-            if streaming > 0 {
-                info!(clients = streaming, "waiting for the ends of large answers");
-            }
-            self.streaming_clients.gone().await;
-        }
-        info!(ms = drain_started.elapsed().as_millis() as u64, "drained");
-    }
-
-    /// Accepts everything in the backlog and closes the listener without yielding: later connections are
-    /// refused, or go to the process that listens beside this one. A wait in between would let more
-    /// connections in, only to be reset.
-    fn accept_backlog_and_close(self: &Rc<Self>, listener: TcpListener) {
-        let Ok(listener) = listener.into_std() else { return };
-        let mut errors = 0;
-        loop {
-            match listener.accept() {
-                Ok((stream, _)) => {
-                    let converted = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream));
-                    if let Ok(stream) = converted {
-                        self.admit(stream, self.budget.take(Holder::Client));
-                    }
-                }
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
-                // The fault of one connection, or of the call: others may be queued behind it, which
-                // closing would reset.
-                Err(e) if !is_local_failure(&e) => errors += 1,
-                Err(_) => {
-                    errors += 1;
-                    self.outbound.close_oldest_idle();
-                }
-            }
-            if errors > MAX_CLOSE_ERRORS {
-                return;
-            }
-        }
-    }
-
-    async fn clients_gone(&self) {
-        while self.budget.clients() > 0 {
-            self.budget.client_released().await;
-        }
-    }
-
     /// Accepts one connection, once there is a slot for it.
     async fn accept(self: &Rc<Self>, listener: &TcpListener) {
         let permit = self.client_permit().await;
@@ -269,110 +155,6 @@
         }
     }
 
-    async fn handle_connection(
-        self: Rc<Self>,
-        stream: TcpStream,
-        shed: bool,
-        mut close_signal: watch::Receiver<()>,
-        _permit: Permit,
-    ) {
-        let stream = ClientStream::new(stream);
-        let close_mode = self.serve_connection(&stream, shed, &mut close_signal).await;
-        // If slots are scarce, an answered client must not keep one while the connection lingers: it is
-        // closed at once.
-        if close_mode == CloseMode::Graceful && !self.budget.clients_near_limit() {
-            tokio::select! {
-                () = stream.close() => {}
-                () = self.slot_needed(&mut close_signal) => {}
-            }
-        }
-    }
-
-    /// Waits until connections are to free their slots, and not only to close for the drain.
-    async fn slot_needed(&self, close_signal: &mut watch::Receiver<()>) {
-        // The sender lives as long as self.
-        while close_signal.changed().await.is_ok() && self.phase.get().is_ending() {}
-    }
-
-    async fn serve_connection(
-        self: &Rc<Self>,
-        stream: &ClientStream,
-        shed: bool,
-        close_signal: &mut watch::Receiver<()>,
-    ) -> CloseMode {
-        let state = Rc::new(ConnectionState::new(stream.connection().write_progress()));
-        let service = service_fn(|request| self.handle_request(request, shed, &state));
-        let connection = http1::Builder::new()
-            .timer(TokioTimer::new())
-            .header_read_timeout(HEAD_TIMEOUT)
-            .keep_alive(!shed)
-            .max_buf_size(MAX_CONNECTION_BUFFER)
-            .serve_connection(TokioIo::new(stream.connection().clone()), service);
-        let client_left = stream.client_left(|| state.answering.get());
-        let client_stalled = state.write_progress.stalled(CLIENT_READ_TIMEOUT);
-        tokio::pin!(connection, client_left, client_stalled);
-        // Over the limit there are few slots even for refusals: silent connections must not take them.
-        let first_head_deadline =
-            if shed { state.accepted_at + SHED_HEAD_TIMEOUT } else { state.first_head_deadline() };
-        let (mut first_head_until, mut new_connection_until) = (Some(first_head_deadline), None);
-        loop {
-            tokio::select! {
-                biased;
-                _ = connection.as_mut() => return CloseMode::Graceful, // an error: the client left
-                // A client that has left gets no answer, whatever else it had sent.
-                () = client_left.as_mut() => {
-                    state.close_reason.set(Some(EarlyEnd::ClientLeft));
-                    return CloseMode::Immediate;
-                }
-                _ = close_signal.changed() => {
-                    // SIGKILL may come any moment.
-                    if self.phase.get() == Phase::DrainTimedOut {
-                        stream.unlimit_unsent();
-                        client_stalled.set(state.write_progress.stalled(UNLIMITED_READ_TIMEOUT));
-                    }
-                    match state.idle_time() {
-                        _ if state.answering.get() => state.close_after_answer.set(true),
-                        // On a new connection the first request is probably already on its way: closing
-                        // now would lose what the client is just sending.
-                        None if self.phase.get().is_ending() => {
-                            new_connection_until = Some(Instant::now() + NEW_CONNECTION_GRACE);
-                        }
-                        // A connection used recently is likely to be used again at once, and a request that
-                        // crosses the close is lost, or sent twice: the next answer announces the close
-                        // instead.
-                        Some(idle) if self.phase.get().is_ending() || idle >= MIN_IDLE_TIME => {
-                            connection.as_mut().graceful_shutdown();
-                        }
-                        _ => state.close_after_answer.set(true),
-                    }
-                }
-                () = sleep_until_some(first_head_until) => {
-                    first_head_until = None;
-                    // The part of a head that has arrived by now is not a request.
-                    if state.awaits_first_request() {
-                        return CloseMode::Graceful;
-                    }
-                }
-                // The previous answer did not announce that it was the last one.
-                () = state.streaming_changed.notified() => {
-                    if state.close_after_answer.get() && !state.answering.get() {
-                        connection.as_mut().graceful_shutdown();
-                    }
-                }
-                () = client_stalled.as_mut() => {
-                    state.close_reason.set(Some(EarlyEnd::ClientStalled));
-                    return CloseMode::Immediate;
-                }
-                () = sleep_until_some(new_connection_until) => {
-                    new_connection_until = None;
-                    if !state.answering.get() {
-                        connection.as_mut().graceful_shutdown();
-                    }
-                }
-            }
-        }
-    }
-
     async fn handle_request(
         self: &Rc<Self>,
         request: Request<Incoming>,
@@ -533,11 +315,3 @@
         })
     }
 }
-
-/// Waits until the given time, or forever if there is none.
-async fn sleep_until_some(time: Option<Instant>) {
-    match time {
-        Some(time) => sleep_until(time).await,
-        None => std::future::pending().await,
-    }
-}
