--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -1,29 +1,27 @@
 //! Connects the policy to the sockets: turns what happens there into the policy's events, and carries out
 //! its actions. It makes no decisions, but enforces what must hold whatever the policy decides: one final
 //! answer per request, no attempt beyond the limit or the deadline, and nothing sent for a finished
-//! request.
+//! request. `attempts` has attempts and probes, `endpoints` the list and manual ejections; events, requests
+//! and timers are here.
+
+mod attempts;
+mod endpoints;
 
 use super::clock::Clock;
 use super::counters::Counters;
 use super::discovery::{Discovery, DiscoveryCommand};
-use super::list_translator::ListUpdate;
-use super::log_text::{log_unavailable, outcome_name};
 use super::manual_ejections::ManualEjections;
-use super::message::{Answer, Inbox, IncomingRequest, Input, RequestBody};
-use super::outbound::{AttemptResult, Dispatch, Outbound};
-use super::request_state::{Attempt, RequestState};
-use gullpulley::{
-    Action, AttemptEnded, AttemptNo, Balancer, EndpointId, EndpointState, Event, Membership, Outcome,
-    RequestId, TimerToken,
-};
+use super::message::{Answer, Inbox, IncomingRequest, Input};
+use super::outbound::{AttemptResult, Outbound};
+use super::request_state::RequestState;
+use gullpulley::{Action, Balancer, EndpointId, Event, RequestId, TimerToken};
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap, HashSet, VecDeque};
+use std::collections::{BinaryHeap, HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
-use tokio::sync::{oneshot, watch};
-use tokio::task::spawn_local;
+use tokio::sync::watch;
 use tokio::time::{Instant, sleep_until};
 use tracing::{debug, info, warn};
 
@@ -232,129 +230,6 @@
         self.remove_if_done(id);
     }
 
-    fn handle_attempt_end(&mut self, id: RequestId, attempt: AttemptNo, result: AttemptResult) {
-        let Some(pending) = self.requests.get_mut(&id) else { return };
-        let Some(entry) = pending.attempts.get_mut(attempt.0 as usize) else { return };
-        if entry.cancel.take().is_none() {
-            return; // its outcome has already been reported
-        }
-        pending.unfinished_attempts -= 1;
-        let (endpoint, sent, elapsed) = (entry.endpoint, entry.started_at, entry.started_at.elapsed());
-        let AttemptResult { mut outcome, body, streamed, bad_request, report, connected_for } = result;
-        debug!(
-            request = pending.forward.x_request_id(),
-            attempt = attempt.0,
-            outcome = outcome_name(outcome),
-            ms = elapsed.as_millis() as u64,
-            "attempt ended"
-        );
-        let (send_started, bad_request) = (
-            pending.forward.body.is_send_started(),
-            bad_request || pending.forward.body.failed_at_client(),
-        );
-        if outcome == Outcome::TimedOut {
-            self.context.outbound.close_idle_before(endpoint, sent);
-        }
-        if bad_request {
-            // An invalid request says nothing about the endpoint; a retry would use capacity that valid
-            // requests need.
-            outcome = Outcome::Cancelled;
-            self.finish(id, Answer::BadRequest);
-        } else if outcome == Outcome::Ok {
-            self.finish(id, streamed.map_or(Answer::Served(body), Answer::Streamed));
-        } else {
-            self.count_unusual(outcome_name(outcome));
-        }
-        let finished = self.requests.get(&id).is_none_or(|pending| pending.answer.is_none());
-        if send_started {
-            self.handle_event(Event::BodySendStarted(id));
-        }
-        self.report_answer(endpoint, connected_for);
-        self.handle_event(Event::AttemptEnded(AttemptEnded {
-            request: id,
-            attempt,
-            endpoint,
-            outcome,
-            elapsed,
-            finished,
-            report,
-        }));
-        self.remove_if_done(id);
-    }
-
-    /// Tells the policy that an endpoint has answered, if it has.
-    fn report_answer(&mut self, endpoint: EndpointId, connected_for: Option<Duration>) {
-        if let Some(connected_for) = connected_for {
-            self.handle_event(Event::Answered { endpoint, connected_for });
-        }
-    }
-
-    /// Whether the uid is listed, or is suspended and can be resumed.
-    fn is_known(&self, uid: &str) -> bool {
-        self.manual_ejections.suspended.contains(uid)
-            || self.addresses.contains_key(&self.context.discovery.id(uid))
-    }
-
-    /// Tells the policy which endpoints operators have suspended or resumed since the previous state.
-    fn apply_manual_ejections(&mut self, ejections: ManualEjections) {
-        let before = std::mem::replace(&mut self.manual_ejections, ejections.clone());
-        for uid in ejections.suspended.difference(&before.suspended) {
-            info!(endpoint = uid, "endpoint {uid} suspended by an operator");
-            let id = self.context.discovery.id(uid);
-            self.context.outbound.block_unwritten(id);
-            self.handle_event(Event::Suspend(id));
-        }
-        for (uid, _) in ejections.resumed.iter().filter(|(uid, at)| before.resumed.get(*uid) != Some(at)) {
-            info!(endpoint = uid, "endpoint {uid} resumed by an operator");
-            // Counted from when this process learns of it: its wall clock may have been stepped since.
-            let (endpoint, at) = (self.context.discovery.id(uid), self.clock.now());
-            self.handle_event(Event::Resume { endpoint, at });
-        }
-    }
-
-    fn apply_list_update(&mut self, update: ListUpdate) {
-        for (id, address) in &update.addresses {
-            let before = self.addresses.insert(*id, *address);
-            if before.is_some_and(|before| before != *address) {
-                self.context.outbound.close_idle(*id);
-            }
-        }
-        let (complete, entries) = match &update.membership {
-            Membership::Full(entries) | Membership::Cached(entries) => (true, entries),
-            Membership::Delta(entries) => (false, entries),
-            Membership::FromPreviousAddress { whole, entries }
-            | Membership::Unconfirmed { whole, entries } => (*whole, entries),
-            Membership::Failed { .. } => {
-                self.count_unusual("discovery failed");
-                return self.handle_event(Event::Membership(update.membership));
-            }
-            Membership::Moved => return self.handle_event(Event::Membership(update.membership)),
-        };
-        let mut unavailable: [Vec<String>; 2] = Default::default();
-        // These endpoints get no new attempts.
-        for entry in entries.iter().filter(|entry| entry.state != EndpointState::Ready) {
-            self.context.outbound.block_unwritten(entry.id);
-            let gone = entry.state == EndpointState::Gone;
-            unavailable[usize::from(gone)].push(self.context.discovery.uid(entry.id));
-            if gone {
-                self.addresses.remove(&entry.id);
-            }
-        }
-        if complete {
-            let outbound = &self.context.outbound;
-            let listed_ids: HashSet<EndpointId> = entries.iter().map(|entry| entry.id).collect();
-            self.addresses.retain(|id, _| {
-                let listed = listed_ids.contains(id);
-                if !listed {
-                    outbound.block_unwritten(*id);
-                }
-                listed
-            });
-        }
-        unavailable.iter().zip(["draining", "gone"]).for_each(|(uids, state)| log_unavailable(uids, state));
-        self.handle_event(Event::Membership(update.membership));
-    }
-
     /// Passes an event to the policy and carries out the actions, including events that result from them.
     fn handle_event(&mut self, event: Event) {
         self.pending_events.push_back(event);
@@ -408,105 +283,6 @@
         }
     }
 
-    /// Starts an attempt. An attempt that must not be sent still gets a number, and ends as not sent.
-    fn send(
-        &mut self,
-        id: RequestId,
-        endpoint: EndpointId,
-        timeout: Duration,
-        write_within: Option<Duration>,
-    ) {
-        let Some(pending) = self.requests.get_mut(&id) else { return };
-        let (now, attempt) = (Instant::now(), AttemptNo(pending.attempts.len() as u32));
-        let address = self.addresses.get(&endpoint).copied();
-        let attempt_deadline = pending.deadline.min(now + timeout);
-        let must_not_send = pending.answer.is_none()
-            || pending.attempts.len() >= self.max_attempts
-            || attempt_deadline <= now;
-        let progress = Rc::new(self.context.outbound.new_progress());
-        let Some(address) = address.filter(|_| !must_not_send) else {
-            pending.attempts.push(Attempt { endpoint, started_at: now, cancel: None, progress });
-            self.pending_events.push_back(Event::AttemptEnded(AttemptEnded {
-                request: id,
-                attempt,
-                endpoint,
-                outcome: Outcome::NotSent,
-                elapsed: Duration::ZERO,
-                finished: pending.answer.is_none(),
-                report: None,
-            }));
-            return self.count_unusual(outcome_name(Outcome::NotSent));
-        };
-        debug!(
-            request = pending.forward.x_request_id(),
-            attempt = attempt.0,
-            endpoint = self.context.discovery.uid(endpoint),
-            "sent"
-        );
-        let (cancel, mut cancelled) = oneshot::channel();
-        pending.attempts.push(Attempt {
-            endpoint,
-            started_at: now,
-            cancel: Some(cancel),
-            progress: progress.clone(),
-        });
-        pending.unfinished_attempts += 1;
-        let request = pending.forward.attempt_request(address, &progress);
-        let upload = match &pending.forward.body {
-            RequestBody::Buffered(_) => None,
-            RequestBody::Streamed(upload) => {
-                upload.attempt_started();
-                Some((upload.clone(), pending.forward.x_request_id().to_owned()))
-            }
-        };
-        let (outbound, inbox) = (self.context.outbound.clone(), self.context.inbox.clone());
-        let write_by = write_within.map(|within| now + within);
-        let times_out = upload.is_none();
-        let announced_deadline = times_out.then_some(attempt_deadline);
-        let dispatch = Dispatch { endpoint, address, decided_at: now, write_by, announced_deadline };
-        spawn_local(async move {
-            let timed_out = async {
-                match upload {
-                    None => sleep_until(attempt_deadline).await,
-                    Some((upload, request)) => {
-                        upload.timed_out().await;
-                        if !upload.is_complete() {
-                            info!(request, "endpoint takes no more of a large body");
-                        }
-                    }
-                }
-            };
-            let result = tokio::select! {
-                biased;
-                // The policy's timer for the deadline may wake the thread before this task's timer.
-                _ = &mut cancelled => {
-                    let late = times_out && Instant::now() >= attempt_deadline;
-                    AttemptResult::without_answer(if late {
-                        progress.outcome_on_timeout()
-                    } else {
-                        progress.outcome_on_cancel()
-                    })
-                }
-                result = outbound.attempt(dispatch, request, &progress) => result,
-                () = timed_out => AttemptResult::without_answer(progress.outcome_on_timeout()),
-            };
-            let _ = inbox.send(Input::AttemptEnded(id, attempt, result));
-        });
-    }
-
-    fn probe(&mut self, endpoint: EndpointId) {
-        let Some(&address) = self.addresses.get(&endpoint) else {
-            let (outcome, elapsed, report) = (Outcome::ConnectFailed, Duration::ZERO, None);
-            return self.pending_events.push_back(Event::ProbeEnded { endpoint, outcome, elapsed, report });
-        };
-        let (outbound, inbox, sent) =
-            (self.context.outbound.clone(), self.context.inbox.clone(), Instant::now());
-        spawn_local(async move {
-            let result = outbound.probe(endpoint, address).await;
-            let _ = inbox.send(Input::ProbeEnded(endpoint, result, sent.elapsed()));
-        });
-    }
-
     /// Gives a request its final answer, unless it already has one.
     fn finish(&mut self, id: RequestId, answer: Answer) {
         let Some(pending) = self.requests.get_mut(&id) else { return };
