Lab: trace system calls on arm64 as well as on x86-64

The workspace did not compile on arm64: the lab's tracer read x86-64 registers by name (rdi, orig_rax, rax; 21 errors) and named SYS_open and SYS_creat, which arm64 does not have.

Change: `ward/registers.rs` has what differs between the two processors (arguments, number, result, how a call is suppressed, the two calls that only one has); `calls.rs` and `tracer.rs` are written once on top of it. A third processor is refused at compile time. On arm64 the first argument and the result share a register; what is needed of the arguments is read at the beginning of a call, as before. The number of a call can be changed there only through a register set that nix offers to unsafe code alone, which the lab forbids, so a call is suppressed by giving it a descriptor that is never open; only calls on descriptors are ever suppressed.

Also looked at for ties to one processor, none found: the preloaded library (types and call numbers come from libc), page size, c_char, the vDSO (the library calls clock_gettime as a system call).

On x86-64 it was not compiled: the toolchain of this machine has no such target.

--- a/lab/src/ward/calls.rs
+++ b/lab/src/ward/calls.rs
@@ -1,6 +1,7 @@
-//! The system calls that change a folder, told apart by their numbers on x86-64.
+//! The system calls that change a folder, told apart by their numbers.
 
-use nix::libc::{self, user_regs_struct};
+use crate::registers::{Registers, SYS_CREAT, SYS_OPEN};
+use nix::libc;
 
 /// A call that matters, and the descriptor that it is about.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -22,27 +23,29 @@
 }
 
 /// The call that a thread is entering; none that does not matter.
-pub fn entered(regs: &user_regs_struct) -> Option<Call> {
-    let fd = regs.rdi as i32;
-    match regs.orig_rax as i64 {
-        libc::SYS_pwrite64 | libc::SYS_pwritev => Some(Call::WriteAt(fd, regs.r10)),
+pub fn entered(registers: &Registers) -> Option<Call> {
+    let arguments = registers.arguments();
+    let [first, second, third, fourth, fifth, _] = arguments;
+    let fd = first as i32;
+    match registers.call_number() {
+        libc::SYS_pwrite64 | libc::SYS_pwritev => Some(Call::WriteAt(fd, fourth)),
         libc::SYS_write | libc::SYS_writev => Some(Call::Write(fd)),
-        libc::SYS_ftruncate => Some(Call::Truncate(fd, regs.rsi)),
-        libc::SYS_fallocate if regs.rsi == 0 => Some(Call::Allocate(fd, regs.rdx.saturating_add(regs.r10))),
+        libc::SYS_ftruncate => Some(Call::Truncate(fd, second)),
+        libc::SYS_fallocate if second == 0 => Some(Call::Allocate(fd, third.saturating_add(fourth))),
         libc::SYS_fsync | libc::SYS_fdatasync => Some(Call::Sync(fd)),
-        libc::SYS_openat => Some(Call::Open(regs.rdx as i32 & libc::O_TRUNC != 0)),
-        libc::SYS_open => Some(Call::Open(regs.rsi as i32 & libc::O_TRUNC != 0)),
-        libc::SYS_creat => Some(Call::Open(true)),
-        libc::SYS_mmap if maps_for_writing(regs) => Some(Call::Unseen(regs.r8 as i32)),
+        libc::SYS_openat => Some(Call::Open(third as i32 & libc::O_TRUNC != 0)),
+        libc::SYS_mmap if maps_for_writing(arguments) => Some(Call::Unseen(fifth as i32)),
         libc::SYS_pwritev2 | libc::SYS_fallocate => Some(Call::Unseen(fd)),
-        libc::SYS_copy_file_range => Some(Call::Unseen(regs.rdx as i32)),
+        libc::SYS_copy_file_range => Some(Call::Unseen(third as i32)),
         libc::SYS_sendfile => Some(Call::Unseen(fd)),
+        number if SYS_OPEN == Some(number) => Some(Call::Open(second as i32 & libc::O_TRUNC != 0)),
+        number if SYS_CREAT == Some(number) => Some(Call::Open(true)),
         _ => None,
     }
 }
 
-fn maps_for_writing(regs: &user_regs_struct) -> bool {
-    regs.rdx as i32 & libc::PROT_WRITE != 0 && regs.r10 as i32 & libc::MAP_SHARED != 0
+fn maps_for_writing([_, _, protection, flags, ..]: [u64; 6]) -> bool {
+    protection as i32 & libc::PROT_WRITE != 0 && flags as i32 & libc::MAP_SHARED != 0
 }
 
 impl Call {
--- a/lab/src/ward/main.rs
+++ b/lab/src/ward/main.rs
@@ -1,6 +1,6 @@
 //! `gullpulley-lab-ward FOLDER [ORDER...] -- PROGRAM ARGUMENTS...`: runs a program and stands between it and one folder, so that
 //! its disk can be cut off, full, failing, slow or lying without privileges. It traces the program's system calls, which
-//! costs each some microseconds, and is made for Linux on x86-64.
+//! costs each some microseconds, and is made for Linux on x86-64 and on arm64.
 //!
 //! It says `pid N` on its output, and takes orders on its input, a line each: `full on|off` (files can't grow),
 //! `failing on|off` (writes and syncs fail), `slow MILLISECONDS` (writes and syncs take so much longer; 0 for none),
@@ -10,6 +10,7 @@
 
 mod calls;
 mod folder;
+mod registers;
 mod tracer;
 
 use std::ffi::OsString;
--- a/lab/src/ward/tracer.rs
+++ b/lab/src/ward/tracer.rs
@@ -2,6 +2,7 @@
 
 use crate::calls::{Call, entered};
 use crate::folder::{Folder, Opened};
+use crate::registers::Registers;
 use nix::errno::Errno;
 use nix::libc::{EIO, ENOSPC};
 use nix::sys::ptrace::{self, Options};
@@ -166,9 +167,9 @@
     fn syscall(&mut self, pid: Pid) -> Result<(), Box<dyn Error>> {
         let thread = self.threads.entry(pid).or_default();
         thread.in_call = !thread.in_call;
-        let Ok(mut regs) = ptrace::getregs(pid) else { return Ok(()) }; // it has just been killed
+        let Ok(mut registers) = Registers::read(pid) else { return Ok(()) }; // it has just been killed
         if thread.in_call {
-            let Some(call) = entered(&regs) else { return Ok(self.go_on(pid, None)?) };
+            let Some(call) = entered(&registers) else { return Ok(self.go_on(pid, None)?) };
             let opened = call.fd().and_then(|fd| self.folder.opened(pid.as_raw(), fd));
             if call.fd().is_some() && opened.is_none() {
                 return Ok(self.go_on(pid, None)?); // elsewhere
@@ -180,10 +181,10 @@
                 Some(Opened::File(file)) => self.folder.pending(*file),
                 _ => 0,
             };
-            let error = opened.as_ref().and_then(|opened| self.error(call, opened, regs.rdx));
+            let [_, _, byte_count, ..] = registers.arguments();
+            let error = opened.as_ref().and_then(|opened| self.error(call, opened, byte_count));
             if error.is_some() {
-                regs.orig_rax = u64::MAX; // no such call: nothing is done
-                resumed(ptrace::setregs(pid, regs))?;
+                resumed(registers.suppress_call(pid))?;
             }
             let slow = self.orders.slow_ms.load(Ordering::SeqCst);
             let held = slow > 0 && !matches!(call, Call::Open(_));
@@ -196,17 +197,16 @@
         }
         if let Some(Inside { call, opened, pending, error }) = thread.inside.take() {
             if let Some(error) = error {
-                regs.rax = i64::from(-error) as u64;
-                resumed(ptrace::setregs(pid, regs))?;
-            } else if (regs.rax as i64) >= 0 {
+                resumed(registers.set_result(pid, i64::from(-error)))?;
+            } else if registers.result() >= 0 {
                 let opened = match call {
-                    Call::Open(_) => self.folder.opened(pid.as_raw(), regs.rax as i32),
+                    Call::Open(_) => self.folder.opened(pid.as_raw(), registers.result() as i32),
                     _ => opened,
                 };
                 // What it was told is durable stays to be cut.
                 let lied = matches!(call, Call::Sync(_)) && self.orders.lying.load(Ordering::SeqCst);
                 if let Some(opened) = opened.filter(|_| !lied) {
-                    self.folder.done(pid.as_raw(), call, &opened, regs.rax, pending)?;
+                    self.folder.done(pid.as_raw(), call, &opened, registers.result() as u64, pending)?;
                 }
             }
         }
