Count a client's time from its last byte, not from the last one forwarded

Cause: the client's time started when the last byte had been handed to the endpoint, and the body was read only as fast as the endpoint took it. Until then only the 5 to 30 s of a stalled endpoint ended an attempt.

Change: bodies are read ahead of their endpoint within an eighth of the memory limit (`read_ahead.rs`); the time runs from the last moment at which the client was still sending for certain, which is a read that found nothing, or more missing than 4.5 MiB, the most that the buffers on the way hold (the receive buffer is asked for with 256 KiB). The same clock ends attempts, bounds further ones (`Event::BodyReceived`), is told to endpoints, and cuts endless answers. `Upload` moves to its own file; an attempt at a large body that is ended is logged and counted by reason.

Can't be told apart, once no more can be read ahead: a client that is blocked while it writes and one whose last bytes lie in its send buffer, for chunked bodies and where less than 4.5 MiB is missing.

--- a/src/api/events.rs
+++ b/src/api/events.rs
@@ -10,6 +10,13 @@
     Membership(Membership),
     /// A request arrived; it must get exactly one final answer.
     Request(Request),
+    /// A streamed request body has been received completely: from the client's last byte on its time runs.
+    BodyReceived {
+        /// The request.
+        request: RequestId,
+        /// Time until the client gives up on the request.
+        time_left: Duration,
+    },
     /// A streamed request body has been received and forwarded completely.
     BodyForwarded {
         /// The request.
@@ -98,8 +105,8 @@
     pub client_retry: bool,
     /// The request modifies data.
     pub write: bool,
-    /// The body is still arriving and is forwarded as it arrives. The request's deadline counts from
-    /// [`Event::BodyForwarded`](crate::Event::BodyForwarded) on.
+    /// The body is still arriving and is forwarded as it arrives. The request's deadline is known
+    /// from [`Event::BodyReceived`](crate::Event::BodyReceived) on.
     pub streamed_body: bool,
 }
 
--- a/src/net/budget.rs
+++ b/src/net/budget.rs
@@ -11,6 +11,10 @@
 const MAX_SHED_CLIENTS: usize = 24;
 /// Maximum memory of a request in progress, with its buffers, bodies and attempt, in KiB.
 const REQUEST_KIB: usize = 160;
+/// Memory of a piece of a large body that has been read ahead of its endpoint, in KiB.
+pub const SEGMENT_KIB: usize = 16;
+/// Share of the memory limit that bodies read ahead may take.
+const READ_AHEAD_SHARE: usize = 8;
 /// Maximum memory of a client connection between requests, reached by an incomplete request head, in KiB.
 const CONNECTION_KIB: usize = 64;
 
@@ -25,6 +29,8 @@
     Endpoint,
     /// A request in progress: memory, in addition to its connection's socket.
     Request,
+    /// A piece of a large body that has been read ahead of its endpoint.
+    ReadAhead,
 }
 
 /// Counts of permits in use, and their limits.
@@ -32,12 +38,14 @@
     total: usize,
     max_clients: usize,
     max_requests: usize,
+    max_read_ahead: usize,
     /// The number of processes of this sidecar; each may use an equal share.
     processes: Cell<usize>,
     requests: Cell<usize>,
     clients: Cell<usize>,
     shed: Cell<usize>,
     endpoints: Cell<usize>,
+    read_ahead: Cell<usize>,
     released: Notify,
 }
 
@@ -56,17 +64,20 @@
         // progress.
         let max_clients = (total * 5 / 8).min(memory_mb * 1024 / 4 / CONNECTION_KIB).max(1);
         let max_requests = (memory_mb * 1024 / 2 / REQUEST_KIB).max(1);
-        let (requests, clients, shed, endpoints) = Default::default();
+        let max_read_ahead = memory_mb * 1024 / READ_AHEAD_SHARE / SEGMENT_KIB;
+        let (requests, clients, shed, endpoints, read_ahead) = Default::default();
         let (processes, released) = (Cell::new(1), Notify::new());
         Rc::new(Budget {
             total,
             max_clients,
             max_requests,
+            max_read_ahead,
             processes,
             requests,
             clients,
             shed,
             endpoints,
+            read_ahead,
             released,
         })
     }
@@ -78,6 +89,7 @@
             Holder::Shed => self.shed.get() < self.share_of(MAX_SHED_CLIENTS),
             Holder::Endpoint => self.sockets_fit(),
             Holder::Request => self.requests.get() < self.share_of(self.max_requests),
+            Holder::ReadAhead => self.allows_read_ahead(0),
         };
         fits.then(|| self.take_unconditionally(holder))
     }
@@ -89,6 +101,13 @@
         Permit { budget: self.clone(), holder }
     }
 
+    /// Whether a large body that holds this many pieces may be read further ahead: no body takes more than is left for
+    /// all others.
+    pub fn allows_read_ahead(&self, held: usize) -> bool {
+        let unused = self.share_of(self.max_read_ahead).saturating_sub(self.read_ahead.get());
+        held < unused
+    }
+
     /// Divides the limits among this many processes; returns whether the number has changed. Permits above
     /// the new share remain valid until they are released.
     pub fn share(&self, count: usize) -> bool {
@@ -142,6 +161,7 @@
             Holder::Shed => &self.shed,
             Holder::Endpoint => &self.endpoints,
             Holder::Request => &self.requests,
+            Holder::ReadAhead => &self.read_ahead,
         }
     }
 }
--- a/src/net/connection_state.rs
+++ b/src/net/connection_state.rs
@@ -1,7 +1,7 @@
 //! The state of a client's connection, and the deadlines after which it may be closed.
 
 use super::early_end::EarlyEnd;
-use super::monitored_connection::{StallTimeout, WriteProgress};
+use super::monitored_connection::{MonitoredConnection, ReadProgress, StallTimeout, WriteProgress};
 use super::streaming_clients::Registration;
 use std::cell::Cell;
 use std::rc::Rc;
@@ -38,6 +38,8 @@
     pub close_after_answer: Cell<bool>,
     /// When a frame of a streamed answer was last asked for; none while no answer is being streamed.
     pub frame_asked_at: Cell<Option<Instant>>,
+    /// Whether the client has sent more than has been read.
+    pub read_progress: Rc<ReadProgress>,
     /// Whether the client takes what is written to it.
     pub write_progress: Rc<WriteProgress>,
     /// Why the connection is being closed amid an answer; none while it is not.
@@ -50,7 +52,7 @@
 
 impl ConnectionState {
     /// The state of a connection just accepted.
-    pub fn new(write_progress: Rc<WriteProgress>) -> Self {
+    pub fn new(connection: &MonitoredConnection) -> Self {
         let (answering, last_answer_at, close_after_answer, frame_asked_at) = Default::default();
         ConnectionState {
             accepted_at: Instant::now(),
@@ -58,7 +60,8 @@
             last_answer_at,
             close_after_answer,
             frame_asked_at,
-            write_progress,
+            read_progress: connection.read_progress(),
+            write_progress: connection.write_progress(),
             close_reason: Cell::new(None),
             streaming_client: Registration::default(),
             streaming_changed: Notify::new(),
--- a/src/net/counters.rs
+++ b/src/net/counters.rs
@@ -50,6 +50,8 @@
     decision_times: Histogram,
     /// Large answers that ended early, by reason.
     early_ends: Family<Labels, Counter>,
+    /// Attempts at large bodies that were ended before their endpoint answered, by reason.
+    upload_ends: Family<Labels, Counter>,
     log: LogHandle,
     health: Rc<DiscoveryHealth>,
     persistence: Option<Rc<Persistence>>,
@@ -97,6 +99,7 @@
             durations,
             decision_times,
             early_ends: Family::default(),
+            upload_ends: Family::default(),
             log,
             health,
             persistence,
@@ -125,6 +128,11 @@
         self.attempts.set(if written { count + 1 } else { count.saturating_sub(1) });
     }
 
+    /// Records why an attempt at a large body was ended before its endpoint answered.
+    pub fn record_upload_end(&self, reason: &'static str) {
+        self.upload_ends.get_or_create(&vec![("reason", reason.to_owned())]).inc();
+    }
+
     /// Records how long the policy took to decide on an event.
     pub fn record_decision(&self, took: Duration) {
         self.decision_times.observe(took.as_secs_f64());
@@ -178,6 +186,8 @@
         registry.register_with_unit("decision", help, Unit::Seconds, self.decision_times.clone());
         let help = "Large answers that ended before they were complete, by what ended them";
         registry.register("answers_ended_early", help, self.early_ends.clone());
+        let help = "Attempts at large bodies that were ended before their endpoint answered, by reason";
+        registry.register("large_bodies_ended_early", help, self.upload_ends.clone());
         let attempts = ConstCounter::new(self.attempts.get());
         registry.register("attempts", "Attempts written to endpoints", attempts);
         let dropped = ConstCounter::new(self.dropped_lines());
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -14,6 +14,7 @@
 use super::message::{Answer, Inbox, IncomingRequest, Input};
 use super::outbound::{AttemptResult, Outbound};
 use super::request_state::RequestState;
+use super::upload::UploadEvent;
 use gullpulley::{Action, Balancer, EndpointId, Event, RequestId, TimerToken};
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, VecDeque};
@@ -146,7 +147,7 @@
     fn handle_input(&mut self, input: Input) {
         match input {
             Input::Request(incoming) => self.handle_request(*incoming),
-            Input::BodyComplete(id, deadline) => self.handle_body_complete(id, deadline),
+            Input::Upload(id, event) => self.handle_upload(id, event),
             Input::ClientGone(id) => self.handle_client_gone(id),
             Input::AttemptEnded(id, attempt, result) => self.handle_attempt_end(id, attempt, result),
             Input::ProbeEnded(endpoint, AttemptResult { outcome, report, connected_for, .. }, elapsed) => {
@@ -208,14 +209,24 @@
         self.handle_event(Event::Request(request));
     }
 
-    fn handle_body_complete(&mut self, id: RequestId, deadline: Instant) {
+    fn handle_upload(&mut self, id: RequestId, event: UploadEvent) {
         let Some(pending) = self.requests.get_mut(&id) else { return };
         let now = Instant::now();
+        let (UploadEvent::Received(deadline) | UploadEvent::Forwarded(deadline)) = event;
         pending.deadline = deadline;
+        let time_left = deadline.saturating_duration_since(now);
+        debug!(
+            request = pending.forward.x_request_id(),
+            ?event,
+            left_ms = time_left.as_millis() as u64,
+            "large body"
+        );
+        if matches!(event, UploadEvent::Received(_)) {
+            return self.handle_event(Event::BodyReceived { request: id, time_left });
+        }
         if let Some(entry) = pending.attempts.last_mut() {
             entry.started_at = now; // the endpoint starts work only now
         }
-        let time_left = deadline.saturating_duration_since(now);
         self.handle_event(Event::BodyForwarded { request: id, time_left });
     }
 
--- a/src/net/driver/attempts.rs
+++ b/src/net/driver/attempts.rs
@@ -1,25 +1,27 @@
 //! Attempts and probes: starts them, and reports their ends to the policy.
 
 use super::Driver;
+use crate::net::counters::Counters;
 use crate::net::log_text::outcome_name;
 use crate::net::message::{Answer, Input, RequestBody};
 use crate::net::outbound::{AttemptResult, Dispatch};
 use crate::net::progress::Progress;
 use crate::net::request_state::Attempt;
-use crate::net::streamed_body::Upload;
+use crate::net::upload::Upload;
 use gullpulley::{AttemptEnded, AttemptNo, EndpointId, Event, Outcome, RequestId};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::oneshot;
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep_until};
-use tracing::{debug, info};
+use tracing::debug;
 
 /// When an attempt ends without an answer.
 struct AttemptLimits {
     deadline: Instant,
     /// A streamed body, and the X-Request-ID for the log: it has a time-out of its own in place of the deadline.
     upload: Option<(Rc<Upload>, String)>,
+    counters: Rc<Counters>,
 }
 
 impl AttemptLimits {
@@ -49,10 +51,9 @@
 
     async fn timed_out(&self) {
         let Some((upload, request)) = &self.upload else { return sleep_until(self.deadline).await };
-        upload.timed_out().await;
-        if !upload.is_complete() {
-            info!(request, "endpoint takes no more of a large body");
-        }
+        let end = upload.attempt_over().await;
+        upload.log_end(request, end);
+        self.counters.record_upload_end(end.name());
     }
 }
 
@@ -68,7 +69,10 @@
         let Some(pending) = self.requests.get_mut(&id) else { return };
         let (now, attempt) = (Instant::now(), AttemptNo(pending.attempts.len() as u32));
         let address = self.addresses.get(&endpoint).copied();
-        let attempt_deadline = pending.deadline.min(now + timeout);
+        let mut attempt_deadline = pending.deadline.min(now + timeout);
+        if let RequestBody::Streamed(upload) = &pending.forward.body {
+            attempt_deadline = attempt_deadline.min(upload.answer_deadline());
+        }
         let must_not_send = pending.answer.is_none()
             || pending.attempts.len() >= self.max_attempts
             || attempt_deadline <= now;
@@ -103,7 +107,8 @@
         let write_by = write_within.map(|within| now + within);
         let announced_deadline = upload.is_none().then_some(attempt_deadline);
         let dispatch = Dispatch { endpoint, address, decided_at: now, write_by, announced_deadline };
-        let limits = AttemptLimits { deadline: attempt_deadline, upload };
+        let counters = self.context.counters.clone();
+        let limits = AttemptLimits { deadline: attempt_deadline, upload, counters };
         spawn_local(async move {
             let attempt_end = outbound.attempt(dispatch, request, &progress);
             let result = limits.end_of(attempt_end, cancelled, &progress).await;
--- a/src/net/inbound.rs
+++ b/src/net/inbound.rs
@@ -11,10 +11,12 @@
 use super::message::{Answer, ForwardedRequest, Inbox, IncomingRequest, Input, RequestBody};
 use super::outbound::Outbound;
 use super::process_phase::Phase;
+use super::read_ahead::ReadAhead;
 use super::reply::{InFlightRequest, Reply, ReplyBody, StreamedReply, set_retry_after, text_reply};
 use super::request::{RequestParser, buffer_body, drop_hop_headers};
-use super::streamed_body::{MAX_BODY, StreamedBody, Upload};
+use super::streamed_body::{MAX_BODY, StreamedBody};
 use super::streaming_clients::StreamingClients;
+use super::upload::{ClientTimes, Upload, UploadEnd};
 use gullpulley::{RequestId, is_local_failure};
 use http_body_util::Full;
 use hyper::body::{Body, Incoming};
@@ -33,8 +35,6 @@
 
 /// Subtracted from the client's time-out, so that the answer reaches it in time.
 const ANSWER_MARGIN: Duration = Duration::from_millis(10);
-/// Time limit for a streamed body: the largest one at the slowest rate.
-const MAX_UPLOAD_TIME: Duration = Duration::from_secs(1100);
 /// Wait after a failed accept: without free descriptors the next call would fail at once, in a busy loop.
 const ACCEPT_ERROR_DELAY: Duration = Duration::from_millis(10);
 /// Wait after a connection that was aborted before it was accepted.
@@ -259,31 +259,35 @@
         drop_hop_headers(&mut head.headers);
         let (answer, answered) = oneshot::channel();
         let forward_time = time - ANSWER_MARGIN.min(time / 10);
-        let mut upload_in_progress = None;
-        let (body, deadline, answer_by) = match rest {
-            None => (RequestBody::Buffered(buffered), received_at + forward_time, received_at + time),
+        let (body, deadline) = match rest {
+            None => (RequestBody::Buffered(buffered), received_at + forward_time),
             Some(rest) => {
                 request.streamed_body = true;
-                let body = StreamedBody::from_client(buffered, rest);
-                let inbox = self.inbox.clone();
-                let upload = Upload::new(body, forward_time, move |deadline| {
-                    let _ = inbox.send(Input::BodyComplete(id, deadline)); // fails only while the process ends
-                });
-                upload_in_progress = Some(upload.clone());
-                (
-                    RequestBody::Streamed(upload),
-                    received_at + MAX_UPLOAD_TIME,
-                    received_at + MAX_UPLOAD_TIME,
-                )
+                let times = ClientTimes { patience: time, answer_time: forward_time };
+                let upload = self.start_upload(id, StreamedBody::from_client(buffered, rest), times, state);
+                let deadline = upload.latest_deadline();
+                (RequestBody::Streamed(upload), deadline)
             }
         };
+        let upload = match &body {
+            RequestBody::Buffered(_) => None,
+            RequestBody::Streamed(upload) => Some(upload.clone()),
+        };
         let forward = ForwardedRequest { method: head.method, uri: head.uri, headers: head.headers, body };
         let incoming = IncomingRequest { request, deadline, forward, answer };
         let _ = self.inbox.send(Input::Request(Box::new(incoming)));
         // Answers the client in time even if the policy were to lose track of the request.
-        let answer = timeout_at(answer_by, answered).await;
+        let answer = match &upload {
+            None => timeout_at(received_at + time, answered).await.map_err(|_| UploadEnd::TimeUp),
+            Some(upload) => tokio::select! {
+                biased;
+                answer = answered => Ok(answer),
+                end = upload.client_over() => Err(end),
+            },
+        };
         in_flight.answered = answer.is_ok();
-        if let Some(upload) = upload_in_progress.filter(|upload| !upload.is_complete()) {
+        let answer_by = upload.as_ref().map_or(received_at + time, |upload| upload.client_deadline());
+        if let Some(upload) = upload.filter(|upload| !upload.is_received()) {
             spawn_local(async move { upload.discard().await });
         }
         if let Ok(Ok(Answer::Streamed(mut streamed))) = answer {
@@ -311,7 +315,23 @@
             Ok(Ok(Answer::Failed | Answer::Streamed(_)) | Err(_)) => {
                 text_reply(StatusCode::BAD_GATEWAY, "failed")
             }
+            Err(UploadEnd::ClientFailed) => text_reply(StatusCode::BAD_REQUEST, "body broken"),
             Err(_) => text_reply(StatusCode::GATEWAY_TIMEOUT, "out of time"),
         })
     }
+
+    /// Starts to read a large body ahead of the endpoint that will take it.
+    fn start_upload(
+        &self,
+        id: RequestId,
+        body: StreamedBody,
+        times: ClientTimes,
+        state: &ConnectionState,
+    ) -> Rc<Upload> {
+        let read_ahead = ReadAhead::new(body.size_hint(), self.budget.clone(), state.read_progress.clone());
+        let inbox = self.inbox.clone();
+        Upload::start(body, read_ahead, times, move |event| {
+            let _ = inbox.send(Input::Upload(id, event)); // fails only while the process ends
+        })
+    }
 }
--- a/src/net/inbound/connection.rs
+++ b/src/net/inbound/connection.rs
@@ -68,7 +68,7 @@
         shed: bool,
         close_signal: &mut watch::Receiver<()>,
     ) -> CloseMode {
-        let state = Rc::new(ConnectionState::new(stream.connection().write_progress()));
+        let state = Rc::new(ConnectionState::new(stream.connection()));
         let service = service_fn(|request| self.handle_request(request, shed, &state));
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
--- a/src/net/message.rs
+++ b/src/net/message.rs
@@ -2,9 +2,9 @@
 
 use super::list_translator::ListUpdate;
 use super::manual_ejections::ManualEjections;
-use super::outbound::{AttemptResult, StreamedAnswer, set_time_left};
+use super::outbound::{AttemptResult, StreamedAnswer};
 use super::progress::Progress;
-use super::streamed_body::{AttemptBody, Upload};
+use super::upload::{AttemptBody, StreamedAttempt, Upload, UploadEvent};
 use gullpulley::{AttemptNo, BalancerStats, EndpointId, RequestId};
 use http_body_util::Full;
 use hyper::body::Bytes;
@@ -24,9 +24,8 @@
 pub enum Input {
     /// A request has arrived; its body is complete or will be streamed.
     Request(Box<IncomingRequest>),
-    /// The streamed body of a request has been forwarded completely; its answer must be on its way by this
-    /// time.
-    BodyComplete(RequestId, Instant),
+    /// The streamed body of a request has been received, or forwarded, completely.
+    Upload(RequestId, UploadEvent),
     /// The client of a request has left.
     ClientGone(RequestId),
     /// An attempt ended.
@@ -113,14 +112,12 @@
         self.headers.get("x-request-id").and_then(|id| id.to_str().ok()).unwrap_or_default()
     }
 
-    /// The request of an attempt at this address. The time-out header of a buffered one is set when it is
-    /// written.
+    /// The request of an attempt at this address. The time-out header is set when it is written.
     pub fn attempt_request(&self, address: SocketAddr, progress: &Rc<Progress>) -> Request<AttemptBody> {
         let body = match &self.body {
             RequestBody::Buffered(body) => AttemptBody::Buffered(Full::new(body.clone())),
             RequestBody::Streamed(upload) => {
-                let (body, progress) = (None, progress.clone());
-                AttemptBody::Streamed { upload: upload.clone(), body, progress }
+                AttemptBody::Streamed(StreamedAttempt::new(upload.clone(), progress.clone()))
             }
         };
         let mut request = Request::new(body);
@@ -130,9 +127,6 @@
         let headers = request.headers_mut();
         let host = HeaderValue::from_str(&address.to_string()).unwrap_or(HeaderValue::from_static(""));
         headers.insert(header::HOST, host);
-        if let RequestBody::Streamed(upload) = &self.body {
-            set_time_left(headers, upload.answer_time);
-        }
         request
     }
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -6,7 +6,8 @@
 //! `hot_restart`: tasks, time, reasons and records of stalled transfers, lists in the policy's types, limits
 //! on sockets and memory, persisted state, metrics of discovery, calls to it, the fleet, counters, suspended
 //! endpoints, other processes of this sidecar;
-//! `progress`, `streamed_body`: progress of an attempt, streamed bodies;
+//! `progress`, `streamed_body`, `read_ahead`, `upload`: progress of an attempt, streamed bodies, and those of clients
+//! read ahead and forwarded;
 //! `outbound`, `discovery`: connections to endpoints and to discovery;
 //! `log_text`, `message`, `request_state`, `driver`: turn I/O into the policy's events, and carry out
 //! its actions;
@@ -37,6 +38,7 @@
 mod persistence;
 mod process_phase;
 mod progress;
+mod read_ahead;
 mod reply;
 mod request;
 mod request_state;
@@ -44,6 +46,7 @@
 mod stream;
 mod streamed_body;
 mod streaming_clients;
+mod upload;
 
 use crate::logging::LogHandle;
 use budget::Budget;
@@ -61,6 +64,7 @@
 use inbound::Inbound;
 use manual_ejections::{ManualEjectionStore, ManualEjections};
 use message::{Inbox, Input};
+use monitored_connection::CLIENT_RECEIVE_BUFFER;
 use outbound::Outbound;
 use peers::Peers;
 use persistence::Persistence;
@@ -293,6 +297,7 @@
     if shared {
         socket.set_reuseport(true)?;
     }
+    let _ = socket.set_recv_buffer_size(CLIENT_RECEIVE_BUFFER); // without it, the ends of requests are known less well
     socket.bind(address)?;
     socket.listen(BACKLOG)
 }
--- a/src/net/monitored_connection.rs
+++ b/src/net/monitored_connection.rs
@@ -1,4 +1,5 @@
-//! A connection that records whether the other side still takes what is written to it.
+//! A connection that records whether the other side still takes what is written to it, and whether it has sent more
+//! than has been read.
 //!
 //! Two buffers lie between a write and the program that reads it. Without a limit Linux lets the send buffer
 //! grow to several MiB, and reports it as writable again only once a third of it is free: a reader that takes
@@ -18,6 +19,9 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::time::{Instant, sleep};
 
+/// The receive buffer that is asked for on connections of clients, in bytes. Without a limit Linux lets it grow to many
+/// MiB, and so much of a request could have been sent long before it is seen.
+pub const CLIENT_RECEIVE_BUFFER: u32 = 256 * 1024;
 /// Unsent bytes that the system holds for one connection. What is under way to the other side does not
 /// count, so this does not limit the speed.
 const MAX_UNSENT_BYTES: u32 = 64 * 1024;
@@ -41,6 +45,38 @@
     longest_wait: Cell<Duration>,
 }
 
+/// Whether the other side has sent more than has been read.
+pub struct ReadProgress {
+    /// The last read has found nothing.
+    empty: Cell<bool>,
+    /// The receive buffer was empty until then, as far as reads have shown.
+    empty_until: Cell<Instant>,
+}
+
+impl ReadProgress {
+    fn new() -> Self {
+        ReadProgress { empty: Cell::new(false), empty_until: Cell::new(Instant::now()) }
+    }
+
+    /// Whether the last read has found nothing.
+    pub fn is_empty(&self) -> bool {
+        self.empty.get()
+    }
+
+    /// Until when the receive buffer was empty, before the bytes that were read last began to arrive.
+    pub fn empty_until(&self) -> Instant {
+        self.empty_until.get()
+    }
+
+    fn record(&self, read: &Poll<io::Result<()>>) {
+        if read.is_pending() {
+            self.empty.set(true);
+        } else if self.empty.replace(false) {
+            self.empty_until.set(Instant::now());
+        }
+    }
+}
+
 /// After how long without a byte taken a reader counts as stopped.
 #[derive(Clone, Copy)]
 pub struct StallTimeout {
@@ -111,18 +147,20 @@
     }
 }
 
-/// A handle to a connection whose writes are recorded; it closes when the last handle is dropped.
+/// A handle to a connection whose reads and writes are recorded; it closes when the last handle is dropped.
 #[derive(Clone)]
 pub struct MonitoredConnection {
     connection: Rc<TcpConnection>,
     progress: Rc<WriteProgress>,
+    reads: Rc<ReadProgress>,
 }
 
 impl MonitoredConnection {
     /// The first handle to a connection on which nothing has been written.
     pub fn new(connection: TcpConnection) -> Self {
         let _ = connection.limit_unsent(Some(MAX_UNSENT_BYTES)); // without it, progress shows less often
-        MonitoredConnection { connection: Rc::new(connection), progress: Rc::default() }
+        let (progress, reads) = (Rc::default(), Rc::new(ReadProgress::new()));
+        MonitoredConnection { connection: Rc::new(connection), progress, reads }
     }
 
     /// The connection itself.
@@ -130,6 +168,11 @@
         &self.connection
     }
 
+    /// The record of its reads.
+    pub fn read_progress(&self) -> Rc<ReadProgress> {
+        self.reads.clone()
+    }
+
     /// The record of its writes.
     pub fn write_progress(&self) -> Rc<WriteProgress> {
         self.progress.clone()
@@ -142,7 +185,9 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        self.connection.poll_read_some(context, buffer)
+        let read = self.connection.poll_read_some(context, buffer);
+        self.reads.record(&read);
+        read
     }
 }
 
--- a/src/net/outbound.rs
+++ b/src/net/outbound.rs
@@ -5,7 +5,8 @@
 use super::counters::Counters;
 use super::monitored_connection::{MonitoredConnection, WriteProgress};
 use super::progress::Progress;
-use super::streamed_body::{AttemptBody, MAX_BODY, StreamedBody};
+use super::streamed_body::{MAX_BODY, StreamedBody};
+use super::upload::AttemptBody;
 use gullpulley::{EndpointId, LoadField, Outcome, Settings, TcpConnection};
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Bytes, Incoming};
@@ -191,6 +192,10 @@
                 return AttemptResult::without_answer(Outcome::NotSent);
             }
             // Connecting took part of the client's remaining time: the endpoint is told what is left now.
+            let announced_deadline = match request.body() {
+                AttemptBody::Buffered(_) => announced_deadline,
+                AttemptBody::Streamed(attempt) => Some(attempt.upload.answer_deadline()),
+            };
             if let Some(announced_deadline) = announced_deadline {
                 set_time_left(
                     request.headers_mut(),
@@ -200,9 +205,9 @@
             // A streamed body counts as written only with its last frame, and sets this itself.
             match request.body() {
                 AttemptBody::Buffered(_) => progress.set_written(true),
-                AttemptBody::Streamed { upload, .. } => {
+                AttemptBody::Streamed(attempt) => {
                     progress.set_written(false);
-                    upload.connected(connection.write_progress.clone());
+                    attempt.upload.connected(connection.write_progress.clone());
                 }
             }
             match connection.sender.try_send_request(request).await {
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -20,6 +20,7 @@
 mod requests;
 mod retries;
 mod slow_start;
+mod uploads;
 
 use crate::api::*;
 use crate::stats::{DecayingValue, Latency, SeededRng};
@@ -156,6 +157,7 @@
         match event {
             Event::Membership(update) => self.on_membership(now, update, out),
             Event::Request(request) => self.on_request(now, request, out),
+            Event::BodyReceived { request, time_left } => self.on_body_received(now, request, time_left),
             Event::BodyForwarded { request, time_left } => self.on_body(now, request, time_left, out),
             Event::BodySendStarted(id) => {
                 if let Some(pending) = self.requests.get_mut(&id) {
--- a/src/policy/requests.rs
+++ b/src/policy/requests.rs
@@ -96,23 +96,6 @@
         self.probe_endpoints(now, out);
     }
 
-    /// A streamed body is complete: only now does the endpoint start to work, and the deadline to run.
-    pub(super) fn on_body(&mut self, now: Duration, id: RequestId, left: Duration, out: &mut Vec<Action>) {
-        let Some(pending) = self.requests.get_mut(&id).filter(|p| p.uploading) else { return };
-        (pending.uploading, pending.arrived, pending.deadline) = (false, now, now + left);
-        for attempt in
-            pending.attempts.iter_mut().filter(|a| a.state == AttemptState::InFlight && !a.counts_in_flight)
-        {
-            attempt.sent = now;
-            // An endpoint that was removed in the meantime has no calls to count.
-            let Some(&i) = self.index.get(&attempt.endpoint) else { continue };
-            attempt.counts_in_flight = true;
-            self.endpoints[i].in_flight += 1;
-            self.windows[self.settings.side(attempt.zone)].in_flight += 1;
-        }
-        self.set_timer(left, Timer::Deadline(id), out);
-    }
-
     /// Sends a request that has no attempt in flight, or queues it, or gives it up.
     pub(super) fn dispatch(&mut self, now: Duration, id: RequestId, out: &mut Vec<Action>) {
         let Some(pending) = self.requests.get(&id) else { return };
--- a/tests/large_bodies_in_time.rs
+++ b/tests/large_bodies_in_time.rs
@@ -5,9 +5,13 @@
 
 #[path = "support/node.rs"]
 mod support;
+#[path = "support/transfers.rs"]
+mod transfers;
 
 use serde_json::json;
-use std::io::Read;
+use socket2::SockRef;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::TcpStream;
 use std::thread;
 use std::time::{Duration, Instant};
 use support::*;
@@ -79,3 +83,200 @@
         assert!(sent.elapsed() < most, "it goes on {most:?} after a request with 1 s of time");
     }
 }
+
+/// What an endpoint does with a body.
+#[derive(Clone, Copy, Debug)]
+enum Reading {
+    /// Reads so many bytes a second, and answers after the last one.
+    Slow(usize),
+    /// Reads so many bytes, and then none.
+    Stops(usize),
+}
+
+/// A request with a large body.
+#[derive(Clone, Copy, Debug)]
+struct Shape {
+    length: usize,
+    chunked: bool,
+    reading: Reading,
+    timeout_ms: u64,
+    /// Bytes that the client sends in a second; as fast as they are taken if none.
+    sent_per_second: Option<usize>,
+    /// The client's send buffer; the system's own choice if none.
+    send_buffer: Option<usize>,
+}
+
+const SHAPE: Shape = Shape {
+    length: 972_681,
+    chunked: false,
+    reading: Reading::Slow(115_969),
+    timeout_ms: 2500,
+    sent_per_second: None,
+    send_buffer: None,
+};
+
+/// Small, so that a body is read when its endpoint reads it.
+const ENDPOINT_RECEIVE_BUFFER: usize = 64 * 1024;
+/// Up to half a second after its time an answer only earns nothing; later it is lost.
+const LOST_AFTER: Duration = Duration::from_millis(500);
+
+/// What came of a request, counted from its last byte.
+#[derive(Debug)]
+struct Outcome {
+    status: u16,
+    /// Zero if the answer came before the client had written its last byte.
+    answered_after: Duration,
+}
+
+fn serve_slowly(shape: Shape, mut from: BufReader<TcpStream>) -> std::io::Result<()> {
+    let (began, mut read) = (Instant::now(), 0);
+    let mut tail = Vec::new();
+    loop {
+        let piece = from.fill_buf()?;
+        let count = piece.len().min(4_000);
+        if count == 0 {
+            return Ok(());
+        }
+        tail.extend_from_slice(&piece[..count]);
+        tail.drain(..tail.len().saturating_sub(5));
+        from.consume(count);
+        read += count;
+        match shape.reading {
+            Reading::Stops(at) if read >= at => {
+                thread::sleep(PATIENCE);
+                return Ok(());
+            }
+            Reading::Stops(_) => {}
+            Reading::Slow(rate) => {
+                let due = Duration::from_secs_f64(read as f64 / rate as f64);
+                thread::sleep(due.saturating_sub(began.elapsed()));
+            }
+        }
+        if if shape.chunked { tail == b"0\r\n\r\n" } else { read == shape.length } {
+            return from.into_inner().write_all(answer("200 OK", "", "read").as_bytes());
+        }
+    }
+}
+
+/// Writes the body; when its last byte was written, if it was.
+fn write_body(shape: Shape, mut to: TcpStream) -> std::io::Result<Instant> {
+    let (body, began) = (transfers::large(shape.length), Instant::now());
+    for (index, piece) in body.chunks(8_000).enumerate() {
+        if let Some(rate) = shape.sent_per_second {
+            let due = Duration::from_secs_f64((index * 8_000) as f64 / rate as f64);
+            thread::sleep(due.saturating_sub(began.elapsed()));
+        }
+        if shape.chunked {
+            to.write_all(format!("{:x}\r\n", piece.len()).as_bytes())?;
+        }
+        to.write_all(piece)?;
+        if shape.chunked {
+            to.write_all(b"\r\n")?;
+        }
+    }
+    if shape.chunked {
+        to.write_all(b"0\r\n\r\n")?;
+    }
+    Ok(Instant::now())
+}
+
+fn play(shape: Shape) -> Outcome {
+    let at = transfers::endpoint_at(transfers::listener(Some(ENDPOINT_RECEIVE_BUFFER)), move |_, from| {
+        let _ = serve_slowly(shape, from); // fails where the sidecar gives up
+    });
+    let mut config = config_at(&[at]);
+    config["limits"]["memory_mb"] = json!(48);
+    let sidecar = Sidecar::start(&config);
+    let mut stream = TcpStream::connect(sidecar.address).unwrap();
+    if let Some(bytes) = shape.send_buffer {
+        SockRef::from(&stream).set_send_buffer_size(bytes).unwrap();
+    }
+    stream.set_read_timeout(Some(PATIENCE * 2)).unwrap();
+    let length = format!("Content-Length: {}", shape.length);
+    let framing = if shape.chunked { "Transfer-Encoding: chunked" } else { &length };
+    let head =
+        request("book", "r1", &format!("{}m", shape.timeout_ms)).replace("Content-Length: 4", framing);
+    stream.write_all(head.trim_end_matches("body").as_bytes()).unwrap();
+    let to = stream.try_clone().unwrap();
+    let writing = thread::spawn(move || write_body(shape, to).ok());
+    let answer = Message::read(&mut BufReader::new(&stream));
+    let answered = Instant::now();
+    let _ = stream.shutdown(std::net::Shutdown::Both); // ends a write that nobody takes
+    let sent = writing.join().unwrap();
+    Outcome {
+        status: answer.map_or(0, |answer| answer.status()),
+        answered_after: sent.map_or(Duration::ZERO, |sent| answered.saturating_duration_since(sent)),
+    }
+}
+
+/// The answer to a large body came seconds after its client's time where the endpoint read it slowly or not at all.
+#[test]
+fn no_answer_to_a_large_body_comes_late_however_its_endpoint_reads_it() {
+    let shapes = [
+        SHAPE,
+        Shape { length: 276_267, chunked: true, reading: Reading::Stops(29_314), ..SHAPE },
+        Shape { length: 836_229, reading: Reading::Slow(78_737), ..SHAPE },
+        Shape {
+            length: 927_967,
+            chunked: true,
+            reading: Reading::Slow(109_311),
+            timeout_ms: 2000,
+            ..SHAPE
+        },
+        Shape { length: 627_776, reading: Reading::Slow(114_083), ..SHAPE },
+        Shape { length: 2_243_931, reading: Reading::Stops(20_991), timeout_ms: 1200, ..SHAPE },
+        Shape {
+            length: 2_005_906,
+            chunked: true,
+            reading: Reading::Stops(8_025),
+            timeout_ms: 1200,
+            ..SHAPE
+        },
+        Shape { length: 6_000_000, reading: Reading::Slow(100_000), ..SHAPE },
+        Shape { length: 6_000_000, chunked: true, reading: Reading::Slow(100_000), ..SHAPE },
+        Shape { length: 600_000, send_buffer: Some(8_192), ..SHAPE },
+        Shape { length: 400_000, sent_per_second: Some(64_000), reading: Reading::Slow(50_000), ..SHAPE },
+        Shape {
+            length: 1_000_000,
+            chunked: true,
+            sent_per_second: Some(200_000),
+            reading: Reading::Slow(79_000),
+            ..SHAPE
+        },
+        Shape { length: 32_000_000, reading: Reading::Stops(100_000), timeout_ms: 1200, ..SHAPE },
+        Shape { length: 400_000, sent_per_second: Some(200_000), reading: Reading::Stops(70_000), ..SHAPE },
+    ];
+    let plays = shapes.map(|shape| (shape, thread::spawn(move || play(shape))));
+    let ends = plays.map(|(shape, play)| (shape, play.join().unwrap()));
+    let late = |shape: &Shape, outcome: &Outcome| {
+        outcome.status == 0 || outcome.answered_after > Duration::from_millis(shape.timeout_ms) + LOST_AFTER
+    };
+    let late: Vec<_> = ends.iter().filter(|(shape, outcome)| late(shape, outcome)).collect();
+    assert!(late.is_empty(), "{} of {}: {late:#?}", late.len(), ends.len());
+}
+
+/// The client's time runs only from its last byte, also where its endpoint is slower than the client.
+#[test]
+fn a_client_that_is_still_sending_a_large_body_is_not_failed_by_its_own_time() {
+    let slow_client = Shape { sent_per_second: Some(64_000), timeout_ms: 1000, ..SHAPE };
+    let slower_endpoint = Shape { reading: Reading::Slow(60_000), timeout_ms: 2500, ..slow_client };
+    let shapes = [
+        Shape { length: 400_000, ..slow_client },
+        Shape { length: 400_000, chunked: true, ..slow_client },
+        Shape { length: 400_000, ..slower_endpoint },
+        Shape { length: 400_000, chunked: true, ..slower_endpoint },
+        Shape { length: 400_000, send_buffer: Some(4_096), ..slow_client },
+        // More than all buffers hold, and so still being sent for certain.
+        Shape {
+            length: 32_000_000,
+            sent_per_second: None,
+            reading: Reading::Slow(4_000_000),
+            timeout_ms: 4500,
+            ..SHAPE
+        },
+    ];
+    let plays = shapes.map(|shape| (shape, thread::spawn(move || play(shape))));
+    let ends = plays.map(|(shape, play)| (shape, play.join().unwrap()));
+    let failed: Vec<_> = ends.iter().filter(|(_, outcome)| outcome.status != 200).collect();
+    assert!(failed.is_empty(), "{} of {}: {failed:#?}", failed.len(), ends.len());
+}
--- a/tests/passing_decisions.rs
+++ b/tests/passing_decisions.rs
@@ -54,3 +54,14 @@
     let (id, _) = passing(&mut d, 1000);
     assert_eq!(sends(&d.end(id, Outcome::ConnectFailed, ms(5))).len(), 1, "unspent it goes elsewhere");
 }
+
+#[test]
+fn once_its_client_has_no_time_left_no_further_attempt_begins() {
+    let mut d = Driver::new(Settings::default(), endpoints(2));
+    let (id, _) = passing(&mut d, 1000);
+    d.feed(Event::BodyReceived { request: id, time_left: ms(300) });
+    assert!(d.advance(ms(310)).is_empty(), "the attempt ends by itself, and may never have run");
+    let attempt = d.out[0].0;
+    let actions = d.end(attempt, Outcome::ConnectFailed, ms(310));
+    assert!(sends(&actions).is_empty() && refused(&actions, id));
+}
--- a/tests/support/transfers.rs
+++ b/tests/support/transfers.rs
@@ -1,6 +1,7 @@
 //! Endpoints and clients of bodies and answers that are too large to be held.
 #![allow(dead_code)]
 
+use socket2::{Domain, Socket, Type};
 use std::io::{BufRead, BufReader};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
@@ -39,6 +40,17 @@
     address
 }
 
+/// A listener whose connections have this receive buffer; the system's own choice if none.
+pub fn listener(receive_buffer: Option<usize>) -> TcpListener {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    if let Some(bytes) = receive_buffer {
+        socket.set_recv_buffer_size(bytes).unwrap();
+    }
+    socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+    socket.listen(16).unwrap();
+    TcpListener::from(socket)
+}
+
 /// Reads a chunked body to its end.
 pub fn read_chunks(reader: &mut impl BufRead) -> Option<Vec<u8>> {
     let mut all = Vec::new();
