Count memory where it is held, and keep a part of it for small requests

Cause: an idle connection to an endpoint kept the HTTP library's read buffer and counted as a descriptor alone; a large answer took some 270 KiB and counted as 160; one pool served whoever came in numbers.

Change: an idle connection is kept as its bare socket (`connection_pool.rs`, split from `outbound.rs`); what a client's system does not take stays with the endpoint; buffers to endpoints have 16 KiB, or 64 where a large body is sent; client connections, small requests, large bodies and answers, and what is read ahead have a share of the limit each. `gullpulley_permits{holder}` shows each part. A large answer that finds no memory is refused at once, or failed where it may not be repeated, and logged and counted as such.

--- a/src/connection.rs
+++ b/src/connection.rs
@@ -1,6 +1,7 @@
 //! The TCP connection that all parts of the program use: short reads and writes lose no data.
 
 use std::io;
+use std::mem::MaybeUninit;
 use std::net::{Shutdown, SocketAddr};
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
@@ -62,6 +63,26 @@
         self.0.try_read(buffer)
     }
 
+    /// Whether data, the end or an error waits to be read.
+    pub fn has_input(&self) -> bool {
+        loop {
+            match self.peek() {
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                peeked => return !matches!(peeked, Err(e) if e.kind() == io::ErrorKind::WouldBlock),
+            }
+        }
+    }
+
+    /// The same as far as the system has reported it already, mostly without a call.
+    pub fn has_seen_input(&self) -> bool {
+        let peeked = self.0.try_io(Interest::READABLE, || self.peek());
+        !matches!(peeked, Err(e) if is_retryable(&e))
+    }
+
+    fn peek(&self) -> io::Result<usize> {
+        socket2::SockRef::from(&self.0).peek(&mut [MaybeUninit::uninit()])
+    }
+
     /// Limits how many bytes that have not been sent yet the system holds before it reports the socket as
     /// full; without a limit the system's own settings hold.
     ///
--- a/src/net/budget.rs
+++ b/src/net/budget.rs
@@ -9,14 +9,24 @@
 /// Number of clients above the limit that are accepted only to be refused; their sockets come from the
 /// reserve.
 const MAX_SHED_CLIENTS: usize = 24;
-/// Maximum memory of a request in progress, with its buffers, bodies and attempt, in KiB.
-const REQUEST_KIB: usize = 160;
+/// Maximum memory of a small request in progress, in KiB: its answer and the buffers of its attempts. A body that is not
+/// tiny counts as much again.
+const REQUEST_KIB: usize = 100;
+/// Maximum memory of a large body or answer on its way, in KiB: the buffers of both connections, and one piece between
+/// them. What is read ahead is counted by itself.
+const STREAM_KIB: usize = 80;
+/// Maximum memory of a client connection between requests, in KiB: an incomplete head, or the end of an answer.
+const CONNECTION_KIB: usize = 32;
 /// Memory of a piece of a large body that has been read ahead of its endpoint, in KiB.
 pub const SEGMENT_KIB: usize = 16;
-/// Share of the memory limit that bodies read ahead may take.
-const READ_AHEAD_SHARE: usize = 8;
-/// Maximum memory of a client connection between requests, reached by an incomplete request head, in KiB.
-const CONNECTION_KIB: usize = 64;
+
+/// How the memory limit is divided, in parts of `MEMORY_PARTS`. The rest is for idle connections to endpoints, the
+/// endpoint list, and the process itself.
+const MEMORY_PARTS: usize = 32;
+const CONNECTION_PARTS: usize = 8;
+const REQUEST_PARTS: usize = 10;
+const STREAM_PARTS: usize = 7;
+const READ_AHEAD_PARTS: usize = 2;
 
 /// What a permit is for.
 #[derive(Clone, Copy, PartialEq)]
@@ -27,8 +37,10 @@
     Shed,
     /// A connection to an endpoint.
     Endpoint,
-    /// A request in progress: memory, in addition to its connection's socket.
+    /// A small request in progress: memory, in addition to its connection's socket.
     Request,
+    /// A request with a large body or answer.
+    Stream,
     /// A piece of a large body that has been read ahead of its endpoint.
     ReadAhead,
 }
@@ -38,10 +50,12 @@
     total: usize,
     max_clients: usize,
     max_requests: usize,
+    max_streams: usize,
     max_read_ahead: usize,
     /// The number of processes of this sidecar; each may use an equal share.
     processes: Cell<usize>,
     requests: Cell<usize>,
+    streams: Cell<usize>,
     clients: Cell<usize>,
     shed: Cell<usize>,
     endpoints: Cell<usize>,
@@ -60,20 +74,23 @@
     pub fn new(sockets: usize, memory_mb: usize) -> Rc<Self> {
         let total = sockets.saturating_sub(RESERVED_SOCKETS);
         // An attempt needs a socket too: clients must not use up the sockets that their own requests need.
-        // Most connections are idle or silent at any time, and take far less memory than a request in
-        // progress.
-        let max_clients = (total * 5 / 8).min(memory_mb * 1024 / 4 / CONNECTION_KIB).max(1);
-        let max_requests = (memory_mb * 1024 / 2 / REQUEST_KIB).max(1);
-        let max_read_ahead = memory_mb * 1024 / READ_AHEAD_SHARE / SEGMENT_KIB;
-        let (requests, clients, shed, endpoints, read_ahead) = Default::default();
+        let fits =
+            |parts: usize, each_kib: usize| (memory_mb * 1024 * parts / MEMORY_PARTS / each_kib).max(1);
+        let max_clients = (total * 5 / 8).min(fits(CONNECTION_PARTS, CONNECTION_KIB)).max(1);
+        let max_requests = fits(REQUEST_PARTS, REQUEST_KIB);
+        let max_streams = fits(STREAM_PARTS, STREAM_KIB);
+        let max_read_ahead = fits(READ_AHEAD_PARTS, SEGMENT_KIB);
+        let (requests, streams, clients, shed, endpoints, read_ahead) = Default::default();
         let (processes, released) = (Cell::new(1), Notify::new());
         Rc::new(Budget {
             total,
             max_clients,
             max_requests,
+            max_streams,
             max_read_ahead,
             processes,
             requests,
+            streams,
             clients,
             shed,
             endpoints,
@@ -89,6 +106,7 @@
             Holder::Shed => self.shed.get() < self.share_of(MAX_SHED_CLIENTS),
             Holder::Endpoint => self.sockets_fit(),
             Holder::Request => self.requests.get() < self.share_of(self.max_requests),
+            Holder::Stream => self.streams.get() < self.share_of(self.max_streams),
             Holder::ReadAhead => self.allows_read_ahead(0),
         };
         fits.then(|| self.take_unconditionally(holder))
@@ -146,6 +164,11 @@
         self.clients.get() + self.shed.get()
     }
 
+    /// The number of permits in use for this.
+    pub fn in_use_for(&self, holder: Holder) -> usize {
+        self.count(holder).get()
+    }
+
     /// Waits until a client's permit is released.
     pub async fn client_released(&self) {
         self.released.notified().await;
@@ -161,6 +184,7 @@
             Holder::Shed => &self.shed,
             Holder::Endpoint => &self.endpoints,
             Holder::Request => &self.requests,
+            Holder::Stream => &self.streams,
             Holder::ReadAhead => &self.read_ahead,
         }
     }
--- a/src/net/counters.rs
+++ b/src/net/counters.rs
@@ -1,6 +1,7 @@
 //! Metrics: counts since the start of the process, each recorded once, where the event occurs. The numbers
 //! of endpoints and of unavailable ones come from the policy.
 
+use super::budget::{Budget, Holder, SEGMENT_KIB};
 use super::discovery_health::DiscoveryHealth;
 use super::early_end::EarlyEnd;
 use super::peers::Peers;
@@ -35,6 +36,15 @@
 /// All outcomes of a request, with their names in the report.
 const ENDS: [(End, &str); 3] =
     [(End::Completed, "completed"), (End::Rejected, "rejected"), (End::Failed, "failed")];
+/// What permits are held for, with the names in the metrics.
+const HOLDERS: [(Holder, &str); 6] = [
+    (Holder::Client, "client connection"),
+    (Holder::Shed, "client connection over the limit"),
+    (Holder::Endpoint, "endpoint connection"),
+    (Holder::Request, "small request"),
+    (Holder::Stream, "large request or answer"),
+    (Holder::ReadAhead, "read-ahead segment"),
+];
 /// The zones of the concurrency windows, in the order of the policy's statistics.
 const WINDOWS: [&str; 2] = ["own", "other"];
 
@@ -52,6 +62,7 @@
     early_ends: Family<Labels, Counter>,
     /// Attempts at large bodies that were ended before their endpoint answered, by reason.
     upload_ends: Family<Labels, Counter>,
+    budget: Rc<Budget>,
     log: LogHandle,
     health: Rc<DiscoveryHealth>,
     persistence: Option<Rc<Persistence>>,
@@ -76,6 +87,7 @@
     /// Counters at zero.
     pub fn new(
         classes: &[String],
+        budget: Rc<Budget>,
         log: LogHandle,
         health: Rc<DiscoveryHealth>,
         persistence: Option<Rc<Persistence>>,
@@ -100,6 +112,7 @@
             decision_times,
             early_ends: Family::default(),
             upload_ends: Family::default(),
+            budget,
             log,
             health,
             persistence,
@@ -218,6 +231,14 @@
         }
         registry.register("window_attempts", "Own attempts that may be out", size);
         registry.register("window_attempts_out", "Own attempts that are out", out);
+        let permits = Family::<Labels, Gauge>::default();
+        for (holder, name) in HOLDERS {
+            let count = self.budget.in_use_for(holder) as i64;
+            permits.get_or_create(&vec![("holder", name.to_owned())]).set(count);
+        }
+        let help =
+            format!("What takes memory and descriptors now; a read-ahead segment has {SEGMENT_KIB} KiB");
+        registry.register("permits", help, permits);
         self.health.register(&mut registry);
         if let Some(persistence) = &self.persistence {
             persistence.register(&mut registry);
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -289,7 +289,7 @@
             Action::Watch(on) => drop(self.context.discovery_commands.send(DiscoveryCommand::Watch(on))),
             Action::FetchList => drop(self.context.discovery_commands.send(DiscoveryCommand::Fetch)),
             Action::Probe { endpoint } => self.probe(endpoint),
-            Action::CloseIdle { endpoint } => self.context.outbound.close_idle(endpoint),
+            Action::CloseIdle { endpoint } => self.context.outbound.pool.close_idle(endpoint),
             Action::Log(text) => info!("module: {}", text.replace(['\n', '\r'], " ")),
         }
     }
--- a/src/net/driver/attempts.rs
+++ b/src/net/driver/attempts.rs
@@ -166,7 +166,7 @@
             bad_request || pending.forward.body.failed_at_client(),
         );
         if outcome == Outcome::TimedOut {
-            self.context.outbound.close_idle_before(endpoint, sent);
+            self.context.outbound.pool.close_idle_before(endpoint, sent);
         }
         if bad_request {
             // An invalid request says nothing about the endpoint; a retry would use capacity that valid
--- a/src/net/driver/endpoints.rs
+++ b/src/net/driver/endpoints.rs
@@ -37,7 +37,7 @@
         for (id, address) in &update.addresses {
             let before = self.addresses.insert(*id, *address);
             if before.is_some_and(|before| before != *address) {
-                self.context.outbound.close_idle(*id);
+                self.context.outbound.pool.close_idle(*id);
             }
         }
         let (complete, entries) = match &update.membership {
--- a/src/net/early_end.rs
+++ b/src/net/early_end.rs
@@ -15,6 +15,8 @@
     TooLong,
     /// The answer does not end within the client's time.
     Endless,
+    /// The memory for large answers was used up before any of it was forwarded.
+    OutOfMemoryBudget,
     /// The client's connection failed, or this process ended.
     ConnectionClosed,
 }
@@ -29,6 +31,7 @@
             EarlyEnd::EndpointStalled => "endpoint stalled",
             EarlyEnd::TooLong => "too long",
             EarlyEnd::Endless => "endless",
+            EarlyEnd::OutOfMemoryBudget => "out of memory budget",
             EarlyEnd::ConnectionClosed => "connection closed",
         }
     }
--- a/src/net/inbound.rs
+++ b/src/net/inbound.rs
@@ -8,17 +8,19 @@
 use super::budget::{Budget, Holder, Permit};
 use super::connection_state::{ConnectionState, FIRST_HEAD_TIMEOUT};
 use super::counters::{Counters, End};
+use super::early_end::EarlyEnd;
 use super::message::{Answer, ForwardedRequest, Inbox, IncomingRequest, Input, RequestBody};
-use super::outbound::Outbound;
+use super::outbound::{MAX_BUFFERED_BODY, Outbound};
 use super::process_phase::Phase;
 use super::read_ahead::ReadAhead;
-use super::reply::{InFlightRequest, Reply, ReplyBody, StreamedReply, set_retry_after, text_reply};
+use super::reply::{
+    BufferedReply, InFlightRequest, Reply, ReplyBody, StreamedReply, set_retry_after, text_reply,
+};
 use super::request::{RequestParser, buffer_body, drop_hop_headers};
 use super::streamed_body::{MAX_BODY, StreamedBody};
 use super::streaming_clients::StreamingClients;
 use super::upload::{ClientTimes, Upload, UploadEnd};
 use gullpulley::{RequestId, is_local_failure};
-use http_body_util::Full;
 use hyper::body::{Body, Incoming};
 use hyper::header::{self, HeaderValue};
 use hyper::{Request, Response, StatusCode};
@@ -35,6 +37,8 @@
 
 /// Subtracted from the client's time-out, so that the answer reaches it in time.
 const ANSWER_MARGIN: Duration = Duration::from_millis(10);
+/// A body of up to this many bytes takes no memory worth counting.
+const TINY_BODY: u64 = 8 * 1024;
 /// Wait after a failed accept: without free descriptors the next call would fail at once, in a busy loop.
 const ACCEPT_ERROR_DELAY: Duration = Duration::from_millis(10);
 /// Wait after a connection that was aborted before it was accepted.
@@ -121,7 +125,7 @@
                 if !self.accept_failing.replace(true) {
                     error!("accept: {e}; further failures are not logged until accept succeeds");
                 }
-                self.outbound.close_oldest_idle();
+                self.outbound.pool.close_oldest_idle();
                 sleep(ACCEPT_ERROR_DELAY).await;
             }
         }
@@ -141,7 +145,7 @@
     /// A permit for one more client; none if the client can only be told that the limit is reached.
     async fn client_permit(&self) -> Option<Permit> {
         loop {
-            while self.budget.blocked_by_endpoints() && self.outbound.close_oldest_idle() {}
+            while self.budget.blocked_by_endpoints() && self.outbound.pool.close_oldest_idle() {}
             if let Some(permit) = self.budget.take(Holder::Client) {
                 return Some(permit);
             }
@@ -220,19 +224,27 @@
         state: &Rc<ConnectionState>,
     ) -> Result<Reply, (StatusCode, &'static str)> {
         let busy = (StatusCode::SERVICE_UNAVAILABLE, "too many requests");
-        let memory = self.budget.take(Holder::Request).ok_or(busy)?;
         let (mut head, body) = request.into_parts();
         // An invalid request is rejected before its body, which may be large, is read.
         let (mut request, time) = self.parser.parse(&head.method, &head.uri, &head.headers)?;
         if body.size_hint().lower() > MAX_BODY {
             return Err((StatusCode::PAYLOAD_TOO_LARGE, "body too long"));
         }
+        // Large bodies have a part of the memory to themselves, and small requests have the rest.
+        let (stated, longest) = (body.size_hint().lower(), body.size_hint().upper());
+        let may_be_large = longest.is_none_or(|length| length > MAX_BUFFERED_BODY as u64);
+        let holder = if may_be_large { Holder::Stream } else { Holder::Request };
+        let mut memory = self.budget.take(holder).ok_or(busy)?;
+        let mut body_memory = None;
+        if may_be_large || stated > TINY_BODY {
+            body_memory = Some(self.budget.take(holder).ok_or(busy)?);
+        }
         let (buffered, rest) = buffer_body(body, state.body_deadline()).await?;
-        // A streamed body has its own buffers in both directions.
-        let _buffers = match &rest {
-            Some(_) => Some(self.budget.take(Holder::Request).ok_or(busy)?),
-            None => None,
-        };
+        let is_large = rest.is_some();
+        if may_be_large && !is_large {
+            memory = self.budget.take(Holder::Request).ok_or(busy)?;
+            body_memory = None;
+        }
         if self.phase.get() == Phase::DrainTimedOut {
             return Err((StatusCode::SERVICE_UNAVAILABLE, "ending"));
         }
@@ -244,7 +256,8 @@
         if !self.request_ids.borrow_mut().insert(x_request_id.to_owned()) {
             return Err((StatusCode::CONFLICT, "X-Request-ID is not fresh"));
         }
-        let pending_count = self.counters.start_request(request.class.0);
+        let class = request.class;
+        let pending_count = self.counters.start_request(class.0);
         let id = RequestId(self.next_id.get());
         self.next_id.set(id.0 + 1);
         request.id = id;
@@ -291,6 +304,18 @@
             spawn_local(async move { upload.discard().await });
         }
         if let Ok(Ok(Answer::Streamed(mut streamed))) = answer {
+            let memory = if is_large { Some(memory) } else { self.budget.take(Holder::Stream) };
+            let Some(memory) = memory else {
+                debug!(request = in_flight.x_request_id, "no memory for a large answer");
+                pending_count.record_early_end(EarlyEnd::OutOfMemoryBudget);
+                let harmless = self.parser.is_safe_to_repeat(class);
+                pending_count.end(if harmless { End::Rejected } else { End::Failed });
+                return Ok(if harmless {
+                    self.overload_reply("too many large answers")
+                } else {
+                    text_reply(StatusCode::BAD_GATEWAY, "too many large answers")
+                });
+            };
             streamed.body.set_deadline(answer_by);
             let (answer, state) = (*streamed, state.clone());
             state.frame_asked_at.set(Some(Instant::now()));
@@ -299,13 +324,17 @@
             let streamed = StreamedReply::new(answer, pending_count, state, memory, in_flight);
             return Ok(Response::new(ReplyBody::Streamed(Box::new(streamed))));
         }
+        drop(body_memory);
         pending_count.end(match &answer {
             Ok(Ok(Answer::Served(_))) => End::Completed,
             Ok(Ok(Answer::Refused(_))) => End::Rejected,
             _ => End::Failed,
         });
         Ok(match answer {
-            Ok(Ok(Answer::Served(body))) => Response::new(ReplyBody::Buffered(Full::new(body))),
+            Ok(Ok(Answer::Served(body))) => {
+                let reply = BufferedReply::new(body, memory, state.write_progress.clone());
+                Response::new(ReplyBody::Buffered(reply))
+            }
             Ok(Ok(Answer::Refused(retry_after))) => {
                 let mut reply = text_reply(StatusCode::SERVICE_UNAVAILABLE, "refused");
                 retry_after.into_iter().for_each(|wait| set_retry_after(&mut reply, wait));
--- a/src/net/inbound/connection.rs
+++ b/src/net/inbound/connection.rs
@@ -4,7 +4,6 @@
 use crate::net::budget::Permit;
 use crate::net::connection_state::{CLIENT_READ_TIMEOUT, ConnectionState, UNLIMITED_READ_TIMEOUT};
 use crate::net::early_end::EarlyEnd;
-use crate::net::outbound::MAX_CONNECTION_BUFFER;
 use crate::net::process_phase::Phase;
 use crate::net::stream::ClientStream;
 use hyper::server::conn::http1;
@@ -16,6 +15,8 @@
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep_until};
 
+/// Bytes buffered per connection and direction; also the limit on the size of a request's head.
+const MAX_CONNECTION_BUFFER: usize = 32 * 1024;
 /// A connection over the limit has this long to send the head that is answered with a refusal.
 const SHED_HEAD_TIMEOUT: Duration = Duration::from_millis(500);
 /// The head of a later request must arrive within this of the previous answer, so that a silent client does
--- a/src/net/inbound/drain.rs
+++ b/src/net/inbound/drain.rs
@@ -92,7 +92,7 @@
                 Err(e) if !is_local_failure(&e) => errors += 1,
                 Err(_) => {
                     errors += 1;
-                    self.outbound.close_oldest_idle();
+                    self.outbound.pool.close_oldest_idle();
                 }
             }
             if errors > MAX_CLOSE_ERRORS {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -8,7 +8,7 @@
 //! endpoints, other processes of this sidecar;
 //! `progress`, `streamed_body`, `read_ahead`, `upload`: progress of an attempt, streamed bodies, and those of clients
 //! read ahead and forwarded;
-//! `outbound`, `discovery`: connections to endpoints and to discovery;
+//! `connection_pool`, `outbound`, `discovery`: connections to endpoints, attempts on them, connections to discovery;
 //! `log_text`, `message`, `request_state`, `driver`: turn I/O into the policy's events, and carry out
 //! its actions;
 //! `process_phase`, `streaming_clients`, `stream`, `request`, `connection_state`, `reply`, `inbound`: phase of
@@ -18,6 +18,7 @@
 mod abort_on_drop;
 mod budget;
 mod clock;
+mod connection_pool;
 mod connection_state;
 mod control;
 mod counters;
@@ -170,7 +171,7 @@
         });
     }
     let health = DiscoveryHealth::new();
-    let counters = Counters::new(&classes, log, health.clone(), persistence, peers.clone());
+    let counters = Counters::new(&classes, budget.clone(), log, health.clone(), persistence, peers.clone());
     let outbound = Outbound::new(&settings, budget.clone(), counters.clone());
     let inbound = Inbound::new(
         RequestParser { settings: settings.clone(), classes, tenants },
@@ -324,7 +325,7 @@
         let others = self.registration.count_others();
         if self.budget.share(others + 1) {
             let _ = self.inbox.send(Input::SidecarProcesses(others + 1));
-            self.outbound.close_idle_over_budget();
+            self.outbound.pool.close_idle_over_budget();
         }
         others
     }
--- a/src/net/monitored_connection.rs
+++ b/src/net/monitored_connection.rs
@@ -14,7 +14,7 @@
 use std::io::{self, IoSlice};
 use std::pin::{Pin, pin};
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, Waker};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::time::{Instant, sleep};
@@ -43,6 +43,8 @@
     largest_burst: Cell<usize>,
     /// The longest that writes have been blocked before more bytes were taken.
     longest_wait: Cell<Duration>,
+    /// Woken when a write that was blocked proceeds.
+    waiting: Cell<Option<Waker>>,
 }
 
 /// Whether the other side has sent more than has been read.
@@ -94,6 +96,15 @@
         self.blocked_since.get()
     }
 
+    /// Waits while the system takes no byte.
+    pub fn poll_unblocked(&self, context: &mut Context<'_>) -> Poll<()> {
+        if self.blocked_since().is_none() {
+            return Poll::Ready(());
+        }
+        self.waiting.set(Some(context.waker().clone()));
+        Poll::Pending
+    }
+
     /// A new message begins: what was taken of earlier ones says nothing about the buffer by now.
     pub fn start_message(&self) {
         self.burst_started_at.set(None);
@@ -133,6 +144,7 @@
                 let waited = self.blocked_since.take().map_or(Duration::ZERO, |since| since.elapsed());
                 self.longest_wait.set(self.longest_wait.get().max(waited));
                 self.add_to_burst(*taken.as_ref().unwrap_or(&0));
+                self.waiting.take().into_iter().for_each(Waker::wake);
             }
         }
     }
--- a/src/net/outbound.rs
+++ b/src/net/outbound.rs
@@ -1,37 +1,25 @@
-//! Connections to endpoints: attempts and probes, and how they end.
+//! Attempts at endpoints and probes, and how they end.
 
-use super::abort_on_drop::AbortOnDrop;
-use super::budget::{Budget, Holder, Permit};
+use super::budget::Budget;
+use super::connection_pool::{ConnectionPool, EndpointConnection, Purpose};
 use super::counters::Counters;
-use super::monitored_connection::{MonitoredConnection, WriteProgress};
 use super::progress::Progress;
 use super::streamed_body::{MAX_BODY, StreamedBody};
 use super::upload::AttemptBody;
-use gullpulley::{EndpointId, LoadField, Outcome, Settings, TcpConnection};
+use gullpulley::{EndpointId, LoadField, Outcome, Settings};
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Bytes, Incoming};
-use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::{self, HeaderName, HeaderValue};
-use hyper::{HeaderMap, Request, Response, StatusCode};
-use hyper_util::rt::TokioIo;
+use hyper::{HeaderMap, Request, Response, StatusCode, Version};
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::task::spawn_local;
 use tokio::time::{Instant, timeout, timeout_at};
 
 /// A request or answer body up to this many bytes is buffered; a longer one is streamed.
 pub const MAX_BUFFERED_BODY: usize = 64 * 1024;
-/// Bytes buffered per connection and direction; also the limit on the size of a message's head.
-pub const MAX_CONNECTION_BUFFER: usize = 64 * 1024;
-/// Share of the endpoints' idle time-out after which idle connections are closed from this side: a request
-/// written to a connection that the endpoint is just closing ends as a reset, and an unsafe one is then
-/// lost for good.
-const IDLE_SHARE: f64 = 0.7;
-/// Idle time-out of connections where the settings have none.
-const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(5);
 /// Interval at which idle connections are checked.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(500);
 /// No attempt takes longer than this to be written, so a block need not be remembered beyond it.
@@ -44,9 +32,6 @@
 /// An answer of unknown length is streamed if it has not ended after this: it may be a large one, and the
 /// client waits for its first bytes.
 const STREAM_AFTER: Duration = Duration::from_millis(250);
-/// Time limit for connecting where the settings have none.
-const DEFAULT_CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
-
 /// Where an attempt or a probe goes, and its limits.
 #[derive(Clone, Copy)]
 pub struct Dispatch {
@@ -101,53 +86,37 @@
     pub body: StreamedBody,
     endpoint: EndpointId,
     connection: EndpointConnection,
-    outbound: Rc<Outbound>,
+    reusable: bool,
+    pool: Rc<ConnectionPool>,
 }
 
 impl StreamedAnswer {
     /// The answer is complete: makes its connection available again.
     pub fn complete(self) {
-        self.outbound.return_idle(self.endpoint, self.connection);
+        if self.reusable {
+            self.pool.return_idle(self.endpoint, self.connection);
+        }
     }
 }
 
-struct EndpointConnection {
-    sender: SendRequest<AttemptBody>,
-    address: SocketAddr,
-    opened: Instant,
-    idle_since: Instant,
-    write_progress: Rc<WriteProgress>,
-    /// Dropping this closes the connection, even if an answer is still to come.
-    _connection: AbortOnDrop,
-    _permit: Permit,
-}
-
-/// The connections to all endpoints.
+/// Sends attempts and probes.
 pub struct Outbound {
-    budget: Rc<Budget>,
-    /// Idle connections, the most recently used last.
-    idle: RefCell<HashMap<EndpointId, Vec<EndpointConnection>>>,
+    /// The connections to endpoints.
+    pub pool: Rc<ConnectionPool>,
     /// When an endpoint was last blocked: attempts decided until then that are not yet written are not
     /// sent.
     blocked_at: RefCell<HashMap<EndpointId, Instant>>,
     counters: Rc<Counters>,
-    connect_timeout: Duration,
-    idle_timeout: Duration,
     load_fields: Vec<LoadField>,
 }
 
 impl Outbound {
     /// Starts without connections.
     pub fn new(settings: &Settings, budget: Rc<Budget>, counters: Rc<Counters>) -> Rc<Self> {
-        let (connect, idle) = (settings.limits.connect_timeout, settings.limits.idle_close);
-        let or_default = |time: Duration, default| if time.is_zero() { default } else { time };
         Rc::new(Outbound {
-            budget,
-            idle: RefCell::default(),
+            pool: ConnectionPool::new(settings, budget),
             blocked_at: RefCell::default(),
             counters,
-            connect_timeout: or_default(connect, DEFAULT_CONNECT_TIMEOUT),
-            idle_timeout: or_default(idle.mul_f64(IDLE_SHARE), DEFAULT_IDLE_TIMEOUT),
             load_fields: settings.load_reports.fields.clone(),
         })
     }
@@ -166,29 +135,26 @@
         progress: &Progress,
     ) -> AttemptResult {
         let Dispatch { endpoint, address, decided_at, write_by, announced_deadline } = dispatch;
+        let purpose = match request.body() {
+            AttemptBody::Buffered(_) => Purpose::SmallBody,
+            AttemptBody::Streamed(_) => Purpose::LargeBody,
+        };
         let past_write_by = || write_by.is_some_and(|by| Instant::now() >= by);
         let (connection, response) = loop {
-            let (mut connection, fresh) = match self.take_idle(endpoint, address) {
+            let (mut connection, fresh) = match self.pool.take_idle(endpoint, address, purpose).await {
                 Some(connection) => (connection, false),
-                None => match self.connect(address, write_by).await {
+                None => match self.pool.connect(address, purpose, write_by).await {
                     Some(connection) => (connection, true),
                     None if past_write_by() => return AttemptResult::without_answer(Outcome::NotSent),
                     None => return AttemptResult::without_answer(Outcome::ConnectFailed),
                 },
             };
-            // An idle connection may turn out to be closed only now.
-            if !matches!(timeout(self.connect_timeout, connection.sender.ready()).await, Ok(Ok(()))) {
-                if fresh {
-                    return AttemptResult::without_answer(Outcome::ConnectFailed);
-                }
-                continue;
-            }
             // Connecting takes time; an update that arrived meanwhile applies before anything is written.
             if self.blocked_at.borrow().get(&endpoint).is_some_and(|at| *at >= decided_at) {
                 return AttemptResult::without_answer(Outcome::ConnectFailed);
             }
             if past_write_by() {
-                self.return_idle(endpoint, connection);
+                self.pool.return_idle(endpoint, connection);
                 return AttemptResult::without_answer(Outcome::NotSent);
             }
             // Connecting took part of the client's remaining time: the endpoint is told what is left now.
@@ -226,33 +192,27 @@
                 },
             }
         };
+        let reusable = keeps_connection(&response);
         let (mut result, rest) = self.read_answer(response).await;
         result.connected_for = Some(connection.opened.elapsed());
         match rest {
             Some(body) if result.outcome == Outcome::Ok => {
-                let outbound = self.clone();
-                result.streamed = Some(Box::new(StreamedAnswer { body, endpoint, connection, outbound }));
+                let pool = self.pool.clone();
+                result.streamed =
+                    Some(Box::new(StreamedAnswer { body, endpoint, connection, reusable, pool }));
             }
             // The rest of an error's body is not needed.
             Some(_) => {}
             // After an answer to half a request body the other half is still unwritten, and the connection
             // unusable.
-            None if result.outcome != Outcome::Reset && progress.is_written() => {
-                self.return_idle(endpoint, connection)
+            None if reusable && result.outcome != Outcome::Reset && progress.is_written() => {
+                self.pool.return_idle(endpoint, connection)
             }
             None => {}
         }
         result
     }
 
-    /// Keeps a connection for reuse.
-    fn return_idle(&self, endpoint: EndpointId, mut connection: EndpointConnection) {
-        if !connection.sender.is_closed() {
-            connection.idle_since = Instant::now();
-            self.idle.borrow_mut().entry(endpoint).or_default().push(connection);
-        }
-    }
-
     /// The outcome of an answer. A small answer is read to its end first, so that a break half-way becomes
     /// an outcome and the client never gets a truncated answer. A large one returns the rest of its body,
     /// and its outcome is that of its head.
@@ -303,95 +263,22 @@
 
     /// Prevents attempts at an endpoint that are not yet written from being sent.
     pub fn block_unwritten(&self, endpoint: EndpointId) {
-        self.close_idle(endpoint);
+        self.pool.close_idle(endpoint);
         self.blocked_at.borrow_mut().insert(endpoint, Instant::now());
     }
 
-    /// Closes idle connections to an endpoint.
-    pub fn close_idle(&self, endpoint: EndpointId) {
-        self.idle.borrow_mut().remove(&endpoint);
-    }
-
-    /// Closes connections to an endpoint that have been idle since before the given time. A machine that is
-    /// cut off from the network leaves them open and silent, and each would cost one more request all its
-    /// time, whereas a new connection fails at once and proves that nothing ran.
-    pub fn close_idle_before(&self, endpoint: EndpointId, since: Instant) {
-        if let Some(connections) = self.idle.borrow_mut().get_mut(&endpoint) {
-            connections.retain(|connection| connection.idle_since > since);
-        }
-    }
-
-    /// Closes idle connections until the sockets in use are within this process's share.
-    pub fn close_idle_over_budget(&self) {
-        while self.budget.over_limit() && self.close_oldest_idle() {}
-    }
-
-    /// Closes the connection that has been idle longest; false if there is none.
-    pub fn close_oldest_idle(&self) -> bool {
-        let mut idle = self.idle.borrow_mut();
-        let oldest =
-            idle.iter().filter_map(|(id, connections)| Some((connections.first()?.idle_since, *id))).min();
-        let Some((_, id)) = oldest else { return false };
-        idle.get_mut(&id).map(|connections| connections.remove(0)).is_some()
-    }
-
     /// Periodically closes connections that were idle for too long or closed by the endpoint, and forgets
     /// old blocks.
     pub async fn sweep(self: Rc<Self>) {
         loop {
             tokio::time::sleep(SWEEP_INTERVAL).await;
-            self.idle.borrow_mut().retain(|_, connections| {
-                connections.retain(|connection| self.usable(connection));
-                !connections.is_empty()
-            });
+            self.pool.sweep();
             // Not done at each block: a list may block all endpoints at once, and scanning all for each
             // would take quadratic time.
             self.blocked_at.borrow_mut().retain(|_, at| at.elapsed() < BLOCK_RETENTION);
         }
     }
 
-    fn usable(&self, connection: &EndpointConnection) -> bool {
-        !connection.sender.is_closed() && connection.idle_since.elapsed() < self.idle_timeout
-    }
-
-    /// The most recently used idle connection, so that the others age and can be closed.
-    fn take_idle(&self, endpoint: EndpointId, address: SocketAddr) -> Option<EndpointConnection> {
-        let mut idle = self.idle.borrow_mut();
-        let connections = idle.get_mut(&endpoint)?;
-        // At another address a different machine may be listening by now.
-        std::iter::from_fn(|| connections.pop())
-            .find(|connection| connection.address == address && self.usable(connection))
-    }
-
-    async fn connect(&self, address: SocketAddr, write_by: Option<Instant>) -> Option<EndpointConnection> {
-        let permit = loop {
-            match self.budget.take(Holder::Endpoint) {
-                Some(permit) => break permit,
-                None if self.close_oldest_idle() => {}
-                None => return None,
-            }
-        };
-        // A machine that is cut off never answers: without a time limit the attempt would hang.
-        let until = Instant::now() + self.connect_timeout;
-        let until = write_by.map_or(until, |by| by.min(until));
-        let connection = timeout_at(until, TcpConnection::connect(address)).await.ok()?.ok()?;
-        let connection = MonitoredConnection::new(connection);
-        let write_progress = connection.write_progress();
-        let connection = TokioIo::new(connection);
-        let handshake = http1::Builder::new().max_buf_size(MAX_CONNECTION_BUFFER).handshake(connection);
-        let (sender, connection) = handshake.await.ok()?;
-        let task = spawn_local(connection);
-        Some(EndpointConnection {
-            sender,
-            address,
-            opened: Instant::now(),
-            idle_since: Instant::now(),
-            write_progress,
-            _connection: AbortOnDrop::new(task.abort_handle()),
-            _permit: permit,
-        })
-    }
-
     fn inline_report(&self, headers: &HeaderMap) -> Option<Vec<f64>> {
         self.parse_report(headers.get("x-server-load")?.to_str().ok()?)
     }
@@ -410,6 +297,15 @@
     }
 }
 
+/// Whether the endpoint keeps the connection open after this answer.
+fn keeps_connection(response: &Response<Incoming>) -> bool {
+    let tokens =
+        response.headers().get_all(header::CONNECTION).iter().filter_map(|value| value.to_str().ok());
+    let closes =
+        tokens.flat_map(|value| value.split(',')).any(|token| token.trim().eq_ignore_ascii_case("close"));
+    response.version() == Version::HTTP_11 && !closes
+}
+
 /// An answer's body, as read by `buffer_answer`.
 enum AnswerBody {
     Buffered(Bytes),
--- a/src/net/reply.rs
+++ b/src/net/reply.rs
@@ -5,10 +5,10 @@
 use super::counters::{End, PendingRequest};
 use super::early_end::EarlyEnd;
 use super::message::{Inbox, Input};
+use super::monitored_connection::WriteProgress;
 use super::outbound::StreamedAnswer;
 use super::streamed_body::BodyError;
 use gullpulley::RequestId;
-use http_body_util::Full;
 use hyper::body::{Body, Bytes, Frame, SizeHint};
 use hyper::header::{self, HeaderValue};
 use hyper::{Response, StatusCode};
@@ -50,11 +50,44 @@
 /// The body of a reply.
 pub enum ReplyBody {
     /// Complete in memory.
-    Buffered(Full<Bytes>),
+    Buffered(BufferedReply),
     /// Forwarded as it arrives.
     Streamed(Box<StreamedReply>),
 }
 
+/// Bytes of a buffered reply that are handed over at once: so many may wait beside the connection's own permit.
+const REPLY_PIECE_BYTES: usize = 16 * 1024;
+
+/// A reply that is complete in memory, and is handed over as the client's system takes it.
+pub struct BufferedReply {
+    rest: Bytes,
+    /// The permit for its memory, and what tells whether the client's system takes more; none for a short text.
+    held: Option<(Permit, Rc<WriteProgress>)>,
+}
+
+impl BufferedReply {
+    /// A reply whose memory is counted until all of it has been handed over.
+    pub fn new(body: Bytes, memory: Permit, write_progress: Rc<WriteProgress>) -> Self {
+        BufferedReply { rest: body, held: Some((memory, write_progress)) }
+    }
+
+    fn poll_piece(&mut self, context: &mut Context<'_>) -> Poll<Option<Bytes>> {
+        if self.rest.is_empty() {
+            return Poll::Ready(None);
+        }
+        if self.rest.len() <= REPLY_PIECE_BYTES || self.held.is_none() {
+            // A copy, so that the rest of the memory is free.
+            let last = Bytes::copy_from_slice(&std::mem::take(&mut self.rest));
+            self.held = None;
+            return Poll::Ready(Some(last));
+        }
+        if let Some((_, write_progress)) = &self.held {
+            ready!(write_progress.poll_unblocked(context));
+        }
+        Poll::Ready(Some(Bytes::copy_from_slice(&self.rest.split_to(REPLY_PIECE_BYTES))))
+    }
+}
+
 /// A large answer being streamed to the client. If it is dropped before its end, the client has left.
 pub struct StreamedReply {
     /// None once the answer has ended.
@@ -148,11 +181,13 @@
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         let reply = match self.get_mut() {
             ReplyBody::Buffered(body) => {
-                return Pin::new(body).poll_frame(context).map_err(|never| match never {});
+                return body.poll_piece(context).map(|piece| piece.map(|piece| Ok(Frame::data(piece))));
             }
             ReplyBody::Streamed(reply) => reply,
         };
         let Some(answer) = &mut reply.answer else { return Poll::Ready(None) };
+        // What the client's system does not take yet stays with the endpoint rather than in memory here.
+        ready!(reply.state.write_progress.poll_unblocked(context));
         reply.state.frame_asked_at.set(Some(Instant::now()));
         let frame = ready!(answer.body.poll_frame(context));
         let complete = answer.body.is_complete();
@@ -172,14 +207,14 @@
 
     fn is_end_stream(&self) -> bool {
         match self {
-            ReplyBody::Buffered(body) => body.is_end_stream(),
+            ReplyBody::Buffered(body) => body.rest.is_empty(),
             ReplyBody::Streamed(reply) => reply.answer.is_none(),
         }
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
-            ReplyBody::Buffered(body) => body.size_hint(),
+            ReplyBody::Buffered(body) => SizeHint::with_exact(body.rest.len() as u64),
             ReplyBody::Streamed(reply) => {
                 reply.answer.as_ref().map_or_else(|| SizeHint::with_exact(0), |a| a.body.size_hint())
             }
@@ -189,7 +224,10 @@
 
 /// A reply with a short text.
 pub fn text_reply(status: StatusCode, text: &'static str) -> Reply {
-    let mut reply = Response::new(ReplyBody::Buffered(Full::new(Bytes::from_static(text.as_bytes()))));
+    let mut reply = Response::new(ReplyBody::Buffered(BufferedReply {
+        rest: Bytes::from_static(text.as_bytes()),
+        held: None,
+    }));
     *reply.status_mut() = status;
     reply
 }
--- a/src/net/request.rs
+++ b/src/net/request.rs
@@ -1,9 +1,9 @@
 //! Parses client requests: what the policy needs to know of them, the body, and the headers to forward.
 
 use super::outbound::MAX_BUFFERED_BODY;
-use gullpulley::{ClassId, RequestId, Semantics, Settings, TenantId};
+use gullpulley::{ClassId, Group, RequestId, Semantics, Settings, TenantId};
 use http_body_util::BodyExt;
-use hyper::body::{Bytes, Incoming};
+use hyper::body::{Body, Bytes, Incoming};
 use hyper::header::{self, HeaderMap, HeaderName};
 use hyper::{Method, StatusCode};
 use std::time::Duration;
@@ -30,6 +30,14 @@
         self.classes.iter().position(|class| class == name)
     }
 
+    /// Whether a request of this class may be repeated by anyone though it has run.
+    pub fn is_safe_to_repeat(&self, class: ClassId) -> bool {
+        matches!(
+            self.settings.classes[class.0].semantics,
+            Semantics::Safe | Semantics::Keyed { group: Group::All, .. }
+        )
+    }
+
     /// The request as the policy sees it, and the client's time-out.
     pub fn parse(
         &self,
@@ -90,7 +98,8 @@
     mut body: Incoming,
     lag_deadline: Instant,
 ) -> Result<(Bytes, Option<Incoming>), (StatusCode, &'static str)> {
-    let mut buffer = Vec::new();
+    let stated_length = body.size_hint().lower().min(MAX_BUFFERED_BODY as u64 + 1) as usize;
+    let mut buffer = Vec::with_capacity(stated_length);
     while buffer.len() <= MAX_BUFFERED_BODY {
         let until = lag_deadline + Duration::from_secs_f64(buffer.len() as f64 / MIN_BODY_RATE);
         match timeout_at(until, body.frame()).await {
