Remember ids whose requests an endpoint may still be working on

Cause: ids were kept only for requests in progress, and a request ended as its client left or its time was up, though its endpoint goes on with it.

An id is freed by the driver, which knows what is out, rather than as the connection ends. What no endpoint was sent may come again (PROTOCOL: the resend after a close that crossed it).

--- a/src/net/counters.rs
+++ b/src/net/counters.rs
@@ -62,6 +62,8 @@
     early_ends: Family<Labels, Counter>,
     /// Attempts at large bodies that were ended before their endpoint answered, by reason.
     upload_ends: Family<Labels, Counter>,
+    /// Requests that were not taken as their X-Request-ID was not fresh.
+    repeated_ids: Cell<u64>,
     budget: Rc<Budget>,
     log: LogHandle,
     health: Rc<DiscoveryHealth>,
@@ -102,7 +104,7 @@
             ended: Default::default(),
             durations: ENDS.map(|(_, end)| durations.get_or_create(&labels(name, end)).clone()),
         };
-        let (attempts, pending) = Default::default();
+        let (attempts, pending, repeated_ids) = Default::default();
         let classes = classes.iter().map(class).collect();
         Rc::new(Counters {
             classes,
@@ -112,6 +114,7 @@
             decision_times,
             early_ends: Family::default(),
             upload_ends: Family::default(),
+            repeated_ids,
             budget,
             log,
             health,
@@ -146,6 +149,11 @@
         self.upload_ends.get_or_create(&vec![("reason", reason.to_owned())]).inc();
     }
 
+    /// Counts a request that was not taken as its X-Request-ID was not fresh.
+    pub fn record_repeated_id(&self) {
+        self.repeated_ids.set(self.repeated_ids.get() + 1);
+    }
+
     /// Records how long the policy took to decide on an event.
     pub fn record_decision(&self, took: Duration) {
         self.decision_times.observe(took.as_secs_f64());
@@ -203,6 +211,9 @@
         registry.register("large_bodies_ended_early", help, self.upload_ends.clone());
         let attempts = ConstCounter::new(self.attempts.get());
         registry.register("attempts", "Attempts written to endpoints", attempts);
+        let repeated = ConstCounter::new(self.repeated_ids.get());
+        let help = "Requests that were not taken as their X-Request-ID had been sent already";
+        registry.register("requests_with_repeated_id", help, repeated);
         let dropped = ConstCounter::new(self.dropped_lines());
         registry.register("log_lines_dropped", "Lines of the log that nobody read in time", dropped);
         for (name, help, value) in [
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -13,6 +13,7 @@
 use super::manual_ejections::ManualEjections;
 use super::message::{Answer, Inbox, IncomingRequest, Input};
 use super::outbound::{AttemptResult, Outbound};
+use super::request_ids::RequestIds;
 use super::request_state::RequestState;
 use super::upload::UploadEvent;
 use gullpulley::{Action, Balancer, EndpointId, Event, RequestId, TimerToken};
@@ -39,6 +40,8 @@
     pub discovery_commands: UnboundedSender<DiscoveryCommand>,
     /// Where attempts and probes report their ends.
     pub inbox: Inbox,
+    /// The X-Request-IDs that may not come again.
+    pub request_ids: Rc<RequestIds>,
     /// The metrics of the process.
     pub counters: Rc<Counters>,
     /// Whether the lease on the endpoint list allows requests to be sent.
@@ -148,7 +151,10 @@
         match input {
             Input::Request(incoming) => self.handle_request(*incoming),
             Input::Upload(id, event) => self.handle_upload(id, event),
-            Input::ClientGone(id) => self.handle_client_gone(id),
+            Input::ClientGone(id, x_request_id) => {
+                self.handle_client_gone(id);
+                self.context.request_ids.end(&x_request_id);
+            }
             Input::AttemptEnded(id, attempt, result) => self.handle_attempt_end(id, attempt, result),
             Input::ProbeEnded(endpoint, AttemptResult { outcome, report, connected_for, .. }, elapsed) => {
                 self.report_answer(endpoint, connected_for);
@@ -190,10 +196,11 @@
     }
 
     fn handle_request(&mut self, incoming: IncomingRequest) {
-        let IncomingRequest { mut request, deadline, forward, answer } = incoming;
+        let IncomingRequest { mut request, deadline, forward, may_run_for, answer } = incoming;
         request.time_left = deadline.saturating_duration_since(Instant::now());
         let pending = RequestState {
             forward,
+            may_run_for,
             deadline,
             answer: Some(answer),
             attempts: Vec::new(),
@@ -235,6 +242,9 @@
         if pending.answer.take().is_some() {
             pending.cancel_unwritten();
             debug!(request = pending.forward.x_request_id(), "its client has gone");
+            if let Some(time) = pending.may_still_run_for() {
+                self.context.request_ids.remember(pending.forward.x_request_id(), time);
+            }
             self.count_unusual("client gone");
             self.handle_event(Event::RequestGone(id));
         }
@@ -299,6 +309,9 @@
         let Some(pending) = self.requests.get_mut(&id) else { return };
         let Some(to) = pending.answer.take() else { return };
         pending.cancel_unwritten();
+        if let Some(time) = pending.may_still_run_for() {
+            self.context.request_ids.remember(pending.forward.x_request_id(), time);
+        }
         let (name, unusual) = match &answer {
             Answer::Served(_) | Answer::Streamed(_) => ("served", false),
             Answer::Refused(_) => ("refused", true),
--- a/src/net/driver/attempts.rs
+++ b/src/net/driver/attempts.rs
@@ -78,7 +78,13 @@
             || attempt_deadline <= now;
         let progress = Rc::new(self.context.outbound.new_progress());
         let Some(address) = address.filter(|_| !must_not_send) else {
-            pending.attempts.push(Attempt { endpoint, started_at: now, cancel: None, progress });
+            pending.attempts.push(Attempt {
+                endpoint,
+                started_at: now,
+                cancel: None,
+                progress,
+                answered: false,
+            });
             return self.end_as_not_sent(id, attempt, endpoint);
         };
         debug!(
@@ -93,6 +99,7 @@
             started_at: now,
             cancel: Some(cancel),
             progress: progress.clone(),
+            answered: false,
         });
         pending.unfinished_attempts += 1;
         let request = pending.forward.attempt_request(address, &progress);
@@ -153,6 +160,7 @@
         }
         pending.unfinished_attempts -= 1;
         let (endpoint, sent, elapsed) = (entry.endpoint, entry.started_at, entry.started_at.elapsed());
+        entry.answered = matches!(result.outcome, Outcome::Ok | Outcome::Error | Outcome::NotProcessed);
         let AttemptResult { mut outcome, body, streamed, bad_request, report, connected_for } = result;
         debug!(
             request = pending.forward.x_request_id(),
--- a/src/net/inbound.rs
+++ b/src/net/inbound.rs
@@ -17,6 +17,7 @@
     BufferedReply, InFlightRequest, Reply, ReplyBody, StreamedReply, set_retry_after, text_reply,
 };
 use super::request::{RequestParser, buffer_body, drop_hop_headers};
+use super::request_ids::RequestIds;
 use super::streamed_body::{MAX_BODY, StreamedBody};
 use super::streaming_clients::StreamingClients;
 use super::upload::{ClientTimes, Upload, UploadEnd};
@@ -24,8 +25,7 @@
 use hyper::body::{Body, Incoming};
 use hyper::header::{self, HeaderValue};
 use hyper::{Request, Response, StatusCode};
-use std::cell::{Cell, RefCell};
-use std::collections::HashSet;
+use std::cell::Cell;
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
@@ -33,7 +33,7 @@
 use tokio::sync::{Notify, oneshot, watch};
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep, timeout_at};
-use tracing::{Level, debug, enabled, error};
+use tracing::{Level, debug, enabled, error, info};
 
 /// Subtracted from the client's time-out, so that the answer reaches it in time.
 const ANSWER_MARGIN: Duration = Duration::from_millis(10);
@@ -52,8 +52,7 @@
     outbound: Rc<Outbound>,
     inbox: Inbox,
     next_id: Cell<u64>,
-    /// The client-chosen X-Request-IDs of the requests in progress.
-    request_ids: Rc<RefCell<HashSet<String>>>,
+    request_ids: Rc<RequestIds>,
     phase: Cell<Phase>,
     streaming_clients: StreamingClients,
     /// Notified when an operator requests a drain.
@@ -73,6 +72,7 @@
         budget: Rc<Budget>,
         counters: Rc<Counters>,
         outbound: Rc<Outbound>,
+        request_ids: Rc<RequestIds>,
         inbox: Inbox,
     ) -> Rc<Self> {
         Rc::new(Inbound {
@@ -82,7 +82,7 @@
             outbound,
             inbox,
             next_id: Cell::new(0),
-            request_ids: Rc::default(),
+            request_ids,
             phase: Cell::new(Phase::Starting),
             streaming_clients: StreamingClients::new(),
             drain_requested: Notify::new(),
@@ -252,9 +252,11 @@
         let received_at = Instant::now();
         let x_request_id =
             head.headers.get("x-request-id").and_then(|id| id.to_str().ok()).unwrap_or_default();
-        // A request with the id of one in progress is not a new request: endpoints would answer 400.
-        if !self.request_ids.borrow_mut().insert(x_request_id.to_owned()) {
-            return Err((StatusCode::CONFLICT, "X-Request-ID is not fresh"));
+        // A request with an id that has been sent is not a new request: its endpoint might run it twice.
+        if let Err(not_fresh) = self.request_ids.begin(x_request_id) {
+            self.counters.record_repeated_id();
+            info!(request = x_request_id, reason = not_fresh.text(), "not taken");
+            return Err((StatusCode::CONFLICT, not_fresh.text()));
         }
         let class = request.class;
         let pending_count = self.counters.start_request(class.0);
@@ -287,7 +289,8 @@
             RequestBody::Streamed(upload) => Some(upload.clone()),
         };
         let forward = ForwardedRequest { method: head.method, uri: head.uri, headers: head.headers, body };
-        let incoming = IncomingRequest { request, deadline, forward, answer };
+        let may_run_for = self.parser.may_run_for(class);
+        let incoming = IncomingRequest { request, deadline, forward, may_run_for, answer };
         let _ = self.inbox.send(Input::Request(Box::new(incoming)));
         // Answers the client in time even if the policy were to lose track of the request.
         let answer = match &upload {
--- a/src/net/message.rs
+++ b/src/net/message.rs
@@ -26,8 +26,8 @@
     Request(Box<IncomingRequest>),
     /// The streamed body of a request has been received, or forwarded, completely.
     Upload(RequestId, UploadEvent),
-    /// The client of a request has left.
-    ClientGone(RequestId),
+    /// The client of a request, with this X-Request-ID, has left.
+    ClientGone(RequestId, String),
     /// An attempt ended.
     AttemptEnded(RequestId, AttemptNo, AttemptResult),
     /// A probe ended, after this time.
@@ -56,6 +56,8 @@
     pub deadline: Instant,
     /// What is forwarded to an endpoint.
     pub forward: ForwardedRequest,
+    /// How long an endpoint may go on with an attempt that nobody waits for; none where it may run twice.
+    pub may_run_for: Option<Duration>,
     /// Receives the final answer.
     pub answer: oneshot::Sender<Answer>,
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -9,7 +9,7 @@
 //! `progress`, `streamed_body`, `read_ahead`, `upload`: progress of an attempt, streamed bodies, and those of clients
 //! read ahead and forwarded;
 //! `connection_pool`, `outbound`, `discovery`: connections to endpoints, attempts on them, connections to discovery;
-//! `log_text`, `message`, `request_state`, `driver`: turn I/O into the policy's events, and carry out
+//! `log_text`, `message`, `request_ids`, `request_state`, `driver`: turn I/O into the policy's events, and carry out
 //! its actions;
 //! `process_phase`, `streaming_clients`, `stream`, `request`, `connection_state`, `reply`, `inbound`: phase of
 //! this process, client connections, requests and answers;
@@ -42,6 +42,7 @@
 mod read_ahead;
 mod reply;
 mod request;
+mod request_ids;
 mod request_state;
 mod start_times;
 mod stream;
@@ -70,6 +71,7 @@
 use peers::Peers;
 use persistence::Persistence;
 use request::RequestParser;
+use request_ids::RequestIds;
 use std::io;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -173,11 +175,13 @@
     let health = DiscoveryHealth::new();
     let counters = Counters::new(&classes, budget.clone(), log, health.clone(), persistence, peers.clone());
     let outbound = Outbound::new(&settings, budget.clone(), counters.clone());
+    let request_ids = Rc::<RequestIds>::default();
     let inbound = Inbound::new(
         RequestParser { settings: settings.clone(), classes, tenants },
         budget.clone(),
         counters.clone(),
         outbound.clone(),
+        request_ids.clone(),
         inbox.clone(),
     );
     let updates = inbox.clone();
@@ -210,6 +214,7 @@
         discovery: discovery.clone(),
         discovery_commands: commands,
         inbox: inbox.clone(),
+        request_ids,
         counters: counters.clone(),
         list_usable: watch::Sender::new(false),
     };
--- a/src/net/reply.rs
+++ b/src/net/reply.rs
@@ -7,13 +7,12 @@
 use super::message::{Inbox, Input};
 use super::monitored_connection::WriteProgress;
 use super::outbound::StreamedAnswer;
+use super::request_ids::RequestIds;
 use super::streamed_body::BodyError;
 use gullpulley::RequestId;
 use hyper::body::{Body, Bytes, Frame, SizeHint};
 use hyper::header::{self, HeaderValue};
 use hyper::{Response, StatusCode};
-use std::cell::RefCell;
-use std::collections::HashSet;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
@@ -23,8 +22,8 @@
 
 /// A request in progress: when dropped, tells the driver if the client left before its answer.
 pub struct InFlightRequest {
-    /// The X-Request-IDs of all requests in progress.
-    pub request_ids: Rc<RefCell<HashSet<String>>>,
+    /// The X-Request-IDs that may not come again.
+    pub request_ids: Rc<RequestIds>,
     /// Where the client's leaving is reported.
     pub inbox: Inbox,
     /// The request.
@@ -37,10 +36,12 @@
 
 impl Drop for InFlightRequest {
     fn drop(&mut self) {
-        self.request_ids.borrow_mut().remove(&self.x_request_id);
-        if !self.answered {
-            let _ = self.inbox.send(Input::ClientGone(self.id));
+        let x_request_id = std::mem::take(&mut self.x_request_id);
+        if self.answered {
+            return self.request_ids.end(&x_request_id);
         }
+        // The driver knows whether an endpoint may still be working on it. It is gone only while the process ends.
+        let _ = self.inbox.send(Input::ClientGone(self.id, x_request_id));
     }
 }
 
--- a/src/net/request.rs
+++ b/src/net/request.rs
@@ -30,6 +30,17 @@
         self.classes.iter().position(|class| class == name)
     }
 
+    /// How long a request of this class may go on after its client has left, if it may not run twice: as long as any
+    /// client waits, and as long as endpoints remember its key.
+    pub fn may_run_for(&self, class: ClassId) -> Option<Duration> {
+        let class = &self.settings.classes[class.0];
+        match class.semantics {
+            Semantics::Safe => None,
+            Semantics::Keyed { window, .. } => Some(window.max(class.deadline)),
+            Semantics::Unsafe => Some(class.deadline),
+        }
+    }
+
     /// Whether a request of this class may be repeated by anyone though it has run.
     pub fn is_safe_to_repeat(&self, class: ClassId) -> bool {
         matches!(
--- a/src/net/request_state.rs
+++ b/src/net/request_state.rs
@@ -4,6 +4,7 @@
 use super::progress::Progress;
 use gullpulley::EndpointId;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
@@ -17,6 +18,8 @@
     pub cancel: Option<oneshot::Sender<()>>,
     /// How far it has come.
     pub progress: Rc<Progress>,
+    /// Its endpoint has answered it.
+    pub answered: bool,
 }
 
 impl Attempt {
@@ -33,6 +36,8 @@
 pub struct RequestState {
     /// What is forwarded to endpoints.
     pub forward: ForwardedRequest,
+    /// How long an endpoint may go on with an attempt that nobody waits for; none where it may run twice.
+    pub may_run_for: Option<Duration>,
     /// When the answer must be on its way.
     pub deadline: Instant,
     /// None once the request is finished, so that there is never a second final answer.
@@ -44,6 +49,12 @@
 }
 
 impl RequestState {
+    /// How long an endpoint may go on with it from now on; none if none can, or if it may run twice.
+    pub fn may_still_run_for(&self) -> Option<Duration> {
+        let out = |attempt: &Attempt| attempt.progress.is_written() && !attempt.answered;
+        self.may_run_for.filter(|_| self.attempts.iter().any(out))
+    }
+
     /// Cancels attempts that have not been written yet. Nobody waits for them any more, and letting one
     /// start only now would be a new send, whatever the settings say about cancelling attempts that have
     /// started.
