Tell the other process of a sidecar which ids have been sent

Cause: ids were known to the process that sent them alone.

Change: with an admin API, and so a successor beside it, each process writes a hash of the ids of unsafe and keyed requests that it sends into a file of 32 KiB in $TMPDIR (`shared_ids.rs`, the last 4,096). Other processes of the sidecar read it as requests come, and once more when its process has ended, however it did, and hold these ids as their own. A write that fails is logged at debug level and leaves that id unknown to the other process.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -36,7 +36,7 @@
 
 pub use api::*;
 pub use connection::{TcpConnection, is_local_failure};
-pub use names::EndpointNames;
+pub use names::{EndpointNames, stable_hash};
 pub use policy::{
     Balancer, Continuity, DiscoverySchedule, LISTING_DELAY, LeaseEnd, LeaseEndReason, ListLease,
 };
--- a/src/names.rs
+++ b/src/names.rs
@@ -3,6 +3,12 @@
 use crate::api::EndpointId;
 use std::collections::HashMap;
 
+/// A hash that is the same on every machine and in every release: FNV-1a.
+pub fn stable_hash(bytes: &[u8]) -> u64 {
+    let start: u64 = 0xcbf2_9ce4_8422_2325;
+    bytes.iter().fold(start, |hash, byte| (hash ^ u64::from(*byte)).wrapping_mul(0x0000_0100_0000_01b3))
+}
+
 /// The names and ids of endpoints. An id is a hash of the name, so that all balancers use the same one.
 #[derive(Debug, Default)]
 pub struct EndpointNames {
@@ -12,12 +18,7 @@
 impl EndpointNames {
     /// The id of an endpoint name; assigned on the first use of the name.
     pub fn id(&mut self, name: &str) -> EndpointId {
-        // FNV-1a is short to write and gives the same hash on every machine and in every release.
-        let mut hash: u64 = 0xcbf2_9ce4_8422_2325;
-        for byte in name.bytes() {
-            hash = (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3);
-        }
-        let mut id = EndpointId(hash);
+        let mut id = EndpointId(stable_hash(name.as_bytes()));
         while let Some(known) = self.names.get(&id) {
             if known == name {
                 return id;
--- a/src/net/driver/attempts.rs
+++ b/src/net/driver/attempts.rs
@@ -93,6 +93,9 @@
             endpoint = self.context.discovery.uid(endpoint),
             "sent"
         );
+        if pending.may_run_for.is_some() {
+            self.context.request_ids.sending(pending.forward.x_request_id());
+        }
         let (cancel, cancelled) = oneshot::channel();
         pending.attempts.push(Attempt {
             endpoint,
--- a/src/net/hot_restart.rs
+++ b/src/net/hot_restart.rs
@@ -47,6 +47,12 @@
         self.alive.borrow().len()
     }
 
+    /// Whether the process with this number was alive at the last conclusive check, or is this one.
+    pub fn is_alive(&self, process: &str) -> bool {
+        let lock_file = self.directory.join(format!("{}{process}", self.stem));
+        lock_file == self.own || self.alive.borrow().contains(&lock_file)
+    }
+
     /// The lock files of all other processes, alive or dead.
     fn lock_files(&self) -> io::Result<Vec<PathBuf>> {
         let mut lock_files = Vec::new();
--- a/src/net/inbound.rs
+++ b/src/net/inbound.rs
@@ -33,7 +33,7 @@
 use tokio::sync::{Notify, oneshot, watch};
 use tokio::task::spawn_local;
 use tokio::time::{Instant, sleep, timeout_at};
-use tracing::{Level, debug, enabled, error, info};
+use tracing::{Level, debug, enabled, error};
 
 /// Subtracted from the client's time-out, so that the answer reaches it in time.
 const ANSWER_MARGIN: Duration = Duration::from_millis(10);
@@ -255,7 +255,6 @@
         // A request with an id that has been sent is not a new request: its endpoint might run it twice.
         if let Err(not_fresh) = self.request_ids.begin(x_request_id) {
             self.counters.record_repeated_id();
-            info!(request = x_request_id, reason = not_fresh.text(), "not taken");
             return Err((StatusCode::CONFLICT, not_fresh.text()));
         }
         let class = request.class;
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -9,7 +9,7 @@
 //! `progress`, `streamed_body`, `read_ahead`, `upload`: progress of an attempt, streamed bodies, and those of clients
 //! read ahead and forwarded;
 //! `connection_pool`, `outbound`, `discovery`: connections to endpoints, attempts on them, connections to discovery;
-//! `log_text`, `message`, `request_ids`, `request_state`, `driver`: turn I/O into the policy's events, and carry out
+//! `log_text`, `message`, `shared_ids`, `request_ids`, `request_state`, `driver`: turn I/O into the policy's events, and carry out
 //! its actions;
 //! `process_phase`, `streaming_clients`, `stream`, `request`, `connection_state`, `reply`, `inbound`: phase of
 //! this process, client connections, requests and answers;
@@ -44,6 +44,7 @@
 mod request;
 mod request_ids;
 mod request_state;
+mod shared_ids;
 mod start_times;
 mod stream;
 mod streamed_body;
@@ -61,7 +62,7 @@
 use gullpulley::config::{
     ADMIN_RESERVED_SOCKETS, Config, ConfigError, Difference, Fault, Named, Vars, differences, keys,
 };
-use gullpulley::{Balancer, is_local_failure};
+use gullpulley::{Balancer, ClassId, is_local_failure};
 use hot_restart::ProcessRegistration;
 use inbound::Inbound;
 use manual_ejections::{ManualEjectionStore, ManualEjections};
@@ -72,6 +73,7 @@
 use persistence::Persistence;
 use request::RequestParser;
 use request_ids::RequestIds;
+use shared_ids::SharedIds;
 use std::io;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -175,9 +177,13 @@
     let health = DiscoveryHealth::new();
     let counters = Counters::new(&classes, budget.clone(), log, health.clone(), persistence, peers.clone());
     let outbound = Outbound::new(&settings, budget.clone(), counters.clone());
-    let request_ids = Rc::<RequestIds>::default();
+    let parser = RequestParser { settings: settings.clone(), classes, tenants };
+    let registration = control.and_then(|_| register_process(&name));
+    let shared_ids = registration.as_ref().and_then(|_| share_ids(&name));
+    let longest = (0..settings.classes.len()).filter_map(|class| parser.may_run_for(ClassId(class))).max();
+    let request_ids = Rc::new(RequestIds::new(shared_ids, longest.unwrap_or_default()));
     let inbound = Inbound::new(
-        RequestParser { settings: settings.clone(), classes, tenants },
+        parser,
         budget.clone(),
         counters.clone(),
         outbound.clone(),
@@ -193,11 +199,12 @@
         // Before the first list, hence before the first attempt.
         let _ = inbox.send(Input::ManualEjections(read_ejections(&ejections), oneshot::channel().0));
     }
-    let sharing = control.and_then(|_| register_process(&name)).map(|registration| ProcessSharing {
+    let sharing = registration.map(|registration| ProcessSharing {
         registration,
         budget,
         inbound: inbound.clone(),
         outbound: outbound.clone(),
+        request_ids: request_ids.clone(),
         inbox: inbox.clone(),
     });
     // Before the list: beside a predecessor this process does not spread its first call to discovery.
@@ -315,12 +322,19 @@
     joined.inspect_err(|e| warn!("$TMPDIR: {e}; other processes of this sidecar are not detected")).ok()
 }
 
+/// The file of the ids that this process sends. If it fails, other processes of this sidecar don't know of them.
+fn share_ids(name: &str) -> Option<SharedIds> {
+    let created = SharedIds::create(&std::env::temp_dir(), name);
+    created.inspect_err(|e| warn!("$TMPDIR: {e}; ids sent here may run again at a successor")).ok()
+}
+
 /// Divides the limits on sockets and memory among the processes of this sidecar.
 struct ProcessSharing {
     registration: ProcessRegistration,
     budget: Rc<Budget>,
     inbound: Rc<Inbound>,
     outbound: Rc<Outbound>,
+    request_ids: Rc<RequestIds>,
     inbox: Inbox,
 }
 
@@ -328,6 +342,7 @@
     /// Counts the other processes and adjusts this one's share; returns the count.
     fn refresh(&self) -> usize {
         let others = self.registration.count_others();
+        self.request_ids.find_other_processes(|process| self.registration.is_alive(process));
         if self.budget.share(others + 1) {
             let _ = self.inbox.send(Input::SidecarProcesses(others + 1));
             self.outbound.pool.close_idle_over_budget();
