Let other clients' requests in between those that are answered at once

Cause: the process serves on one thread, and the HTTP library goes on with the next request on a connection as long as the answer is there without a wait; unsound requests and readiness checks are answered so.

Change: each buffered answer lets the other tasks run first.

--- a/src/net/inbound.rs
+++ b/src/net/inbound.rs
@@ -31,7 +31,7 @@
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, oneshot, watch};
-use tokio::task::spawn_local;
+use tokio::task::{spawn_local, yield_now};
 use tokio::time::{Instant, sleep, timeout_at};
 use tracing::{Level, debug, enabled, error};
 
@@ -194,6 +194,8 @@
             }
         };
         if matches!(reply.body(), ReplyBody::Buffered(_)) {
+            // A connection full of requests that are answered without a wait would keep the thread from all others.
+            yield_now().await;
             state.answer_finished();
         }
         // A client that only checks readiness and keeps its connection occupies a slot that requests need
--- a/tests/memory_of_crowds.rs
+++ b/tests/memory_of_crowds.rs
@@ -171,13 +171,6 @@
     Some(())
 }
 
-/// The process's own memory, in KiB.
-fn own_memory_kib(sidecar: &Sidecar) -> u64 {
-    let status = std::fs::read_to_string(format!("/proc/{}/status", sidecar.child.id())).unwrap();
-    let line = status.lines().find_map(|line| line.strip_prefix("RssAnon:")).unwrap();
-    line.trim().trim_end_matches(" kB").parse().unwrap()
-}
-
 /// What came of a play.
 #[derive(Debug)]
 struct Outcome {
@@ -229,7 +222,7 @@
     let (began, mut peak_kib) = (Instant::now(), 0);
     while began.elapsed() < PLAY {
         assert!(sidecar.child.try_wait().unwrap().is_none(), "it ended: {}", sidecar.log());
-        peak_kib = peak_kib.max(own_memory_kib(&sidecar));
+        peak_kib = peak_kib.max(sidecar.own_memory_kib());
         thread::sleep(Duration::from_millis(20));
     }
     over.store(true, Ordering::SeqCst);
--- a/tests/support/node.rs
+++ b/tests/support/node.rs
@@ -509,6 +509,13 @@
         std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).unwrap().count()
     }
 
+    /// The process's own memory, in KiB.
+    pub fn own_memory_kib(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
+        let line = status.lines().find_map(|line| line.strip_prefix("RssAnon:")).unwrap();
+        line.trim().trim_end_matches(" kB").parse().unwrap()
+    }
+
     /// Clock ticks of the processor used so far.
     pub fn ticks(&self) -> u64 {
         let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id())).unwrap();
