Hold bodies to a rate and to a silence, buffered or streamed

What callers saw: none; a client that stops amid a body kept its place for longer than the 3 s in which it is owed an error.

Cause: what had come of a buffered body earned time to say nothing (4.68 s measured), and a streamed one might pause for 3 s again and again (3.50 s, and no end within 7.2 s for a byte each 0.5 s).

Change: both have to keep to 32 kB/s, 2.8 s late at the most, and may say nothing for 2.4 s.

Measured: three tests of stopped_clients.rs, known red before, pass; passing 14 of 14, node_limits 18 of 18, large_bodies_in_time 5 of 5, once each.

--- a/src/net/request.rs
+++ b/src/net/request.rs
@@ -1,6 +1,7 @@
 //! Parses client requests: what the policy needs to know of them, the body, and the headers to forward.
 
 use super::outbound::MAX_BUFFERED_BODY;
+use super::streamed_body::{CLIENT_STALL_TIMEOUT, MIN_BODY_RATE};
 use gullpulley::{ClassId, Group, RequestId, Semantics, Settings, TenantId};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Bytes, Incoming};
@@ -9,10 +10,6 @@
 use std::time::Duration;
 use tokio::time::{Instant, timeout_at};
 
-/// Bytes per second that a body must arrive at, beyond its time allowance: half the rate of the slowest
-/// client.
-const MIN_BODY_RATE: f64 = 32_000.0;
-
 /// Parses requests by the settings and the names of classes and tenants.
 pub struct RequestParser {
     /// The policy's settings.
@@ -112,7 +109,9 @@
     let stated_length = body.size_hint().lower().min(MAX_BUFFERED_BODY as u64 + 1) as usize;
     let mut buffer = Vec::with_capacity(stated_length);
     while buffer.len() <= MAX_BUFFERED_BODY {
-        let until = lag_deadline + Duration::from_secs_f64(buffer.len() as f64 / MIN_BODY_RATE);
+        let rate_deadline = lag_deadline + Duration::from_secs_f64(buffer.len() as f64 / MIN_BODY_RATE);
+        // What has come of a body earns no time to say nothing.
+        let until = rate_deadline.min(lag_deadline.max(Instant::now() + CLIENT_STALL_TIMEOUT));
         match timeout_at(until, body.frame()).await {
             Ok(Some(Ok(frame))) => buffer.extend_from_slice(frame.data_ref().map_or(&[][..], |data| data)),
             Ok(Some(Err(_))) => return Err((StatusCode::BAD_REQUEST, "body broken")),
--- a/src/net/streamed_body.rs
+++ b/src/net/streamed_body.rs
@@ -11,8 +11,12 @@
 
 /// Longest body on the wire, in bytes.
 pub const MAX_BODY: u64 = 32 << 20;
-/// A client whose body makes no progress for this long has stopped sending it.
-const CLIENT_STALL_TIMEOUT: Duration = Duration::from_secs(3);
+/// A client whose body makes no progress for this long has stopped sending it: it is owed an error within 3 s.
+pub const CLIENT_STALL_TIMEOUT: Duration = Duration::from_millis(2400);
+/// Bytes per second that a client's body must arrive at: half the rate of the slowest client.
+pub const MIN_BODY_RATE: f64 = 32_000.0;
+/// How far the rest of a large body may fall behind that rate.
+const MAX_BODY_LAG: Duration = Duration::from_millis(2800);
 /// An endpoint whose answer makes no progress for this long has stopped sending it.
 const ANSWER_STALL_TIMEOUT: Duration = Duration::from_secs(10);
 /// Bytes per second that an answer of unknown length must reach once its client's time is up, and how far
@@ -58,6 +62,8 @@
     rest: Incoming,
     received_bytes: u64,
     stall_timeout: Duration,
+    /// The sender is a client, which has to keep to a rate.
+    from_client: bool,
     /// Set only while a frame is being waited for: when the reader asks for the next one is up to the
     /// reader.
     stall_timer: Option<Pin<Box<Sleep>>>,
@@ -72,7 +78,7 @@
 impl StreamedBody {
     /// A client's body.
     pub fn from_client(buffered: Bytes, rest: Incoming) -> Self {
-        StreamedBody::new(buffered, rest, CLIENT_STALL_TIMEOUT)
+        StreamedBody { from_client: true, ..StreamedBody::new(buffered, rest, CLIENT_STALL_TIMEOUT) }
     }
 
     /// An endpoint's answer.
@@ -88,6 +94,7 @@
             rest,
             received_bytes: 0,
             stall_timeout,
+            from_client: false,
             stall_timer: None,
             deadline,
             total_wait,
@@ -109,6 +116,18 @@
         Some(deadline.max(since + allowed.saturating_sub(self.total_wait)))
     }
 
+    /// When the sender counts as stopped if no more arrives.
+    fn stalls_at(&self) -> Instant {
+        let now = Instant::now();
+        let stalled_at = now + self.stall_timeout;
+        if !self.from_client {
+            return stalled_at;
+        }
+        let allowed = MAX_BODY_LAG + Duration::from_secs_f64(self.received_bytes as f64 / MIN_BODY_RATE);
+        let since = self.waiting_since.unwrap_or(now);
+        stalled_at.min(since + allowed.saturating_sub(self.total_wait))
+    }
+
     /// Whether all of it has been read.
     pub fn is_complete(&self) -> bool {
         self.buffered.is_none() && self.rest.is_end_stream()
@@ -143,8 +162,8 @@
         let Poll::Ready(frame) = Pin::new(&mut self.rest).poll_frame(context) else {
             self.waiting_since.get_or_insert_with(Instant::now);
             let endless = self.endless_at();
-            let stalled = Instant::now() + self.stall_timeout;
-            let until = endless.map_or(stalled, |at| at.min(stalled));
+            let stalled_at = self.stalls_at();
+            let until = endless.map_or(stalled_at, |at| at.min(stalled_at));
             let stall_timer = self.stall_timer.get_or_insert_with(|| Box::pin(sleep_until(until)));
             ready!(stall_timer.as_mut().poll(context));
             let endless_now = endless.is_some_and(|at| at <= Instant::now());
