Give a later head on a connection 2.5 s from its first byte

What callers saw: none; half a head on a connection that had been used kept its place for 30 s.

Cause: the time for a later head was that of an idle connection, as the HTTP library counts both as one.

Change: the record of a connection's reads has when the first bytes since the last answer came; a head that is not complete 2.5 s later ends the connection (a client may take 2 s for a head, and one that stops is owed a close within 3 s).

--- a/src/net/connection_state.rs
+++ b/src/net/connection_state.rs
@@ -89,6 +89,7 @@
     /// Records that an answer has been given.
     pub fn answer_finished(&self) {
         self.answering.set(false);
+        self.read_progress.message_answered();
         self.last_answer_at.set(Some(Instant::now()));
     }
 
--- a/src/net/inbound/connection.rs
+++ b/src/net/inbound/connection.rs
@@ -19,9 +19,12 @@
 const MAX_CONNECTION_BUFFER: usize = 32 * 1024;
 /// A connection over the limit has this long to send the head that is answered with a refusal.
 const SHED_HEAD_TIMEOUT: Duration = Duration::from_millis(500);
-/// The head of a later request must arrive within this of the previous answer, so that a silent client does
+/// The head of a later request must begin within this of the previous answer, so that a silent client does
 /// not hold its socket forever.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(30);
+/// A later head that has begun must be complete within this: a client may take 2 s for it, and one that stops is owed a
+/// close within 3 s.
+const LATER_HEAD_TIMEOUT: Duration = Duration::from_millis(2500);
 /// When slots are needed, only connections that have been idle between requests for this long are closed.
 const MIN_IDLE_TIME: Duration = Duration::from_secs(1);
 /// While draining, a connection on which nothing has arrived yet is closed after this.
@@ -78,8 +81,12 @@
             .max_buf_size(MAX_CONNECTION_BUFFER)
             .serve_connection(TokioIo::new(stream.connection().clone()), service);
         let client_left = stream.client_left(|| state.answering.get());
+        // The first head on a connection has a time of its own.
+        let head_stalled = state.read_progress.head_stalled(LATER_HEAD_TIMEOUT, || {
+            !state.answering.get() && state.last_answer_at.get().is_some()
+        });
         let client_stalled = state.write_progress.stalled(CLIENT_READ_TIMEOUT);
-        tokio::pin!(connection, client_left, client_stalled);
+        tokio::pin!(connection, client_left, client_stalled, head_stalled);
         // Over the limit there are few slots even for refusals: silent connections must not take them.
         let first_head_deadline =
             if shed { state.accepted_at + SHED_HEAD_TIMEOUT } else { state.first_head_deadline() };
@@ -132,6 +139,7 @@
                     state.close_reason.set(Some(EarlyEnd::ClientStalled));
                     return CloseMode::Immediate;
                 }
+                () = head_stalled.as_mut() => return CloseMode::Graceful,
                 () = sleep_until_some(new_connection_until) => {
                     new_connection_until = None;
                     if !state.answering.get() {
--- a/src/net/monitored_connection.rs
+++ b/src/net/monitored_connection.rs
@@ -53,11 +53,14 @@
     empty: Cell<bool>,
     /// The receive buffer was empty until then, as far as reads have shown.
     empty_until: Cell<Instant>,
+    /// When the first bytes since the last answer were read.
+    message_began_at: Cell<Option<Instant>>,
 }
 
 impl ReadProgress {
     fn new() -> Self {
-        ReadProgress { empty: Cell::new(false), empty_until: Cell::new(Instant::now()) }
+        let (empty, message_began_at) = Default::default();
+        ReadProgress { empty, empty_until: Cell::new(Instant::now()), message_began_at }
     }
 
     /// Whether the last read has found nothing.
@@ -70,7 +73,31 @@
         self.empty_until.get()
     }
 
+    /// An answer has been given: what is read from now on is another message.
+    pub fn message_answered(&self) {
+        self.message_began_at.set(None);
+    }
+
+    /// Waits until a message has begun this long ago while its head is awaited. Must be polled after the connection, in
+    /// the same task.
+    pub async fn head_stalled(&self, timeout: Duration, awaits_head: impl Fn() -> bool) {
+        let mut timer = pin!(sleep(timeout));
+        poll_fn(|context| {
+            let Some(began_at) = self.message_began_at.get().filter(|_| awaits_head()) else {
+                return Poll::Pending;
+            };
+            if timer.deadline() != began_at + timeout {
+                timer.as_mut().reset(began_at + timeout);
+            }
+            timer.as_mut().poll(context)
+        })
+        .await;
+    }
+
     fn record(&self, read: &Poll<io::Result<()>>) {
+        if read.is_ready() && self.message_began_at.get().is_none() {
+            self.message_began_at.set(Some(Instant::now()));
+        }
         if read.is_pending() {
             self.empty.set(true);
         } else if self.empty.replace(false) {
