--- a/src/net/hot_restart.rs
+++ b/src/net/hot_restart.rs
@@ -37,7 +37,7 @@
     /// The number of other live processes. Removes the files of dead ones. A check that fails, such as for
     /// lack of descriptors, is inconclusive: the previous result stands for the processes that it concerns.
     pub fn count_others(&self) -> usize {
-        if let Ok(lock_files) = self.lock_files() {
+        if let Ok(lock_files) = files_of_others(&self.directory, &self.stem, &self.own) {
             let known_alive = self.alive.take();
             let now_alive = lock_files
                 .into_iter()
@@ -52,19 +52,20 @@
         let lock_file = self.directory.join(format!("{}{process}", self.stem));
         lock_file == self.own || self.alive.borrow().contains(&lock_file)
     }
+}
 
-    /// The lock files of all other processes, alive or dead.
-    fn lock_files(&self) -> io::Result<Vec<PathBuf>> {
-        let mut lock_files = Vec::new();
-        for entry in fs::read_dir(&self.directory)? {
-            let path = entry?.path();
-            let name = path.file_name().and_then(|name| name.to_str());
-            if name.is_some_and(|name| name.starts_with(&self.stem)) && path != self.own {
-                lock_files.push(path);
-            }
+/// The files in a directory whose names begin with a stem, apart from this process's own: those of all other processes,
+/// alive or dead.
+pub fn files_of_others(directory: &Path, stem: &str, own: &Path) -> io::Result<Vec<PathBuf>> {
+    let mut files = Vec::new();
+    for entry in fs::read_dir(directory)? {
+        let path = entry?.path();
+        let name = path.file_name().and_then(|name| name.to_str());
+        if name.is_some_and(|name| name.starts_with(stem)) && path != own {
+            files.push(path);
         }
-        Ok(lock_files)
     }
+    Ok(files)
 }
 
 impl Drop for ProcessRegistration {
--- a/src/net/shared_ids.rs
+++ b/src/net/shared_ids.rs
@@ -5,6 +5,7 @@
 //! others read it as a whole and take what has changed. A file stays when its process ends, and goes when another has
 //! read it to the end.
 
+use super::hot_restart::files_of_others;
 use super::manual_ejections::file_name_part;
 use gullpulley::stable_hash;
 use std::cell::{Cell, RefCell};
@@ -50,7 +51,7 @@
     /// Looks for files of other processes. Those of processes that have ended are read once more and removed.
     pub fn find_others(&self, is_alive: impl Fn(&str) -> bool) -> Vec<u64> {
         let mut found = Vec::new();
-        for path in self.files().unwrap_or_default() {
+        for path in files_of_others(&self.directory, &self.stem, &self.own).unwrap_or_default() {
             found.extend(self.read(&path));
             let process = path.to_str().and_then(|path| path.rsplit('-').next()).unwrap_or_default();
             if !is_alive(process) {
@@ -76,17 +77,4 @@
             bytes.chunks_exact(HASH_BYTES).zip(before).filter(|(now, before)| Some(*now) != *before);
         changed.filter_map(|(now, _)| now.try_into().ok().map(u64::from_ne_bytes)).collect()
     }
-
-    /// The files of all other processes of this sidecar.
-    fn files(&self) -> io::Result<Vec<PathBuf>> {
-        let mut files = Vec::new();
-        for entry in fs::read_dir(&self.directory)? {
-            let path = entry?.path();
-            let name = path.file_name().and_then(|name| name.to_str());
-            if name.is_some_and(|name| name.starts_with(&self.stem)) && path != self.own {
-                files.push(path);
-            }
-        }
-        Ok(files)
-    }
 }
