--- a/src/connection.rs
+++ b/src/connection.rs
@@ -63,24 +63,25 @@
         self.0.try_read(buffer)
     }
 
-    /// Whether data, the end or an error waits to be read.
-    pub fn has_input(&self) -> bool {
+    /// Whether data, the end or an error has come that nobody asked for. What is found is read and lost, as the connection
+    /// can't be used then.
+    pub fn has_unexpected_input(&self) -> bool {
         loop {
-            match self.peek() {
+            match self.read_unexpected() {
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
-                peeked => return !matches!(peeked, Err(e) if e.kind() == io::ErrorKind::WouldBlock),
+                read => return !matches!(read, Err(e) if e.kind() == io::ErrorKind::WouldBlock),
             }
         }
     }
 
     /// The same as far as the system has reported it already, mostly without a call.
-    pub fn has_seen_input(&self) -> bool {
-        let peeked = self.0.try_io(Interest::READABLE, || self.peek());
-        !matches!(peeked, Err(e) if is_retryable(&e))
+    pub fn has_reported_input(&self) -> bool {
+        let read = self.0.try_io(Interest::READABLE, || self.read_unexpected());
+        !matches!(read, Err(e) if is_retryable(&e))
     }
 
-    fn peek(&self) -> io::Result<usize> {
-        socket2::SockRef::from(&self.0).peek(&mut [MaybeUninit::uninit()])
+    fn read_unexpected(&self) -> io::Result<usize> {
+        socket2::SockRef::from(&self.0).recv(&mut [MaybeUninit::uninit()])
     }
 
     /// Limits how many bytes that have not been sent yet the system holds before it reports the socket as
--- a/src/net/connection_pool.rs
+++ b/src/net/connection_pool.rs
@@ -112,7 +112,9 @@
         let connections = idle.get_mut(&endpoint)?;
         // At another address a different machine may be listening by now.
         std::iter::from_fn(|| connections.pop()).find(|idle| {
-            idle.address == address && !self.is_too_old(idle) && !idle.connection.tcp().has_input()
+            idle.address == address
+                && !self.is_too_old(idle)
+                && !idle.connection.tcp().has_unexpected_input()
         })
     }
 
@@ -212,7 +214,8 @@
     /// Closes connections that were idle for too long or closed by the endpoint.
     pub fn sweep(&self) {
         self.idle.borrow_mut().retain(|_, connections| {
-            connections.retain(|idle| !self.is_too_old(idle) && !idle.connection.tcp().has_seen_input());
+            connections
+                .retain(|idle| !self.is_too_old(idle) && !idle.connection.tcp().has_reported_input());
             !connections.is_empty()
         });
     }
