--- a/review/standins-2/second_refusal.rs
+++ b/review/standins-2/second_refusal.rs
@@ -11,13 +11,13 @@
 use std::time::Duration;
 
 /// Requests a second at one sidecar, and the part of them that is unsafe to repeat.
-const RATE: f64 = 100.0;
+const RATE: f64 = 50.0;
 const UNSAFE_SHARE: f64 = 0.6;
-const PLAY: Duration = Duration::from_secs(90);
+const PLAY: Duration = Duration::from_secs(105);
 /// The part of the requests that an endpoint turns away as its queue is full.
 const FULL_SHARE: f64 = 0.25;
 /// The part of the answers that is followed by a second one, and how late that is, in milliseconds.
-const SPOILT_SHARE: f64 = 0.15;
+const SPOILT_SHARE: f64 = 0.3;
 const LATE_MS: (u64, u64) = (3, 10);
 const ENDPOINTS: usize = 4;
 const TURNED_AWAY: &str =
