Tell the policy of a large answer that broke off or never ended

An attempt counts as successful with the head of its answer, and what became of a large answer after its first bytes was told to nobody: an endpoint that breaks them was chosen as if it served.

Event::AnswerBroken puts the failure penalty of a failed attempt on it. tests/choice.rs an_endpoint_whose_large_answer_broke_is_avoided_for_a_while: does not compile before (no such event); 7 of 7 tests of the file pass now.

--- a/src/api/events.rs
+++ b/src/api/events.rs
@@ -43,6 +43,11 @@
         /// How long the connection that carried the answer had been open.
         connected_for: Duration,
     },
+    /// A streamed answer broke off or never ended at its endpoint, after its attempt had ended successfully.
+    AnswerBroken {
+        /// The endpoint.
+        endpoint: EndpointId,
+    },
     /// The client disconnected, or its deadline has passed: no answer is needed any more.
     RequestGone(RequestId),
     /// A timer fired.
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -156,6 +156,7 @@
                 self.context.request_ids.end(&x_request_id);
             }
             Input::AttemptEnded(id, attempt, result) => self.handle_attempt_end(id, attempt, result),
+            Input::AnswerBroken(endpoint) => self.handle_event(Event::AnswerBroken { endpoint }),
             Input::ProbeEnded(endpoint, AttemptResult { outcome, report, connected_for, .. }, elapsed) => {
                 self.report_answer(endpoint, connected_for);
                 self.handle_event(Event::ProbeEnded { endpoint, outcome, elapsed, report });
--- a/src/net/early_end.rs
+++ b/src/net/early_end.rs
@@ -36,6 +36,14 @@
         }
     }
 
+    /// Whether the endpoint of an answer has ended it, or has to be left for its sake.
+    pub fn is_endpoint_failure(self) -> bool {
+        matches!(
+            self,
+            EarlyEnd::EndpointBroke | EarlyEnd::EndpointStalled | EarlyEnd::TooLong | EarlyEnd::Endless
+        )
+    }
+
     /// Whether a client that goes away is all that it means.
     pub fn is_usual(self) -> bool {
         matches!(self, EarlyEnd::ClientLeft | EarlyEnd::ConnectionClosed)
--- a/src/net/message.rs
+++ b/src/net/message.rs
@@ -30,6 +30,8 @@
     ClientGone(RequestId, String),
     /// An attempt ended.
     AttemptEnded(RequestId, AttemptNo, AttemptResult),
+    /// A large answer that had begun failed at this endpoint.
+    AnswerBroken(EndpointId),
     /// A probe ended, after this time.
     ProbeEnded(EndpointId, AttemptResult, Duration),
     /// An update from discovery.
--- a/src/net/outbound.rs
+++ b/src/net/outbound.rs
@@ -91,6 +91,11 @@
 }
 
 impl StreamedAnswer {
+    /// The endpoint that sends it.
+    pub fn endpoint(&self) -> EndpointId {
+        self.endpoint
+    }
+
     /// The answer is complete: makes its connection available again.
     pub fn complete(self) {
         if self.reusable {
--- a/src/net/reply.rs
+++ b/src/net/reply.rs
@@ -149,6 +149,14 @@
         }
     }
 
+    /// Tells the policy that the endpoint failed, if it did: the attempt has counted as successful so far.
+    fn report_endpoint_failure(&self, reason: EarlyEnd) {
+        if let Some(answer) = self.answer.as_ref().filter(|_| reason.is_endpoint_failure()) {
+            // Fails only while the process ends.
+            let _ = self.request.inbox.send(Input::AnswerBroken(answer.endpoint()));
+        }
+    }
+
     fn finish(&mut self, end: End) {
         if let Some(pending_count) = self.pending_count.take() {
             pending_count.end(end);
@@ -197,6 +205,7 @@
             Some(Err(error)) => {
                 let reason = error.early_end();
                 reply.report_early_end(reason);
+                reply.report_endpoint_failure(reason);
                 reply.finish(End::Failed);
             }
             None => reply.finish(End::Completed),
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -175,6 +175,11 @@
                     self.endpoints[i].continuity.answered(now, connected_for);
                 }
             }
+            Event::AnswerBroken { endpoint } => {
+                if let Some(&i) = self.index.get(&endpoint) {
+                    self.endpoints[i].add_failure_penalty(now);
+                }
+            }
             Event::RequestGone(id) => self.finish(id, out),
             Event::Timer(token) => match self.timers.remove(&token.0) {
                 Some(Timer::Deadline(id)) => self.give_up(id, out),
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -45,6 +45,17 @@
     }
 }
 
+/// The attempt had counted as successful with the head of its answer, and nothing told of the end.
+#[test]
+fn an_endpoint_whose_large_answer_broke_is_avoided_for_a_while() {
+    let mut d = Driver::new(Settings::default(), endpoints(2));
+    d.feed(Event::AnswerBroken { endpoint: EndpointId(1) });
+    assert_eq!(spread(&mut d, 5).keys().collect::<Vec<_>>(), [&EndpointId(2)]);
+    d.now += ms(60_000);
+    assert!(spread(&mut d, 100).contains_key(&EndpointId(1)));
+    assert!(d.feed(Event::AnswerBroken { endpoint: EndpointId(77) }).is_empty(), "nobody knows that one");
+}
+
 #[test]
 fn the_numbering_of_endpoints_means_nothing() {
     let run = |offset: u64| {
