Leave an ending process sockets for the requests that it still holds

A request that it has taken and not sent yet has its memory, but needs a connection to an endpoint, and would have been refused for lack of one until another was closed. It keeps half of what was unused as it learned of the newer process, as before it ends.

--- a/src/net/shared_limits.rs
+++ b/src/net/shared_limits.rs
@@ -10,7 +10,7 @@
 
 /// The part of the memory limit that all processes together may take, as 1/`PARTS`.
 const OVERLAP_PARTS: usize = 28;
-/// What a process that ends may still grow by, as 1/`PARTS` of the limit.
+/// What the memory of a process that ends may still grow by, as 1/`PARTS` of the limit.
 const ENDING_PARTS: usize = 1;
 const PARTS: usize = 32;
 /// The limits of the whole sidecar.
@@ -168,8 +168,9 @@
             Claim { amount: held.plus(headroom), headroom }
         });
         if ending {
+            // Requests that it has taken and not sent yet have their memory, and need sockets.
             let memory_kib = self.limits.memory_kib * ENDING_PARTS / PARTS;
-            claim.headroom = claim.headroom.min(Amount { memory_kib, sockets: 0 });
+            claim.headroom.memory_kib = claim.headroom.memory_kib.min(memory_kib);
         }
         claim.amount = claim.amount.min(held.plus(claim.headroom));
         self.claim = Some(claim);
