Log whether a large body is being read, and how an answer stood that is ended

Large requests whose endpoint stops reading are answered 5 s late, and the log could not tell why: it had no word on whether the body was being read, and asked_ms_ago of an answer that a timer ends is always 0. New: reading_paused_ms for a body; silent_ms and after_client_time_ms for an answer.

--- a/src/net/read_ahead.rs
+++ b/src/net/read_ahead.rs
@@ -16,6 +16,7 @@
 use std::future::poll_fn;
 use std::rc::Rc;
 use std::task::{Context, Poll, Waker};
+use std::time::Duration;
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
@@ -51,6 +52,8 @@
     reads: Rc<ReadProgress>,
     /// The client was certainly still sending then.
     sending_until: Cell<Instant>,
+    /// Since when nothing has been read for lack of memory; none while the body is being read.
+    paused_since: Cell<Option<Instant>>,
     /// Nobody will take the rest.
     discarding: Cell<bool>,
     /// Woken when there is more to forward.
@@ -73,6 +76,7 @@
             budget,
             reads,
             sending_until,
+            paused_since: Cell::default(),
             discarding: Cell::default(),
             reader: Cell::default(),
             taken: Notify::new(),
@@ -129,6 +133,11 @@
         self.received_bytes.get()
     }
 
+    /// For how long nothing has been read for lack of memory; none while the body is being read.
+    pub fn paused_for(&self) -> Option<Duration> {
+        self.paused_since.get().map(|since| since.elapsed())
+    }
+
     /// The size of the body, as far as it is known.
     pub fn size(&self) -> &SizeHint {
         &self.size
@@ -178,9 +187,15 @@
 
     /// A body may always be read if nothing of it waits to be forwarded.
     async fn wait_for_space(&self) {
-        while !self.discarding.get() && !self.segments.borrow().is_empty() && !self.has_space() {
+        while self.must_pause() {
+            self.paused_since.set(self.paused_since.get().or_else(|| Some(Instant::now())));
             self.taken.notified().await;
         }
+        self.paused_since.set(None);
+    }
+
+    fn must_pause(&self) -> bool {
+        !self.discarding.get() && !self.segments.borrow().is_empty() && !self.has_space()
     }
 
     fn has_space(&self) -> bool {
--- a/src/net/reply.rs
+++ b/src/net/reply.rs
@@ -128,12 +128,16 @@
         if let Some(pending_count) = &self.pending_count {
             pending_count.record_early_end(reason);
         }
-        let milliseconds_since = |at: Option<Instant>| at.map(|at| at.elapsed().as_millis() as u64);
+        let milliseconds = |time: Duration| time.as_millis() as i64;
         let (request, reason_name) = (&self.request.x_request_id, reason.name());
-        let bytes = self.answer.as_ref().map(|answer| answer.body.received_bytes());
-        let ms = self.started_at.elapsed().as_millis() as u64;
-        let asked_ms_ago = milliseconds_since(self.state.frame_asked_at.get());
-        let blocked_ms = milliseconds_since(self.state.write_progress.blocked_since());
+        let answer = self.answer.as_ref();
+        let bytes = answer.map(|answer| answer.body.received_bytes());
+        let ms = milliseconds(self.started_at.elapsed());
+        let asked_ms_ago = self.state.frame_asked_at.get().map(|at| milliseconds(at.elapsed()));
+        let silent_ms = answer.and_then(|answer| answer.body.silent_for()).map(milliseconds);
+        let client_deadline = answer.and_then(|answer| answer.body.client_deadline());
+        let after_client_time_ms = client_deadline.map(milliseconds_after);
+        let blocked_ms = self.state.write_progress.blocked_since().map(|at| milliseconds(at.elapsed()));
         if reason.is_usual() {
             debug!(
                 request,
@@ -141,11 +145,23 @@
                 bytes,
                 ms,
                 asked_ms_ago,
+                silent_ms,
+                after_client_time_ms,
                 blocked_ms,
                 "answer ended early"
             );
         } else {
-            info!(request, reason = reason_name, bytes, ms, asked_ms_ago, blocked_ms, "answer ended early");
+            info!(
+                request,
+                reason = reason_name,
+                bytes,
+                ms,
+                asked_ms_ago,
+                silent_ms,
+                after_client_time_ms,
+                blocked_ms,
+                "answer ended early"
+            );
         }
     }
 
@@ -235,6 +251,13 @@
     }
 }
 
+/// How long ago this was, in milliseconds; negative if it is still to come.
+fn milliseconds_after(at: Instant) -> i64 {
+    let now = Instant::now();
+    let (after, before) = (now.saturating_duration_since(at), at.saturating_duration_since(now));
+    after.as_millis() as i64 - before.as_millis() as i64
+}
+
 /// A reply with a short text.
 pub fn text_reply(status: StatusCode, text: &'static str) -> Reply {
     let mut reply = Response::new(ReplyBody::Buffered(BufferedReply {
--- a/src/net/streamed_body.rs
+++ b/src/net/streamed_body.rs
@@ -136,6 +136,19 @@
         Some(pace.endless_at(client_deadline, waiting_since).map_or(longest, |at| at.min(longest)))
     }
 
+    /// How long its sender has been silent; none while no more has been asked for.
+    pub fn silent_for(&self) -> Option<Duration> {
+        self.waiting_since.map(|since| since.elapsed())
+    }
+
+    /// When the client stops waiting for this answer, as far as is known; none for a client's own body.
+    pub fn client_deadline(&self) -> Option<Instant> {
+        match &self.sender {
+            Sender::Client => None,
+            Sender::Endpoint(_, deadline) => deadline.as_ref().map(|deadline| deadline()),
+        }
+    }
+
     /// Whether all of it has been read.
     pub fn is_complete(&self) -> bool {
         self.buffered.is_none() && self.rest.is_end_stream()
--- a/src/net/upload.rs
+++ b/src/net/upload.rs
@@ -216,6 +216,7 @@
             forwarded = self.forwarded.get(),
             ms = milliseconds_since(self.started_at),
             client_sent_ms_ago = milliseconds_since(self.read_ahead.sending_until()),
+            reading_paused_ms = self.read_ahead.paused_for().map(|paused| paused.as_millis() as u64),
             endpoint_blocked_ms = blocked_since.map(milliseconds_since),
             "attempt at a large body ended"
         );
