--- /dev/null
+++ b/tests/large_bodies_at_once.rs
@@ -0,0 +1,242 @@
+//! Many large bodies at once, more than may be read ahead, so that the process does not read some of them for a while.
+//! Guards against answers that came seconds after the client's time: while nobody read a body, its client was taken to be
+//! still sending it.
+
+#[path = "support/node.rs"]
+mod support;
+#[path = "support/transfers.rs"]
+mod transfers;
+
+use rand_core::{Rng, SeedableRng};
+use rand_pcg::Pcg32;
+use serde_json::json;
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+use support::*;
+use transfers::{endpoint, large};
+
+/// Up to half a second after its time an answer only earns nothing; later it is lost.
+const LOST_AFTER: Duration = Duration::from_millis(500);
+const ENDPOINTS: usize = 6;
+const MEMORY_MB: usize = 48;
+const START_INTERVAL: Duration = Duration::from_millis(50);
+/// Each body is a part of these bytes.
+const MAX_BODY_BYTES: usize = 32 << 20;
+/// The slowest client.
+const SLOW_CLIENT_RATE: usize = 64_000;
+
+/// A request with a large body.
+#[derive(Clone, Copy, Debug)]
+struct Shape {
+    length: usize,
+    chunked: bool,
+    /// Bytes that the client writes at once.
+    piece: usize,
+    /// Bytes that it writes in a second; as fast as they are taken if none.
+    sent_per_second: Option<usize>,
+    time: Duration,
+    reading: Reading,
+}
+
+/// What the endpoint does with it.
+#[derive(Clone, Copy, Debug)]
+enum Reading {
+    /// Reads so many bytes, and then none.
+    Stops(usize),
+    /// Reads so many bytes a second, and answers after the last one.
+    Slow(usize),
+}
+
+/// What a client saw.
+#[derive(Debug)]
+struct Outcome {
+    number: usize,
+    /// Zero if there was none.
+    status: u16,
+    /// Counted from its last byte; zero if the answer came before that was written.
+    answered_after: Duration,
+}
+
+struct Draws(Pcg32);
+
+impl Draws {
+    fn between(&mut self, low: usize, high: usize) -> usize {
+        low + (self.0.next_u64() % (high - low + 1) as u64) as usize
+    }
+
+    /// Sent at once to an endpoint that stops reading it; mostly less than the buffers on the way hold.
+    fn stopped(&mut self) -> Shape {
+        let length = match self.between(0, 19) {
+            0 => self.between(4 << 20, MAX_BODY_BYTES),
+            1..=4 => self.between(600_000, 1_800_000),
+            _ => self.between(300_000, 600_000),
+        };
+        Shape {
+            length,
+            chunked: self.between(0, 1) == 0,
+            piece: [4_000, 16_000, 64_000, 300_000, 2_000_000][self.between(0, 4)],
+            sent_per_second: None,
+            time: Duration::from_millis([1200, 2000, 2500][self.between(0, 2)]),
+            reading: Reading::Stops(self.between(8_000, 18_000)),
+        }
+    }
+
+    /// Sent for longer than its own time to an endpoint that reads it a little more slowly.
+    fn sent_slowly(&mut self) -> Shape {
+        Shape {
+            length: self.between(200_000, 400_000),
+            chunked: self.between(0, 1) == 0,
+            piece: [2_000, 8_000, 16_000][self.between(0, 2)],
+            sent_per_second: Some(SLOW_CLIENT_RATE),
+            time: Duration::from_millis(2500),
+            reading: Reading::Slow(self.between(60_000, 100_000)),
+        }
+    }
+}
+
+/// Reads the rest of a request as its shape says.
+fn read_body(shape: &Shape, mut from: BufReader<TcpStream>) -> std::io::Result<()> {
+    let (began, mut read, mut tail) = (Instant::now(), 0, Vec::new());
+    loop {
+        let piece = from.fill_buf()?;
+        let count = piece.len().min(2_000);
+        if count == 0 {
+            return Ok(());
+        }
+        tail.extend_from_slice(&piece[..count]);
+        tail.drain(..tail.len().saturating_sub(5));
+        from.consume(count);
+        read += count;
+        match shape.reading {
+            Reading::Stops(at) if read >= at => {
+                thread::sleep(PATIENCE);
+                return Ok(());
+            }
+            Reading::Stops(_) => {}
+            Reading::Slow(rate) => {
+                let due = Duration::from_secs_f64(read as f64 / rate as f64);
+                thread::sleep(due.saturating_sub(began.elapsed()));
+            }
+        }
+        if if shape.chunked { tail == b"0\r\n\r\n" } else { read == shape.length } {
+            return from.into_inner().write_all(answer("200 OK", "", "read").as_bytes());
+        }
+    }
+}
+
+/// Writes the body; when its last byte was written.
+fn write_body(shape: &Shape, body: &[u8], mut to: TcpStream) -> std::io::Result<Instant> {
+    let (began, mut written) = (Instant::now(), 0);
+    for piece in body[..shape.length].chunks(shape.piece) {
+        if let Some(rate) = shape.sent_per_second {
+            let due = Duration::from_secs_f64(written as f64 / rate as f64);
+            thread::sleep(due.saturating_sub(began.elapsed()));
+        }
+        if shape.chunked {
+            to.write_all(format!("{:x}\r\n", piece.len()).as_bytes())?;
+        }
+        to.write_all(piece)?;
+        if shape.chunked {
+            to.write_all(b"\r\n")?;
+        }
+        written += piece.len();
+    }
+    if shape.chunked {
+        to.write_all(b"0\r\n\r\n")?;
+    }
+    Ok(Instant::now())
+}
+
+fn ask(shape: Shape, body: Arc<Vec<u8>>, sidecar: SocketAddr, number: usize) -> Outcome {
+    let mut stream = TcpStream::connect(sidecar).unwrap();
+    let length = format!("Content-Length: {}", shape.length);
+    let framing = if shape.chunked { "Transfer-Encoding: chunked" } else { &length };
+    let time = format!("{}m", shape.time.as_millis());
+    let head = request("book", &format!("e-{number}-"), &time).replace("Content-Length: 4", framing);
+    stream.write_all(head.trim_end_matches("body").as_bytes()).unwrap();
+    let to = stream.try_clone().unwrap();
+    let writing = thread::spawn(move || write_body(&shape, &body, to).ok());
+    stream.set_read_timeout(Some(PATIENCE)).unwrap();
+    let answer = Message::read(&mut BufReader::new(&stream));
+    let answered = Instant::now();
+    let _ = stream.shutdown(std::net::Shutdown::Both); // ends a write that nobody takes
+    let sent = writing.join().unwrap();
+    Outcome {
+        number,
+        status: answer.map_or(0, |answer| answer.status()),
+        answered_after: sent.map_or(Duration::ZERO, |sent| answered.saturating_duration_since(sent)),
+    }
+}
+
+/// Plays these one after another; what became of each, and what the log says of them.
+fn play(shapes: Vec<Shape>) -> (Vec<(Shape, Outcome)>, String) {
+    let (shapes, body) = (Arc::new(shapes), Arc::new(large(MAX_BODY_BYTES)));
+    let endpoints: Vec<_> = (0..ENDPOINTS)
+        .map(|_| {
+            let shapes = shapes.clone();
+            endpoint(move |head, reader| {
+                let number = head.split("e-").nth(1).and_then(|id| id.split('-').next()?.parse().ok());
+                let number: usize = number.expect("the id of a request");
+                let _ = read_body(&shapes[number], reader); // fails where the sidecar gives up
+            })
+        })
+        .collect();
+    let mut config = config_at(&endpoints);
+    config["limits"]["memory_mb"] = json!(MEMORY_MB);
+    let sidecar = Sidecar::start(&config);
+    let address = sidecar.address;
+    let asking: Vec<_> = (shapes.iter().copied().enumerate())
+        .map(|(number, shape)| {
+            thread::sleep(START_INTERVAL);
+            let body = body.clone();
+            (shape, thread::spawn(move || ask(shape, body, address, number)))
+        })
+        .collect();
+    let ends = asking.into_iter().map(|(shape, thread)| (shape, thread.join().unwrap())).collect();
+    (ends, sidecar.log())
+}
+
+/// Fails if there are such outcomes, with the lines of the log about them.
+fn assert_none(what: &str, of: usize, outcomes: &[&(Shape, Outcome)], log: &str) {
+    let report = outcomes.iter().map(|(shape, outcome)| {
+        let id = format!("\"e-{}-\"", outcome.number);
+        let lines = log.lines().filter(|line| line.contains(&id));
+        format!("{shape:?}: {outcome:?}\n{}", lines.collect::<Vec<_>>().join("\n"))
+    });
+    let report: Vec<_> = report.collect();
+    assert!(report.is_empty(), "{what}: {} of {of}\n{}", report.len(), report.join("\n"));
+}
+
+fn stopped_endpoints(seed: u64) {
+    let mut draws = Draws(Pcg32::seed_from_u64(seed));
+    let (ends, log) = play((0..120).map(|_| draws.stopped()).collect());
+    let is_late = |(shape, outcome): &&(Shape, Outcome)| {
+        outcome.status == 0 || outcome.answered_after > shape.time + LOST_AFTER
+    };
+    assert_none("late", ends.len(), &ends.iter().filter(is_late).collect::<Vec<_>>(), &log);
+}
+
+#[test]
+fn no_answer_to_many_large_bodies_whose_endpoints_stop_reading_comes_late_seed_1() {
+    stopped_endpoints(1);
+}
+
+#[test]
+fn no_answer_to_many_large_bodies_whose_endpoints_stop_reading_comes_late_seed_2() {
+    stopped_endpoints(2);
+}
+
+/// A client that sends more slowly than its time allows is given that, also where others have used up the memory.
+#[test]
+fn clients_that_send_large_bodies_slowly_are_served_beside_endpoints_that_stop_reading() {
+    let mut draws = Draws(Pcg32::seed_from_u64(3));
+    // Each stopped one is out for up to its time: some ten of them at once leave connections for the others.
+    let shapes = (0..80).map(|n| if n % 2 == 0 { draws.sent_slowly() } else { draws.stopped() });
+    let (ends, log) = play(shapes.collect());
+    let slow = ends.iter().filter(|(shape, _)| shape.sent_per_second.is_some());
+    let failed = slow.filter(|(_, outcome)| outcome.status != 200);
+    assert_none("not served", ends.len(), &failed.collect::<Vec<_>>(), &log);
+}
