Ask the socket whether a client still sends while nobody reads its large body

What callers saw: a large request whose endpoint stops reading was answered 3.5 to 5 s after its time. Cause: the client's time runs from the last moment at which it was sending for certain, and that took the result of the last read for the present. While read-ahead memory is used up nobody reads; and once the HTTP library holds the whole message it reads on to see the connection's end, finds nothing, and so the client counted as still sending for ever. Change: a read that found nothing counts only while the body is waited for. While reading is paused the socket is asked each 50 ms how much has arrived (FIONREAD, rustix): more than before shows that the client still sends, where the receive buffer has room (64 KiB unread at most). So clients at 64 kB/s keep their time. Class: a state that only an activity keeps current, asked for while that activity rests.

--- a/src/connection.rs
+++ b/src/connection.rs
@@ -84,6 +84,14 @@
         socket2::SockRef::from(&self.0).recv(&mut [MaybeUninit::uninit()])
     }
 
+    /// Bytes that have arrived and have not been read.
+    ///
+    /// # Errors
+    /// Those of `ioctl`.
+    pub fn unread_bytes(&self) -> io::Result<u64> {
+        Ok(rustix::io::ioctl_fionread(&self.0)?)
+    }
+
     /// Limits how many bytes that have not been sent yet the system holds before it reports the socket as
     /// full; without a limit the system's own settings hold.
     ///
--- a/src/net/connection_state.rs
+++ b/src/net/connection_state.rs
@@ -1,7 +1,8 @@
 //! The state of a client's connection, and the deadlines after which it may be closed.
 
 use super::early_end::EarlyEnd;
-use super::monitored_connection::{MonitoredConnection, ReadProgress, StallTimeout, WriteProgress};
+use super::monitored_connection::{MonitoredConnection, StallTimeout, WriteProgress};
+use super::read_progress::ReadProgress;
 use super::streaming_clients::Registration;
 use std::cell::Cell;
 use std::rc::Rc;
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,7 +1,7 @@
 //! The sidecar's I/O. This file has start-up, signals and the wiring of the modules; the modules, in an
 //! order in which each depends only on those before it:
 //!
-//! `abort_on_drop`, `body_limits`, `clock`, `early_end`, `own_memory`, `monitored_connection`, `start_times`, `list_translator`, `budget`,
+//! `abort_on_drop`, `body_limits`, `clock`, `early_end`, `own_memory`, `read_progress`, `monitored_connection`, `start_times`, `list_translator`, `budget`,
 //! `persistence`, `discovery_health`, `discovery_call`, `peers`, `counters`, `manual_ejections`,
 //! `hot_restart`: tasks, limits on bodies, time, reasons and records of stalled transfers, lists in the policy's types, limits
 //! on sockets and memory, persisted state, metrics of discovery, calls to it, the fleet, counters, suspended
@@ -45,6 +45,7 @@
 mod process_sharing;
 mod progress;
 mod read_ahead;
+mod read_progress;
 mod reply;
 mod request;
 mod request_ids;
--- a/src/net/monitored_connection.rs
+++ b/src/net/monitored_connection.rs
@@ -8,6 +8,7 @@
 //! several hundred KiB: a reader gets the time that it needs for such a step, and longer than it has needed
 //! for any before.
 
+use super::read_progress::ReadProgress;
 use gullpulley::TcpConnection;
 use std::cell::Cell;
 use std::future::poll_fn;
@@ -47,65 +48,6 @@
     waiting: Cell<Option<Waker>>,
 }
 
-/// Whether the other side has sent more than has been read.
-pub struct ReadProgress {
-    /// The last read has found nothing.
-    empty: Cell<bool>,
-    /// The receive buffer was empty until then, as far as reads have shown.
-    empty_until: Cell<Instant>,
-    /// When the first bytes since the last answer were read.
-    message_began_at: Cell<Option<Instant>>,
-}
-
-impl ReadProgress {
-    fn new() -> Self {
-        let (empty, message_began_at) = Default::default();
-        ReadProgress { empty, empty_until: Cell::new(Instant::now()), message_began_at }
-    }
-
-    /// Whether the last read has found nothing.
-    pub fn is_empty(&self) -> bool {
-        self.empty.get()
-    }
-
-    /// Until when the receive buffer was empty, before the bytes that were read last began to arrive.
-    pub fn empty_until(&self) -> Instant {
-        self.empty_until.get()
-    }
-
-    /// An answer has been given: what is read from now on is another message.
-    pub fn message_answered(&self) {
-        self.message_began_at.set(None);
-    }
-
-    /// Waits until a message has begun this long ago while its head is awaited. Must be polled after the connection, in
-    /// the same task.
-    pub async fn head_stalled(&self, timeout: Duration, awaits_head: impl Fn() -> bool) {
-        let mut timer = pin!(sleep(timeout));
-        poll_fn(|context| {
-            let Some(began_at) = self.message_began_at.get().filter(|_| awaits_head()) else {
-                return Poll::Pending;
-            };
-            if timer.deadline() != began_at + timeout {
-                timer.as_mut().reset(began_at + timeout);
-            }
-            timer.as_mut().poll(context)
-        })
-        .await;
-    }
-
-    fn record(&self, read: &Poll<io::Result<()>>) {
-        if read.is_ready() && self.message_began_at.get().is_none() {
-            self.message_began_at.set(Some(Instant::now()));
-        }
-        if read.is_pending() {
-            self.empty.set(true);
-        } else if self.empty.replace(false) {
-            self.empty_until.set(Instant::now());
-        }
-    }
-}
-
 /// After how long without a byte taken a reader counts as stopped.
 #[derive(Clone, Copy)]
 pub struct StallTimeout {
@@ -198,8 +140,9 @@
     /// The first handle to a connection on which nothing has been written.
     pub fn new(connection: TcpConnection) -> Self {
         let _ = connection.limit_unsent(Some(MAX_UNSENT_BYTES)); // without it, progress shows less often
-        let (progress, reads) = (Rc::default(), Rc::new(ReadProgress::new()));
-        MonitoredConnection { connection: Rc::new(connection), progress, reads }
+        let connection = Rc::new(connection);
+        let (progress, reads) = (Rc::default(), Rc::new(ReadProgress::new(&connection)));
+        MonitoredConnection { connection, progress, reads }
     }
 
     /// The connection itself.
--- a/src/net/read_ahead.rs
+++ b/src/net/read_ahead.rs
@@ -4,13 +4,15 @@
 //! the client's send buffer and in the receive buffer here. What it can see is that the client was still sending:
 //! whenever a read finds nothing and the body is incomplete, or while more is missing than all buffers hold. The last
 //! such moment is taken for the end of the request. Reading ahead keeps the receive buffer empty, so that this moment
-//! is close to the true one. Where the memory is used up, a client may still be sending later: its request then ends
-//! too early rather than too late.
+//! is close to the true one. Where the memory is used up, reading pauses, and what the last read has found says nothing
+//! about the present: then bytes that arrive show that the client is still sending, for as long as the receive buffer has room for
+//! them. It may still be sending later: its request then ends too early rather than too late.
 
 use super::budget::{Budget, Holder, Permit, SEGMENT_KIB};
-use super::monitored_connection::{CLIENT_RECEIVE_BUFFER, ReadProgress};
+use super::monitored_connection::CLIENT_RECEIVE_BUFFER;
+use super::read_progress::{ArrivalWatch, ReadProgress};
 use super::streamed_body::{BodyError, StreamedBody};
-use hyper::body::{Bytes, SizeHint};
+use hyper::body::{Bytes, Frame, SizeHint};
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::future::poll_fn;
@@ -18,7 +20,7 @@
 use std::task::{Context, Poll, Waker};
 use std::time::Duration;
 use tokio::sync::Notify;
-use tokio::time::Instant;
+use tokio::time::{Instant, MissedTickBehavior, interval_at};
 
 /// Size of the pieces in which a body is kept.
 const SEGMENT_BYTES: usize = SEGMENT_KIB * 1024;
@@ -28,6 +30,9 @@
 /// it grow by themselves, and the receive buffer here.
 const MAX_BUFFERED_BYTES: u64 = (4 << 20) + MAX_RECEIVE_BUFFER;
 
+/// How often a body that is not read is looked at: whether more has arrived, and whether there is memory again.
+const PAUSED_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
 /// A piece of a body that waits to be forwarded.
 struct Segment {
     data: Vec<u8>,
@@ -52,6 +57,8 @@
     reads: Rc<ReadProgress>,
     /// The client was certainly still sending then.
     sending_until: Cell<Instant>,
+    /// All that the HTTP library has read has been taken from it, and it goes on reading.
+    awaiting_frame: Cell<bool>,
     /// Since when nothing has been read for lack of memory; none while the body is being read.
     paused_since: Cell<Option<Instant>>,
     /// Nobody will take the rest.
@@ -76,6 +83,7 @@
             budget,
             reads,
             sending_until,
+            awaiting_frame: Cell::default(),
             paused_since: Cell::default(),
             discarding: Cell::default(),
             reader: Cell::default(),
@@ -88,7 +96,7 @@
     pub async fn run(self: Rc<Self>, mut body: StreamedBody) {
         let end = loop {
             self.wait_for_space().await;
-            match poll_fn(|context| body.poll_frame(context)).await {
+            match poll_fn(|context| self.poll_frame(&mut body, context)).await {
                 Some(Ok(frame)) => self.push(frame.data_ref().map_or(&[][..], |data| data)),
                 Some(Err(error)) => break End::Failed(Some(error)),
                 None => break End::Complete,
@@ -103,10 +111,21 @@
         self.wake_reader();
     }
 
+    fn poll_frame(
+        &self,
+        body: &mut StreamedBody,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        let frame = body.poll_frame(context);
+        self.awaiting_frame.set(frame.is_pending());
+        frame
+    }
+
     /// Until when the client was certainly still sending; the present if it still is.
     pub fn sending_until(&self) -> Instant {
         if self.is_reading() {
-            let sending = self.reads.is_empty() || self.exceeds_buffers();
+            let found_nothing = self.awaiting_frame.get() && self.reads.is_empty();
+            let sending = found_nothing || self.exceeds_buffers();
             let until = if sending { Instant::now() } else { self.reads.empty_until() };
             self.sending_until.set(until.max(self.sending_until.get()));
         }
@@ -187,9 +206,22 @@
 
     /// A body may always be read if nothing of it waits to be forwarded.
     async fn wait_for_space(&self) {
+        if !self.must_pause() {
+            return;
+        }
+        let mut arrivals = ArrivalWatch::start(self.reads.clone());
+        self.paused_since.set(Some(Instant::now()));
+        let mut check = interval_at(Instant::now() + PAUSED_CHECK_INTERVAL, PAUSED_CHECK_INTERVAL);
+        check.set_missed_tick_behavior(MissedTickBehavior::Delay);
         while self.must_pause() {
-            self.paused_since.set(self.paused_since.get().or_else(|| Some(Instant::now())));
-            self.taken.notified().await;
+            let taken = self.taken.notified();
+            tokio::pin!(taken);
+            loop {
+                tokio::select! {
+                    () = taken.as_mut() => break,
+                    _ = check.tick() => arrivals.look(),
+                }
+            }
         }
         self.paused_since.set(None);
     }
