Read a large body on once other bodies have given memory back

A body that was not read for lack of memory waited for a piece of its own to be taken: where its endpoint took nothing, it lay in the socket for good although there was memory again, and its client's last byte was not known. Now the check each 50 ms asks for memory too. Measured: a_large_body_is_read_on_once_others_have_given_their_memory_back ends with received=false (352,105 of 600,000 bytes after 3.6 s) before and received=true now.

--- a/src/net/read_ahead.rs
+++ b/src/net/read_ahead.rs
@@ -214,13 +214,9 @@
         let mut check = interval_at(Instant::now() + PAUSED_CHECK_INTERVAL, PAUSED_CHECK_INTERVAL);
         check.set_missed_tick_behavior(MissedTickBehavior::Delay);
         while self.must_pause() {
-            let taken = self.taken.notified();
-            tokio::pin!(taken);
-            loop {
-                tokio::select! {
-                    () = taken.as_mut() => break,
-                    _ = check.tick() => arrivals.look(),
-                }
+            tokio::select! {
+                () = self.taken.notified() => {}
+                _ = check.tick() => arrivals.look(),
             }
         }
         self.paused_since.set(None);
--- a/tests/large_bodies_at_once.rs
+++ b/tests/large_bodies_at_once.rs
@@ -240,3 +240,23 @@
     let failed = slow.filter(|(_, outcome)| outcome.status != 200);
     assert_none("not served", ends.len(), &failed.collect::<Vec<_>>(), &log);
 }
+
+/// A body that was not read for lack of memory was read on only once its own endpoint took some of it.
+#[test]
+fn a_large_body_is_read_on_once_others_have_given_their_memory_back() {
+    let stopped = Shape {
+        length: 600_000,
+        chunked: false,
+        piece: 600_000,
+        sent_per_second: None,
+        time: Duration::from_millis(1200),
+        reading: Reading::Stops(8_000),
+    };
+    let others = 12;
+    let mut shapes = vec![stopped; others];
+    shapes.push(Shape { time: Duration::from_millis(3600), ..stopped });
+    let (ends, log) = play(shapes);
+    let last = format!("\"e-{others}-\"");
+    let line = log.lines().find(|line| line.contains(&last)).expect("the end of the attempt");
+    assert!(line.contains("received=true"), "{line}\n{:?}", ends[others]);
+}
