Pass an answer on that begins in the last quarter second of its time

What callers saw: a long answer of no length that began 50 to 250 ms before its client's time was answered 502, or 503. Cause: an answer of no length is held back for 250 ms, in case it ends, and what was held back when the attempt's time was up was dropped with the attempt. Change: it is passed on 20 ms before its attempt's time is up at the latest.

--- a/src/net/outbound.rs
+++ b/src/net/outbound.rs
@@ -32,6 +32,9 @@
 /// An answer of unknown length is streamed if it has not ended after this: it may be a large one, and the
 /// client waits for its first bytes.
 const STREAM_AFTER: Duration = Duration::from_millis(250);
+/// It is streamed so long before its attempt's time is up, at the latest.
+const STREAM_MARGIN: Duration = Duration::from_millis(20);
+
 /// Where an attempt or a probe goes, and its limits.
 #[derive(Clone, Copy)]
 pub struct Dispatch {
@@ -145,7 +148,7 @@
             AttemptBody::Streamed(_) => Purpose::LargeBody,
         };
         let past_write_by = || write_by.is_some_and(|by| Instant::now() >= by);
-        let (connection, response) = loop {
+        let (connection, response, deadline) = loop {
             let (mut connection, fresh) = match self.pool.take_idle(endpoint, address, purpose).await {
                 Some(connection) => (connection, false),
                 None => match self.pool.connect(address, purpose, write_by).await {
@@ -163,10 +166,12 @@
                 return AttemptResult::without_answer(Outcome::NotSent);
             }
             // Connecting took part of the client's remaining time: the endpoint is told what is left now.
-            let announced_deadline = match request.body() {
-                AttemptBody::Buffered(_) => announced_deadline,
-                AttemptBody::Streamed(attempt) => Some(attempt.upload.answer_deadline()),
+            let upload = match request.body() {
+                AttemptBody::Buffered(_) => None,
+                AttemptBody::Streamed(attempt) => Some(attempt.upload.clone()),
             };
+            let deadline = || upload.as_ref().map(|upload| upload.answer_deadline()).or(announced_deadline);
+            let announced_deadline = deadline();
             if let Some(announced_deadline) = announced_deadline {
                 set_time_left(
                     request.headers_mut(),
@@ -182,7 +187,7 @@
                 }
             }
             match connection.sender.try_send_request(request).await {
-                Ok(response) => break (connection, response),
+                Ok(response) => break (connection, response, deadline()),
                 Err(mut error) => match error.take_message() {
                     // Returned unsent.
                     Some(unsent) => {
@@ -198,7 +203,7 @@
             }
         };
         let reusable = keeps_connection(&response);
-        let (mut result, rest) = self.read_answer(response).await;
+        let (mut result, rest) = self.read_answer(response, deadline).await;
         result.connected_for = Some(connection.opened.elapsed());
         match rest {
             Some(body) if result.outcome == Outcome::Ok => {
@@ -221,7 +226,11 @@
     /// The outcome of an answer. A small answer is read to its end first, so that a break half-way becomes
     /// an outcome and the client never gets a truncated answer. A large one returns the rest of its body,
     /// and its outcome is that of its head.
-    async fn read_answer(&self, response: Response<Incoming>) -> (AttemptResult, Option<StreamedBody>) {
+    async fn read_answer(
+        &self,
+        response: Response<Incoming>,
+        deadline: Option<Instant>,
+    ) -> (AttemptResult, Option<StreamedBody>) {
         let (head, body) = response.into_parts();
         let not_processed = head.headers.get("x-not-processed").is_some_and(|v| v.as_bytes() == b"1");
         let outcome = match head.status {
@@ -235,7 +244,7 @@
         let report = self.inline_report(&head.headers);
         let result =
             |body| AttemptResult { body, bad_request, report, ..AttemptResult::without_answer(outcome) };
-        match buffer_answer(body).await {
+        match buffer_answer(body, deadline).await {
             Some(AnswerBody::Buffered(body)) => (result(body), None),
             Some(AnswerBody::Streamed(body)) => (result(Bytes::new()), Some(body)),
             // The head of a refusal is enough, even if its body did not arrive.
@@ -318,8 +327,8 @@
 }
 
 /// Reads an answer into a buffer; one that is large or of unknown length is streamed from there on. None if
-/// it breaks or stalls.
-async fn buffer_answer(mut body: Incoming) -> Option<AnswerBody> {
+/// it breaks or stalls. At the deadline, if there is one, the attempt is given up.
+async fn buffer_answer(mut body: Incoming, deadline: Option<Instant>) -> Option<AnswerBody> {
     let size = body.size_hint();
     if size.lower() > MAX_BODY {
         return None; // no endpoint sends this much: the stated length is invalid
@@ -328,13 +337,14 @@
     if size.lower() > MAX_BUFFERED_BODY as u64 {
         return Some(AnswerBody::Streamed(StreamedBody::from_endpoint(Bytes::new(), body, pace)));
     }
-    let started_at = Instant::now();
+    let stream_at = Instant::now() + STREAM_AFTER;
+    let latest = deadline.and_then(|deadline| deadline.checked_sub(STREAM_MARGIN));
+    let stream_at = latest.map_or(stream_at, |latest| latest.min(stream_at));
     let mut buffer = Vec::new();
     loop {
         let asked_at = Instant::now();
         let gap_deadline = asked_at + ANSWER_GAP_TIMEOUT;
-        let until =
-            if size.exact().is_some() { gap_deadline } else { gap_deadline.min(started_at + STREAM_AFTER) };
+        let until = if size.exact().is_some() { gap_deadline } else { gap_deadline.min(stream_at) };
         match timeout_at(until, body.frame()).await {
             Ok(Some(frame)) => {
                 let frame = frame.ok()?;
