--- a/tests/large_bodies_at_once.rs
+++ b/tests/large_bodies_at_once.rs
@@ -10,9 +10,11 @@
 use rand_core::{Rng, SeedableRng};
 use rand_pcg::Pcg32;
 use serde_json::json;
+use socket2::SockRef;
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 use support::*;
@@ -260,3 +262,41 @@
     let line = log.lines().find(|line| line.contains(&last)).expect("the end of the attempt");
     assert!(line.contains("received=true"), "{line}\n{:?}", ends[others]);
 }
+
+/// A client that leaves is seen to leave also while nobody reads its body.
+#[test]
+fn a_client_is_seen_to_leave_while_its_large_body_is_not_read() {
+    const LENGTH: usize = 3_000_000;
+    let left = Arc::new(AtomicUsize::new(0));
+    let counted = left.clone();
+    let stopped = endpoint(move |_, mut reader| {
+        thread::sleep(Duration::from_millis(1000)); // reads nothing until its client has left
+        if std::io::copy(&mut reader, &mut std::io::sink()).is_ok_and(|read| read < LENGTH as u64) {
+            counted.fetch_add(1, Ordering::SeqCst);
+        }
+    });
+    let mut config = config_at(&[stopped]);
+    config["limits"]["memory_mb"] = json!(MEMORY_MB);
+    let shared = Shared::new();
+    let (sidecar, door) = shared.start(&config);
+    let body = large(LENGTH);
+    let clients: Vec<_> = (0..12)
+        .map(|number| {
+            let mut stream = TcpStream::connect(sidecar.address).unwrap();
+            let text = request("book", &format!("r{number}"), "20000m");
+            let text = text.replace("Content-Length: 4", &format!("Content-Length: {LENGTH}"));
+            stream.write_all(text.trim_end_matches("body").as_bytes()).unwrap();
+            stream.set_write_timeout(Some(Duration::from_millis(20))).unwrap();
+            let _ = stream.write_all(&body); // as much as is taken
+            stream
+        })
+        .collect();
+    wait_for("all requests", || figure(door, "pending") == 12);
+    for stream in clients {
+        SockRef::from(&stream).set_linger(Some(Duration::ZERO)).unwrap();
+    }
+    let gone = Instant::now();
+    wait_for("the end of all requests", || figure(door, "pending") == 0);
+    assert!(gone.elapsed() < Duration::from_millis(500), "{:?}", gone.elapsed());
+    wait_for("the end of all attempts", || left.load(Ordering::SeqCst) == 12);
+}
