Hold an answer back for its first quarter second also past its client's time

Cause: the repair gave up the quarter second that tells broken answers from sound ones. Change: the attempt ends 20 ms before its time as before, but what came is held for the rest of the quarter second before the reply begins; one that ends by then is whole, one that breaks is a 502 within the half second.

--- a/src/net/inbound/exchange.rs
+++ b/src/net/inbound/exchange.rs
@@ -148,6 +148,7 @@
         let received = self.receive(request, state).await?;
         let mut exchange = self.forward(received, state)?;
         let answer = exchange.wait().await;
+        let answer = self.hold_back(answer).await;
         Ok(self.reply(exchange, answer, state))
     }
 
@@ -238,6 +239,16 @@
         Ok(Exchange { class, client_deadline, upload, memory, pending_count, in_flight, answer })
     }
 
+    /// The answer once it may be passed on; one that broke before that has failed.
+    async fn hold_back(&self, answer: Result<Answer, UploadEnd>) -> Result<Answer, UploadEnd> {
+        let Ok(Answer::Streamed(mut streamed)) = answer else { return answer };
+        if streamed.hold_back().await.is_ok() {
+            return Ok(Answer::Streamed(streamed));
+        }
+        let _ = self.inbox.send(Input::AnswerBroken(streamed.endpoint())); // fails only while the process ends
+        Ok(Answer::Failed)
+    }
+
     /// The reply to a request, and the end of its count.
     fn reply(
         &self,
--- a/src/net/outbound.rs
+++ b/src/net/outbound.rs
@@ -6,7 +6,7 @@
 use super::counters::Counters;
 use super::endless_answer::AnswerPace;
 use super::progress::Progress;
-use super::streamed_body::StreamedBody;
+use super::streamed_body::{BodyError, StreamedBody};
 use super::upload::AttemptBody;
 use gullpulley::{EndpointId, LoadField, Outcome, Settings};
 use http_body_util::{BodyExt, Full};
@@ -32,7 +32,8 @@
 /// An answer of unknown length is streamed if it has not ended after this: it may be a large one, and the
 /// client waits for its first bytes.
 const STREAM_AFTER: Duration = Duration::from_millis(250);
-/// It is streamed so long before its attempt's time is up, at the latest.
+/// So long before its attempt's time is up, at the latest, it counts as the answer, and is held back for the rest of
+/// `STREAM_AFTER` beyond that time.
 const STREAM_MARGIN: Duration = Duration::from_millis(20);
 
 /// Where an attempt or a probe goes, and its limits.
@@ -91,9 +92,22 @@
     connection: EndpointConnection,
     reusable: bool,
     pool: Rc<ConnectionPool>,
+    /// Until when it is held back, in case it ends or breaks; none if it has been already.
+    held_until: Option<Instant>,
 }
 
 impl StreamedAnswer {
+    /// Waits until it may be passed on.
+    ///
+    /// # Errors
+    /// Why it broke before that.
+    pub async fn hold_back(&mut self) -> Result<(), BodyError> {
+        match self.held_until.take() {
+            Some(until) => self.body.read_until(until).await,
+            None => Ok(()),
+        }
+    }
+
     /// The endpoint that sends it.
     pub fn endpoint(&self) -> EndpointId {
         self.endpoint
@@ -206,10 +220,10 @@
         let (mut result, rest) = self.read_answer(response, deadline).await;
         result.connected_for = Some(connection.opened.elapsed());
         match rest {
-            Some(body) if result.outcome == Outcome::Ok => {
+            Some((body, held_until)) if result.outcome == Outcome::Ok => {
                 let pool = self.pool.clone();
-                result.streamed =
-                    Some(Box::new(StreamedAnswer { body, endpoint, connection, reusable, pool }));
+                let answer = StreamedAnswer { body, endpoint, connection, reusable, pool, held_until };
+                result.streamed = Some(Box::new(answer));
             }
             // The rest of an error's body is not needed.
             Some(_) => {}
@@ -230,7 +244,7 @@
         &self,
         response: Response<Incoming>,
         deadline: Option<Instant>,
-    ) -> (AttemptResult, Option<StreamedBody>) {
+    ) -> (AttemptResult, Option<(StreamedBody, Option<Instant>)>) {
         let (head, body) = response.into_parts();
         let not_processed = head.headers.get("x-not-processed").is_some_and(|v| v.as_bytes() == b"1");
         let outcome = match head.status {
@@ -246,7 +260,9 @@
             |body| AttemptResult { body, bad_request, report, ..AttemptResult::without_answer(outcome) };
         match buffer_answer(body, deadline).await {
             Some(AnswerBody::Buffered(body)) => (result(body), None),
-            Some(AnswerBody::Streamed(body)) => (result(Bytes::new()), Some(body)),
+            Some(AnswerBody::Streamed { body, held_until }) => {
+                (result(Bytes::new()), Some((body, held_until)))
+            }
             // The head of a refusal is enough, even if its body did not arrive.
             None if outcome == Outcome::NotProcessed => {
                 (AttemptResult::without_answer(Outcome::NotProcessed), None)
@@ -323,7 +339,7 @@
 /// An answer's body, as read by `buffer_answer`.
 enum AnswerBody {
     Buffered(Bytes),
-    Streamed(StreamedBody),
+    Streamed { body: StreamedBody, held_until: Option<Instant> },
 }
 
 /// Reads an answer into a buffer; one that is large or of unknown length is streamed from there on. None if
@@ -335,11 +351,12 @@
     }
     let mut pace = AnswerPace::default();
     if size.lower() > MAX_BUFFERED_BODY as u64 {
-        return Some(AnswerBody::Streamed(StreamedBody::from_endpoint(Bytes::new(), body, pace)));
+        let body = StreamedBody::from_endpoint(Bytes::new(), body, pace);
+        return Some(AnswerBody::Streamed { body, held_until: None });
     }
-    let stream_at = Instant::now() + STREAM_AFTER;
+    let pass_on_at = Instant::now() + STREAM_AFTER;
     let latest = deadline.and_then(|deadline| deadline.checked_sub(STREAM_MARGIN));
-    let stream_at = latest.map_or(stream_at, |latest| latest.min(stream_at));
+    let stream_at = latest.map_or(pass_on_at, |latest| latest.min(pass_on_at));
     let mut buffer = Vec::new();
     loop {
         let asked_at = Instant::now();
@@ -363,7 +380,10 @@
             break;
         }
     }
-    Some(AnswerBody::Streamed(StreamedBody::from_endpoint(buffer.into(), body, pace)))
+    let held_until =
+        Some(pass_on_at).filter(|at| *at > Instant::now() && buffer.len() <= MAX_BUFFERED_BODY);
+    let body = StreamedBody::from_endpoint(buffer.into(), body, pace);
+    Some(AnswerBody::Streamed { body, held_until })
 }
 
 /// The key of a load report's field on the wire.
--- a/src/net/streamed_body.rs
+++ b/src/net/streamed_body.rs
@@ -1,15 +1,16 @@
 //! Bodies too large to be buffered: they are read frame by frame in both directions. Unread data stays
 //! in the sockets, so that memory use is bounded however slow the reader is.
 
-use super::body_limits::{MAX_BODY, MAX_BODY_TIME};
+use super::body_limits::{MAX_BODY, MAX_BODY_TIME, MAX_BUFFERED_BODY};
 use super::early_end::EarlyEnd;
 use super::endless_answer::AnswerPace;
 use hyper::body::{Body, Bytes, Frame, Incoming, SizeHint};
+use std::future::poll_fn;
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 use thiserror::Error;
-use tokio::time::{Instant, Sleep, sleep_until};
+use tokio::time::{Instant, Sleep, sleep_until, timeout_at};
 
 /// A client whose body makes no progress for this long has stopped sending it: it is owed an error within 3 s.
 pub const CLIENT_STALL_TIMEOUT: Duration = Duration::from_millis(2400);
@@ -197,6 +198,26 @@
         Poll::Ready(Some(Ok(frame)))
     }
 
+    /// Reads on until this time, or until it ends or is large, and keeps what comes for the next frames.
+    ///
+    /// # Errors
+    /// Those of a frame.
+    pub async fn read_until(&mut self, time: Instant) -> Result<(), BodyError> {
+        let mut buffered = self.buffered.take().unwrap_or_default().to_vec();
+        while buffered.len() <= MAX_BUFFERED_BODY && !self.is_complete() {
+            match timeout_at(time, poll_fn(|context| self.poll_frame(context))).await {
+                Ok(Some(frame)) => {
+                    buffered.extend_from_slice(frame?.data_ref().map_or(&[][..], |data| data))
+                }
+                Ok(None) | Err(_) => break,
+            }
+        }
+        // They are counted as they are passed on.
+        self.received_bytes = 0;
+        self.buffered = Some(Bytes::from(buffered)).filter(|bytes| !bytes.is_empty());
+        Ok(())
+    }
+
     /// Waits for the sender until the body ends early.
     fn poll_early_end(&mut self, context: &mut Context<'_>) -> Poll<BodyError> {
         let waiting_since = *self.waiting_since.get_or_insert_with(Instant::now);
--- a/tests/slow_answers.rs
+++ b/tests/slow_answers.rs
@@ -220,3 +220,42 @@
 fn a_long_answer_that_is_written_very_slowly_comes_whole_beside_such_that_never_end() {
     long_answers(4, 8..=12);
 }
+
+/// What breaks off within a quarter second of its beginning is not passed on, also at the end of its client's time: half an
+/// answer is lost, an answer that says so is not.
+#[test]
+fn an_answer_that_breaks_off_just_after_its_beginning_is_answered_whole_also_at_the_end_of_its_time() {
+    const TIME_MS: u64 = 1200;
+    let mut draws = Draws(Pcg32::seed_from_u64(5));
+    let plays: Vec<_> = (0..30)
+        .map(|_| (draws.between(20..=240) as u64, draws.between(1..=200) as u64, draws.between(0..=1) == 0))
+        .collect();
+    let ends: Vec<_> = plays
+        .into_iter()
+        .map(|(before_ms, breaks_ms, chunked)| {
+            thread::spawn(move || {
+                let broken = endpoint(move |_, reader| {
+                    thread::sleep(Duration::from_millis(TIME_MS - before_ms));
+                    let framing = if chunked { "Transfer-Encoding: chunked" } else { "Connection: close" };
+                    let mut to = reader.into_inner();
+                    let _ = write!(to, "HTTP/1.1 200 OK\r\n{framing}\r\n\r\n5\r\nabcde\r\n");
+                    thread::sleep(Duration::from_millis(breaks_ms));
+                    socket2::SockRef::from(&to).set_linger(Some(Duration::ZERO)).unwrap();
+                });
+                let sidecar = Sidecar::start(&config_at(&[broken]));
+                let (mut client, sent) = (sidecar.client(), Instant::now());
+                client.send(&request("book", "r1", &format!("{TIME_MS}m")));
+                let status = client.receive().map_or(0, |answer| answer.status());
+                let is_late = sent.elapsed() > Duration::from_millis(TIME_MS) + LOST_AFTER;
+                (!matches!(status, 502..=504) || is_late).then_some((
+                    status,
+                    sent.elapsed(),
+                    before_ms,
+                    breaks_ms,
+                ))
+            })
+        })
+        .collect();
+    let lost: Vec<_> = ends.into_iter().filter_map(|play| play.join().unwrap()).collect();
+    assert!(lost.is_empty(), "{lost:?}");
+}
