One place for a large body's client and endpoint in tests, one for a log line's fields

The two files of tests on large bodies had the same loops to write and read one, and the log line of an answer that ends early stood twice; the body of a begun answer has a type.

--- a/src/net/outbound.rs
+++ b/src/net/outbound.rs
@@ -220,7 +220,7 @@
         let (mut result, rest) = self.read_answer(response, deadline).await;
         result.connected_for = Some(connection.opened.elapsed());
         match rest {
-            Some((body, held_until)) if result.outcome == Outcome::Ok => {
+            Some(BegunBody { body, held_until }) if result.outcome == Outcome::Ok => {
                 let pool = self.pool.clone();
                 let answer = StreamedAnswer { body, endpoint, connection, reusable, pool, held_until };
                 result.streamed = Some(Box::new(answer));
@@ -244,7 +244,7 @@
         &self,
         response: Response<Incoming>,
         deadline: Option<Instant>,
-    ) -> (AttemptResult, Option<(StreamedBody, Option<Instant>)>) {
+    ) -> (AttemptResult, Option<BegunBody>) {
         let (head, body) = response.into_parts();
         let not_processed = head.headers.get("x-not-processed").is_some_and(|v| v.as_bytes() == b"1");
         let outcome = match head.status {
@@ -260,9 +260,7 @@
             |body| AttemptResult { body, bad_request, report, ..AttemptResult::without_answer(outcome) };
         match buffer_answer(body, deadline).await {
             Some(AnswerBody::Buffered(body)) => (result(body), None),
-            Some(AnswerBody::Streamed { body, held_until }) => {
-                (result(Bytes::new()), Some((body, held_until)))
-            }
+            Some(AnswerBody::Streamed(begun)) => (result(Bytes::new()), Some(begun)),
             // The head of a refusal is enough, even if its body did not arrive.
             None if outcome == Outcome::NotProcessed => {
                 (AttemptResult::without_answer(Outcome::NotProcessed), None)
@@ -339,7 +337,14 @@
 /// An answer's body, as read by `buffer_answer`.
 enum AnswerBody {
     Buffered(Bytes),
-    Streamed { body: StreamedBody, held_until: Option<Instant> },
+    Streamed(BegunBody),
+}
+
+/// The body of an answer that is streamed.
+struct BegunBody {
+    body: StreamedBody,
+    /// Until when it is held back; none if it has been already, or need not be.
+    held_until: Option<Instant>,
 }
 
 /// Reads an answer into a buffer; one that is large or of unknown length is streamed from there on. None if
@@ -352,7 +357,7 @@
     let mut pace = AnswerPace::default();
     if size.lower() > MAX_BUFFERED_BODY as u64 {
         let body = StreamedBody::from_endpoint(Bytes::new(), body, pace);
-        return Some(AnswerBody::Streamed { body, held_until: None });
+        return Some(AnswerBody::Streamed(BegunBody { body, held_until: None }));
     }
     let pass_on_at = Instant::now() + STREAM_AFTER;
     let latest = deadline.and_then(|deadline| deadline.checked_sub(STREAM_MARGIN));
@@ -383,7 +388,7 @@
     let held_until =
         Some(pass_on_at).filter(|at| *at > Instant::now() && buffer.len() <= MAX_BUFFERED_BODY);
     let body = StreamedBody::from_endpoint(buffer.into(), body, pace);
-    Some(AnswerBody::Streamed { body, held_until })
+    Some(AnswerBody::Streamed(BegunBody { body, held_until }))
 }
 
 /// The key of a load report's field on the wire.
--- a/src/net/reply.rs
+++ b/src/net/reply.rs
@@ -138,31 +138,22 @@
         let client_deadline = answer.and_then(|answer| answer.body.client_deadline());
         let after_client_time_ms = client_deadline.map(milliseconds_after);
         let blocked_ms = self.state.write_progress.blocked_since().map(|at| milliseconds(at.elapsed()));
-        if reason.is_usual() {
-            debug!(
-                request,
-                reason = reason_name,
-                bytes,
-                ms,
-                asked_ms_ago,
-                silent_ms,
-                after_client_time_ms,
-                blocked_ms,
-                "answer ended early"
-            );
-        } else {
-            info!(
-                request,
-                reason = reason_name,
-                bytes,
-                ms,
-                asked_ms_ago,
-                silent_ms,
-                after_client_time_ms,
-                blocked_ms,
-                "answer ended early"
-            );
+        macro_rules! log_at {
+            ($level:ident) => {
+                $level!(
+                    request,
+                    reason = reason_name,
+                    bytes,
+                    ms,
+                    asked_ms_ago,
+                    silent_ms,
+                    after_client_time_ms,
+                    blocked_ms,
+                    "answer ended early"
+                )
+            };
         }
+        if reason.is_usual() { log_at!(debug) } else { log_at!(info) }
     }
 
     /// Tells the policy that the endpoint failed, if it did: the attempt has counted as successful so far.
--- a/tests/large_bodies_at_once.rs
+++ b/tests/large_bodies_at_once.rs
@@ -11,14 +11,14 @@
 use rand_pcg::Pcg32;
 use serde_json::json;
 use socket2::SockRef;
-use std::io::{BufRead, BufReader, Write};
+use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 use support::*;
-use transfers::{endpoint, large};
+use transfers::{LargeBody, Reading, endpoint, large};
 
 /// Up to half a second after its time an answer only earns nothing; later it is lost.
 const LOST_AFTER: Duration = Duration::from_millis(500);
@@ -27,31 +27,19 @@
 const START_INTERVAL: Duration = Duration::from_millis(50);
 /// Each body is a part of these bytes.
 const MAX_BODY_BYTES: usize = 32 << 20;
+/// Bytes that an endpoint reads at once.
+const READ_AT_ONCE: usize = 2_000;
 /// The slowest client.
 const SLOW_CLIENT_RATE: usize = 64_000;
 
 /// A request with a large body.
 #[derive(Clone, Copy, Debug)]
 struct Shape {
-    length: usize,
-    chunked: bool,
-    /// Bytes that the client writes at once.
-    piece: usize,
-    /// Bytes that it writes in a second; as fast as they are taken if none.
-    sent_per_second: Option<usize>,
+    body: LargeBody,
     time: Duration,
     reading: Reading,
 }
 
-/// What the endpoint does with it.
-#[derive(Clone, Copy, Debug)]
-enum Reading {
-    /// Reads so many bytes, and then none.
-    Stops(usize),
-    /// Reads so many bytes a second, and answers after the last one.
-    Slow(usize),
-}
-
 /// What a client saw.
 #[derive(Debug)]
 struct Outcome {
@@ -76,11 +64,14 @@
             1..=4 => self.between(600_000, 1_800_000),
             _ => self.between(300_000, 600_000),
         };
-        Shape {
+        let body = LargeBody {
             length,
             chunked: self.between(0, 1) == 0,
             piece: [4_000, 16_000, 64_000, 300_000, 2_000_000][self.between(0, 4)],
             sent_per_second: None,
+        };
+        Shape {
+            body,
             time: Duration::from_millis([1200, 2000, 2500][self.between(0, 2)]),
             reading: Reading::Stops(self.between(8_000, 18_000)),
         }
@@ -88,79 +79,28 @@
 
     /// Sent for longer than its own time to an endpoint that reads it a little more slowly.
     fn sent_slowly(&mut self) -> Shape {
-        Shape {
+        let body = LargeBody {
             length: self.between(200_000, 400_000),
             chunked: self.between(0, 1) == 0,
             piece: [2_000, 8_000, 16_000][self.between(0, 2)],
             sent_per_second: Some(SLOW_CLIENT_RATE),
+        };
+        Shape {
+            body,
             time: Duration::from_millis(2500),
             reading: Reading::Slow(self.between(60_000, 100_000)),
         }
     }
 }
 
-/// Reads the rest of a request as its shape says.
-fn read_body(shape: &Shape, mut from: BufReader<TcpStream>) -> std::io::Result<()> {
-    let (began, mut read, mut tail) = (Instant::now(), 0, Vec::new());
-    loop {
-        let piece = from.fill_buf()?;
-        let count = piece.len().min(2_000);
-        if count == 0 {
-            return Ok(());
-        }
-        tail.extend_from_slice(&piece[..count]);
-        tail.drain(..tail.len().saturating_sub(5));
-        from.consume(count);
-        read += count;
-        match shape.reading {
-            Reading::Stops(at) if read >= at => {
-                thread::sleep(PATIENCE);
-                return Ok(());
-            }
-            Reading::Stops(_) => {}
-            Reading::Slow(rate) => {
-                let due = Duration::from_secs_f64(read as f64 / rate as f64);
-                thread::sleep(due.saturating_sub(began.elapsed()));
-            }
-        }
-        if if shape.chunked { tail == b"0\r\n\r\n" } else { read == shape.length } {
-            return from.into_inner().write_all(answer("200 OK", "", "read").as_bytes());
-        }
-    }
-}
-
-/// Writes the body; when its last byte was written.
-fn write_body(shape: &Shape, body: &[u8], mut to: TcpStream) -> std::io::Result<Instant> {
-    let (began, mut written) = (Instant::now(), 0);
-    for piece in body[..shape.length].chunks(shape.piece) {
-        if let Some(rate) = shape.sent_per_second {
-            let due = Duration::from_secs_f64(written as f64 / rate as f64);
-            thread::sleep(due.saturating_sub(began.elapsed()));
-        }
-        if shape.chunked {
-            to.write_all(format!("{:x}\r\n", piece.len()).as_bytes())?;
-        }
-        to.write_all(piece)?;
-        if shape.chunked {
-            to.write_all(b"\r\n")?;
-        }
-        written += piece.len();
-    }
-    if shape.chunked {
-        to.write_all(b"0\r\n\r\n")?;
-    }
-    Ok(Instant::now())
-}
-
 fn ask(shape: Shape, body: Arc<Vec<u8>>, sidecar: SocketAddr, number: usize) -> Outcome {
     let mut stream = TcpStream::connect(sidecar).unwrap();
-    let length = format!("Content-Length: {}", shape.length);
-    let framing = if shape.chunked { "Transfer-Encoding: chunked" } else { &length };
     let time = format!("{}m", shape.time.as_millis());
-    let head = request("book", &format!("e-{number}-"), &time).replace("Content-Length: 4", framing);
+    let head = request("book", &format!("e-{number}-"), &time);
+    let head = head.replace("Content-Length: 4", &shape.body.framing());
     stream.write_all(head.trim_end_matches("body").as_bytes()).unwrap();
     let to = stream.try_clone().unwrap();
-    let writing = thread::spawn(move || write_body(&shape, &body, to).ok());
+    let writing = thread::spawn(move || shape.body.write(&body, to).ok());
     stream.set_read_timeout(Some(PATIENCE)).unwrap();
     let answer = Message::read(&mut BufReader::new(&stream));
     let answered = Instant::now();
@@ -182,7 +122,9 @@
             endpoint(move |head, reader| {
                 let number = head.split("e-").nth(1).and_then(|id| id.split('-').next()?.parse().ok());
                 let number: usize = number.expect("the id of a request");
-                let _ = read_body(&shapes[number], reader); // fails where the sidecar gives up
+                let Shape { body, reading, .. } = shapes[number];
+                let read = answer("200 OK", "", "read");
+                let _ = body.read(reading, READ_AT_ONCE, reader, &read); // fails where the sidecar gives up
             })
         })
         .collect();
@@ -238,7 +180,7 @@
     // Each stopped one is out for up to its time: some ten of them at once leave connections for the others.
     let shapes = (0..80).map(|n| if n % 2 == 0 { draws.sent_slowly() } else { draws.stopped() });
     let (ends, log) = play(shapes.collect());
-    let slow = ends.iter().filter(|(shape, _)| shape.sent_per_second.is_some());
+    let slow = ends.iter().filter(|(shape, _)| shape.body.sent_per_second.is_some());
     let failed = slow.filter(|(_, outcome)| outcome.status != 200);
     assert_none("not served", ends.len(), &failed.collect::<Vec<_>>(), &log);
 }
@@ -246,14 +188,8 @@
 /// A body that was not read for lack of memory was read on only once its own endpoint took some of it.
 #[test]
 fn a_large_body_is_read_on_once_others_have_given_their_memory_back() {
-    let stopped = Shape {
-        length: 600_000,
-        chunked: false,
-        piece: 600_000,
-        sent_per_second: None,
-        time: Duration::from_millis(1200),
-        reading: Reading::Stops(8_000),
-    };
+    let body = LargeBody { length: 600_000, chunked: false, piece: 600_000, sent_per_second: None };
+    let stopped = Shape { body, time: Duration::from_millis(1200), reading: Reading::Stops(8_000) };
     let others = 12;
     let mut shapes = vec![stopped; others];
     shapes.push(Shape { time: Duration::from_millis(3600), ..stopped });
--- a/tests/large_bodies_in_time.rs
+++ b/tests/large_bodies_in_time.rs
@@ -10,11 +10,12 @@
 
 use serde_json::json;
 use socket2::SockRef;
-use std::io::{BufRead, BufReader, Read, Write};
+use std::io::{BufReader, Read, Write};
 use std::net::TcpStream;
 use std::thread;
 use std::time::{Duration, Instant};
 use support::*;
+use transfers::{LargeBody, Reading};
 
 /// Larger than what is held, and small enough to be written at once whoever reads.
 const LARGE: usize = 100_000;
@@ -84,15 +85,6 @@
     }
 }
 
-/// What an endpoint does with a body.
-#[derive(Clone, Copy, Debug)]
-enum Reading {
-    /// Reads so many bytes a second, and answers after the last one.
-    Slow(usize),
-    /// Reads so many bytes, and then none.
-    Stops(usize),
-}
-
 /// A request with a large body.
 #[derive(Clone, Copy, Debug)]
 struct Shape {
@@ -128,61 +120,16 @@
     answered_after: Duration,
 }
 
-fn serve_slowly(shape: Shape, mut from: BufReader<TcpStream>) -> std::io::Result<()> {
-    let (began, mut read) = (Instant::now(), 0);
-    let mut tail = Vec::new();
-    loop {
-        let piece = from.fill_buf()?;
-        let count = piece.len().min(4_000);
-        if count == 0 {
-            return Ok(());
-        }
-        tail.extend_from_slice(&piece[..count]);
-        tail.drain(..tail.len().saturating_sub(5));
-        from.consume(count);
-        read += count;
-        match shape.reading {
-            Reading::Stops(at) if read >= at => {
-                thread::sleep(PATIENCE);
-                return Ok(());
-            }
-            Reading::Stops(_) => {}
-            Reading::Slow(rate) => {
-                let due = Duration::from_secs_f64(read as f64 / rate as f64);
-                thread::sleep(due.saturating_sub(began.elapsed()));
-            }
-        }
-        if if shape.chunked { tail == b"0\r\n\r\n" } else { read == shape.length } {
-            return from.into_inner().write_all(answer("200 OK", "", "read").as_bytes());
-        }
-    }
-}
-
-/// Writes the body; when its last byte was written, if it was.
-fn write_body(shape: Shape, mut to: TcpStream) -> std::io::Result<Instant> {
-    let (body, began) = (transfers::large(shape.length), Instant::now());
-    for (index, piece) in body.chunks(8_000).enumerate() {
-        if let Some(rate) = shape.sent_per_second {
-            let due = Duration::from_secs_f64((index * 8_000) as f64 / rate as f64);
-            thread::sleep(due.saturating_sub(began.elapsed()));
-        }
-        if shape.chunked {
-            to.write_all(format!("{:x}\r\n", piece.len()).as_bytes())?;
-        }
-        to.write_all(piece)?;
-        if shape.chunked {
-            to.write_all(b"\r\n")?;
-        }
-    }
-    if shape.chunked {
-        to.write_all(b"0\r\n\r\n")?;
+impl Shape {
+    fn body(&self) -> LargeBody {
+        let Shape { length, chunked, sent_per_second, .. } = *self;
+        LargeBody { length, chunked, piece: 8_000, sent_per_second }
     }
-    Ok(Instant::now())
 }
 
 fn play(shape: Shape) -> Outcome {
     let at = transfers::endpoint_at(transfers::listener(Some(ENDPOINT_RECEIVE_BUFFER)), move |_, from| {
-        let _ = serve_slowly(shape, from); // fails where the sidecar gives up
+        let _ = shape.body().read(shape.reading, 4_000, from, &answer("200 OK", "", "read")); // fails where the sidecar gives up
     });
     let mut config = config_at(&[at]);
     config["limits"]["memory_mb"] = json!(48);
@@ -192,13 +139,11 @@
         SockRef::from(&stream).set_send_buffer_size(bytes).unwrap();
     }
     stream.set_read_timeout(Some(PATIENCE * 2)).unwrap();
-    let length = format!("Content-Length: {}", shape.length);
-    let framing = if shape.chunked { "Transfer-Encoding: chunked" } else { &length };
-    let head =
-        request("book", "r1", &format!("{}m", shape.timeout_ms)).replace("Content-Length: 4", framing);
+    let head = request("book", "r1", &format!("{}m", shape.timeout_ms))
+        .replace("Content-Length: 4", &shape.body().framing());
     stream.write_all(head.trim_end_matches("body").as_bytes()).unwrap();
     let to = stream.try_clone().unwrap();
-    let writing = thread::spawn(move || write_body(shape, to).ok());
+    let writing = thread::spawn(move || shape.body().write(&transfers::large(shape.length), to).ok());
     let answer = Message::read(&mut BufReader::new(&stream));
     let answered = Instant::now();
     let _ = stream.shutdown(std::net::Shutdown::Both); // ends a write that nobody takes
--- a/tests/support/transfers.rs
+++ b/tests/support/transfers.rs
@@ -2,10 +2,103 @@
 #![allow(dead_code)]
 
 use socket2::{Domain, Socket, Type};
-use std::io::{BufRead, BufReader};
+use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::thread;
+use std::time::{Duration, Instant};
+
+/// An endpoint that has stopped reading keeps its connection for so long.
+const STOPPED_FOR: Duration = Duration::from_secs(30);
+
+/// What an endpoint does with a body.
+#[derive(Clone, Copy, Debug)]
+pub enum Reading {
+    /// Reads so many bytes a second, and answers after the last one.
+    Slow(usize),
+    /// Reads so many bytes, and then none.
+    Stops(usize),
+}
+
+/// A large body, as its client sends it.
+#[derive(Clone, Copy, Debug)]
+pub struct LargeBody {
+    pub length: usize,
+    pub chunked: bool,
+    /// Bytes that the client writes at once.
+    pub piece: usize,
+    /// Bytes that it writes in a second; as fast as they are taken if none.
+    pub sent_per_second: Option<usize>,
+}
+
+impl LargeBody {
+    /// The header that tells its end.
+    pub fn framing(&self) -> String {
+        match self.chunked {
+            true => "Transfer-Encoding: chunked".to_owned(),
+            false => format!("Content-Length: {}", self.length),
+        }
+    }
+
+    /// Writes it, as the first part of these bytes; when its last byte was written.
+    pub fn write(&self, bytes: &[u8], mut to: TcpStream) -> std::io::Result<Instant> {
+        let (began, mut written) = (Instant::now(), 0);
+        for piece in bytes[..self.length].chunks(self.piece) {
+            if let Some(rate) = self.sent_per_second {
+                let due = Duration::from_secs_f64(written as f64 / rate as f64);
+                thread::sleep(due.saturating_sub(began.elapsed()));
+            }
+            if self.chunked {
+                to.write_all(format!("{:x}\r\n", piece.len()).as_bytes())?;
+            }
+            to.write_all(piece)?;
+            if self.chunked {
+                to.write_all(b"\r\n")?;
+            }
+            written += piece.len();
+        }
+        if self.chunked {
+            to.write_all(b"0\r\n\r\n")?;
+        }
+        Ok(Instant::now())
+    }
+
+    /// Reads it as an endpoint, at most so many bytes at once, and then gives this answer.
+    pub fn read(
+        &self,
+        reading: Reading,
+        at_once: usize,
+        mut from: BufReader<TcpStream>,
+        answer: &str,
+    ) -> std::io::Result<()> {
+        let (began, mut read, mut tail) = (Instant::now(), 0, Vec::new());
+        loop {
+            let piece = from.fill_buf()?;
+            let count = piece.len().min(at_once);
+            if count == 0 {
+                return Ok(());
+            }
+            tail.extend_from_slice(&piece[..count]);
+            tail.drain(..tail.len().saturating_sub(5));
+            from.consume(count);
+            read += count;
+            match reading {
+                Reading::Stops(at) if read >= at => {
+                    thread::sleep(STOPPED_FOR);
+                    return Ok(());
+                }
+                Reading::Stops(_) => {}
+                Reading::Slow(rate) => {
+                    let due = Duration::from_secs_f64(read as f64 / rate as f64);
+                    thread::sleep(due.saturating_sub(began.elapsed()));
+                }
+            }
+            if if self.chunked { tail == b"0\r\n\r\n" } else { read == self.length } {
+                return from.into_inner().write_all(answer.as_bytes());
+            }
+        }
+    }
+}
 
 /// Bytes that tell where they belong.
 pub fn large(length: usize) -> Vec<u8> {
