Say what each process held where an upgrade serves too little

The three known reds of memory_of_upgrades could not be traced, as a play that served too little said only its two rates.

--- a/tests/memory_of_upgrades.rs
+++ b/tests/memory_of_upgrades.rs
@@ -135,7 +135,13 @@
         let new = sidecar.start();
         old.signal("-TERM");
         let during = sidecar.watch(KILL_AFTER, &[&old, &new]);
-        assert!(during >= before * LEAST_RATE, "{load:?}: {before} a second before, {during} during");
+        assert!(
+            during >= before * LEAST_RATE,
+            "{load:?}: {before} a second before, {during} during, {:#?}\nold:\n{}\nnew:\n{}",
+            sidecar.seen,
+            old.log(),
+            new.log()
+        );
         old = new; // the older process is killed
         sidecar.watch(ALONE_AFTER, &[&old]);
     }
