Answer a request whose head has begun though its process ends or needs its slot

Cause: such a connection counted as idle, and the library's orderly shutdown ends an idle connection with what it has read.

--- a/src/net/connection_state.rs
+++ b/src/net/connection_state.rs
@@ -83,6 +83,11 @@
         self.accepted_at + FIRST_HEAD_TIMEOUT
     }
 
+    /// Whether a request is being answered, or has begun to arrive.
+    pub fn has_request(&self) -> bool {
+        self.answering.get() || self.read_progress.message_has_begun()
+    }
+
     /// Whether no request has arrived yet.
     pub fn awaits_first_request(&self) -> bool {
         !self.answering.get() && self.last_answer_at.get().is_none()
--- a/src/net/inbound/connection.rs
+++ b/src/net/inbound/connection.rs
@@ -111,7 +111,8 @@
                         client_stalled.set(state.write_progress.stalled(UNLIMITED_READ_TIMEOUT));
                     }
                     match state.idle_time() {
-                        _ if state.answering.get() => state.close_after_answer.set(true),
+                        // A request whose head has begun is read and answered; its head has a time of its own.
+                        _ if state.has_request() => state.close_after_answer.set(true),
                         // On a new connection the first request is probably already on its way: closing
                         // now would lose what the client is just sending.
                         None if self.phase.get().is_ending() => {
@@ -135,7 +136,7 @@
                 }
                 // The previous answer did not announce that it was the last one.
                 () = state.streaming_changed.notified() => {
-                    if state.close_after_answer.get() && !state.answering.get() {
+                    if state.close_after_answer.get() && !state.has_request() {
                         connection.as_mut().graceful_shutdown();
                     }
                 }
@@ -146,7 +147,7 @@
                 () = head_stalled.as_mut() => return CloseMode::Graceful,
                 () = sleep_until_some(new_connection_until) => {
                     new_connection_until = None;
-                    if !state.answering.get() {
+                    if !state.has_request() {
                         connection.as_mut().graceful_shutdown();
                     }
                 }
--- a/src/net/read_progress.rs
+++ b/src/net/read_progress.rs
@@ -51,6 +51,11 @@
         self.last_input_at.get()
     }
 
+    /// Whether anything has been read since the last answer.
+    pub fn message_has_begun(&self) -> bool {
+        self.message_began_at.get().is_some()
+    }
+
     /// An answer has been given: what is read from now on is another message.
     pub fn message_answered(&self) {
         self.message_began_at.set(None);
--- a/tests/endings.rs
+++ b/tests/endings.rs
@@ -512,3 +512,40 @@
     assert_eq!(lost.count(), 0, "{answers:?}");
     assert!(answers[..2].iter().all(|(status, _)| *status == 200), "{answers:?}");
 }
+
+/// A request of whose head a part had been read was cut off without an answer as its process ended, or as slots were scarce.
+#[test]
+fn a_request_whose_head_has_begun_is_answered_though_its_process_ends_or_needs_its_slot() {
+    const CROWD: usize = 300;
+    for is_drain in [true, false] {
+        let peer = Peer::serving("ok");
+        let mut config = config(&[&peer]);
+        config["limits"]["sockets"] = json!(if is_drain { 1024 } else { 256 });
+        let sidecar = Sidecar::start(&config);
+        let mut clients: Vec<_> = (0..8).map(|_| sidecar.client()).collect();
+        for (number, client) in clients.iter_mut().enumerate().skip(4) {
+            assert_eq!(client.ask("quote", &format!("first-{number}")).status(), 200);
+        }
+        std::thread::sleep(Duration::from_millis(1100)); // so long at rest they may be closed for their slots
+        let late = |number: usize| request("quote", &format!("late-{number}"), "3000m");
+        // Of the new connections and of the used ones.
+        for (number, client) in clients.iter_mut().enumerate() {
+            client.send(&late(number)[..60]);
+        }
+        std::thread::sleep(Duration::from_millis(200));
+        let mut crowd = Vec::new();
+        if is_drain {
+            sidecar.signal("-TERM");
+        } else {
+            crowd.extend((0..CROWD).map(|_| sidecar.client()));
+        }
+        std::thread::sleep(Duration::from_millis(900));
+        for (number, client) in clients.iter_mut().enumerate() {
+            client.send(&late(number)[60..]);
+        }
+        let statuses: Vec<_> =
+            clients.iter_mut().map(|client| client.receive().map_or(0, |answer| answer.status())).collect();
+        assert_eq!(statuses, [200; 8], "drain: {is_drain}");
+        drop(crowd);
+    }
+}
