End an idle connection after 30 s only where no request has begun

What callers saw: a request whose head began as its connection's 30 s of rest ended was cut off without an answer. Cause: the HTTP library's limit on a head runs from the last answer and does not tell an idle connection from one amid a head. Change: the process has its own timer for idle connections, which asks whether a request has begun; the library's limit lies beyond both (40 s).

--- a/src/net/connection_state.rs
+++ b/src/net/connection_state.rs
@@ -5,10 +5,13 @@
 use super::read_progress::ReadProgress;
 use super::streaming_clients::Registration;
 use std::cell::Cell;
+use std::future::poll_fn;
+use std::pin::pin;
 use std::rc::Rc;
+use std::task::Poll;
 use std::time::Duration;
 use tokio::sync::Notify;
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep};
 
 /// Time from accept within which the head of a connection's first request must arrive: a client may take 2
 /// s for it, and a peer that sends none must get an error or a close within 3 s.
@@ -121,6 +124,21 @@
         self.last_answer_at.set(Some(Instant::now()));
     }
 
+    /// Waits until it has been idle between requests for this long. Must be polled after the connection, in the same task.
+    pub async fn idle_for(&self, timeout: Duration) {
+        let mut timer = pin!(sleep(timeout));
+        poll_fn(|context| {
+            let Some(idle_since) = self.last_answer_at.get().filter(|_| !self.has_request()) else {
+                return Poll::Pending;
+            };
+            if timer.deadline() != idle_since + timeout {
+                timer.as_mut().reset(idle_since + timeout);
+            }
+            timer.as_mut().poll(context)
+        })
+        .await;
+    }
+
     /// How long it has been idle between requests; none before the first one.
     pub fn idle_time(&self) -> Option<Duration> {
         self.last_answer_at.get().map(|at| at.elapsed())
--- a/src/net/inbound/connection.rs
+++ b/src/net/inbound/connection.rs
@@ -21,10 +21,12 @@
 const SHED_HEAD_TIMEOUT: Duration = Duration::from_millis(500);
 /// The head of a later request must begin within this of the previous answer, so that a silent client does
 /// not hold its socket forever.
-const HEAD_TIMEOUT: Duration = Duration::from_secs(30);
+const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 /// A later head that has begun must be complete within this: a client may take 2 s for it, and one that stops is owed a
 /// close within 3 s.
 const LATER_HEAD_TIMEOUT: Duration = Duration::from_millis(2500);
+/// The HTTP library's own limit, which does not tell an idle connection from one amid a head: beyond both of them.
+const LIBRARY_HEAD_TIMEOUT: Duration = Duration::from_secs(40);
 /// When slots are needed, only connections that have been idle between requests for this long are closed.
 const MIN_IDLE_TIME: Duration = Duration::from_secs(1);
 /// While draining, a connection on which nothing has arrived yet is closed after this.
@@ -80,7 +82,7 @@
         let service = service_fn(|request| self.handle_request(request, shed, state));
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
-            .header_read_timeout(HEAD_TIMEOUT)
+            .header_read_timeout(LIBRARY_HEAD_TIMEOUT)
             .keep_alive(!shed)
             .max_buf_size(MAX_CONNECTION_BUFFER)
             .serve_connection(TokioIo::new(stream.connection().clone()), service);
@@ -90,7 +92,8 @@
             !state.answering.get() && state.last_answer_at.get().is_some()
         });
         let client_stalled = state.write_progress.stalled(CLIENT_READ_TIMEOUT);
-        tokio::pin!(connection, client_left, client_stalled, head_stalled);
+        let idle_too_long = state.idle_for(IDLE_TIMEOUT);
+        tokio::pin!(connection, client_left, client_stalled, head_stalled, idle_too_long);
         // Over the limit there are few slots even for refusals: silent connections must not take them.
         let first_head_deadline =
             if shed { state.accepted_at + SHED_HEAD_TIMEOUT } else { state.first_head_deadline() };
@@ -145,6 +148,7 @@
                     return CloseMode::Immediate;
                 }
                 () = head_stalled.as_mut() => return CloseMode::Graceful,
+                () = idle_too_long.as_mut() => return CloseMode::Graceful,
                 () = sleep_until_some(new_connection_until) => {
                     new_connection_until = None;
                     if !state.has_request() {
--- a/tests/endings.rs
+++ b/tests/endings.rs
@@ -549,3 +549,20 @@
         drop(crowd);
     }
 }
+
+/// A request that began as the 30 s of an idle connection ended was cut off amid its head.
+#[test]
+fn a_request_whose_head_begins_as_its_connection_has_rested_for_long_is_answered() {
+    let peer = Peer::serving("ok");
+    let sidecar = Sidecar::start(&config(&[&peer]));
+    let (mut client, mut resting) = (sidecar.client(), sidecar.client());
+    assert_eq!(client.ask("quote", "r1").status(), 200);
+    assert_eq!(resting.ask("quote", "r2").status(), 200);
+    let text = request("quote", "r3", "3000m");
+    std::thread::sleep(Duration::from_millis(29_200));
+    client.send(&text[..60]);
+    std::thread::sleep(Duration::from_millis(1400));
+    client.send(&text[60..]);
+    assert_eq!(client.receive().map(|answer| answer.status()), Some(200));
+    assert!(resting.receive().is_none(), "an idle connection is closed");
+}
