--- a/tests/slow_answers.rs
+++ b/tests/slow_answers.rs
@@ -41,6 +41,8 @@
     first_piece: usize,
     piece: usize,
     pause_ms: usize,
+    /// Seeds pieces of up to twice that size and pauses of a quarter to seven quarters; all are alike if none.
+    irregular: Option<u64>,
     bytes: usize,
     /// It ends then; otherwise nothing more comes, and no end.
     ends: bool,
@@ -71,11 +73,20 @@
             first_piece: self.one_of(&[1, piece]),
             piece,
             pause_ms,
+            irregular: None,
             bytes: self.between(100_000..=200_000),
             ends: true,
         }
     }
 
+    /// The same in pieces that differ, and so do the pauses.
+    fn irregular(&mut self, rate: RangeInclusive<usize>, begins_before: RangeInclusive<usize>) -> Answer {
+        let drawn = self.sound(rate, begins_before);
+        let pause_ms = (drawn.pause_ms * 4 / 7).max(30);
+        let piece = drawn.piece * pause_ms / drawn.pause_ms;
+        Answer { pause_ms, piece, irregular: Some(self.0.next_u64()), ..drawn }
+    }
+
     fn endless(&mut self) -> Answer {
         let drawn = self.sound(20..=40, 300..=1100);
         let (pause_ms, single) =
@@ -106,6 +117,7 @@
     let framing = if drawn.chunked { "Transfer-Encoding: chunked" } else { "Connection: close" };
     write!(to, "HTTP/1.1 200 OK\r\n{framing}\r\n\r\n")?;
     let (body, mut written, mut next) = (large(drawn.bytes), 0, drawn.first_piece);
+    let mut draws = drawn.irregular.map(|seed| Draws(Pcg32::seed_from_u64(seed)));
     loop {
         let piece = &body[written..(written + next).min(body.len())];
         if drawn.chunked && !piece.is_empty() {
@@ -117,8 +129,13 @@
         if written == body.len() {
             break;
         }
-        thread::sleep(Duration::from_millis(drawn.pause_ms as u64));
-        next = drawn.piece;
+        let (mut pause_ms, mut piece) = (drawn.pause_ms, drawn.piece);
+        if let Some(draws) = &mut draws {
+            pause_ms = draws.between(pause_ms / 4..=pause_ms * 7 / 4);
+            piece = draws.between(1..=piece * 2);
+        }
+        thread::sleep(Duration::from_millis(pause_ms as u64));
+        next = piece;
     }
     if !drawn.ends {
         let _ = to.read(&mut [0]); // until the sidecar ends the connection
@@ -208,6 +225,19 @@
     long_answers(2, 16..=40);
 }
 
+/// What had come in a steady pace only went on: a small piece or two after a long pause counted as the end.
+#[test]
+fn a_long_answer_that_is_written_in_uneven_pieces_comes_whole_beside_such_that_never_end() {
+    for seed in [6, 7] {
+        let mut draws = Draws(Pcg32::seed_from_u64(seed));
+        let answers = (0..40).map(|number| match number % 5 {
+            0 | 1 => draws.endless(),
+            _ => draws.irregular(20..=40, 260..=1100),
+        });
+        play(answers.collect());
+    }
+}
+
 /// Until a quarter of a second after its beginning an answer was held back, and with its client's time it was dropped.
 #[test]
 fn a_long_answer_that_begins_shortly_before_its_time_comes_whole() {
