--- a/tests/large_bodies_at_once.rs
+++ b/tests/large_bodies_at_once.rs
@@ -29,6 +29,8 @@
 const MAX_BODY_BYTES: usize = 32 << 20;
 /// Bytes that an endpoint reads at once.
 const READ_AT_ONCE: usize = 2_000;
+/// Of a body as large as this a client has written the last byte before much of it is read.
+const MAX_TAKEN_AT_ONCE: usize = 1_800_000;
 /// The slowest client.
 const SLOW_CLIENT_RATE: usize = 64_000;
 
@@ -77,6 +79,14 @@
         }
     }
 
+    /// Sent at once to an endpoint that reads it slowly, mostly for longer than its client waits. The client's system takes
+    /// all of it.
+    fn read_slowly(&mut self) -> Shape {
+        let drawn = self.stopped();
+        let body = LargeBody { length: drawn.body.length.min(MAX_TAKEN_AT_ONCE), ..drawn.body };
+        Shape { body, reading: Reading::Slow(self.between(30_000, 600_000)), ..drawn }
+    }
+
     /// Sent for longer than its own time to an endpoint that reads it a little more slowly.
     fn sent_slowly(&mut self) -> Shape {
         let body = LargeBody {
@@ -154,15 +164,26 @@
     assert!(report.is_empty(), "{what}: {} of {of}\n{}", report.len(), report.join("\n"));
 }
 
-fn stopped_endpoints(seed: u64) {
-    let mut draws = Draws(Pcg32::seed_from_u64(seed));
-    let (ends, log) = play((0..120).map(|_| draws.stopped()).collect());
+fn none_late(shapes: Vec<Shape>) {
+    let (ends, log) = play(shapes);
     let is_late = |(shape, outcome): &&(Shape, Outcome)| {
         outcome.status == 0 || outcome.answered_after > shape.time + LOST_AFTER
     };
     assert_none("late", ends.len(), &ends.iter().filter(is_late).collect::<Vec<_>>(), &log);
 }
 
+fn stopped_endpoints(seed: u64) {
+    let mut draws = Draws(Pcg32::seed_from_u64(seed));
+    none_late((0..120).map(|_| draws.stopped()).collect());
+}
+
+/// The same while endpoints go on reading a little, so that reading ahead pauses and goes on again and again.
+#[test]
+fn no_answer_to_many_large_bodies_whose_endpoints_read_slowly_comes_late() {
+    let mut draws = Draws(Pcg32::seed_from_u64(4));
+    none_late((0..120).map(|n| if n % 4 == 0 { draws.stopped() } else { draws.read_slowly() }).collect());
+}
+
 #[test]
 fn no_answer_to_many_large_bodies_whose_endpoints_stop_reading_comes_late_seed_1() {
     stopped_endpoints(1);
