--- a/tests/large_bodies_at_once.rs
+++ b/tests/large_bodies_at_once.rs
@@ -18,7 +18,9 @@
 use std::thread;
 use std::time::{Duration, Instant};
 use support::*;
-use transfers::{LargeBody, Reading, endpoint, large};
+use transfers::{
+    LargeBody, Reading, ask_one_after_another, endpoint, endpoints_by_number, large, numbered_id,
+};
 
 /// Up to half a second after its time an answer only earns nothing; later it is lost.
 const LOST_AFTER: Duration = Duration::from_millis(500);
@@ -106,7 +108,7 @@
 fn ask(shape: Shape, body: Arc<Vec<u8>>, sidecar: SocketAddr, number: usize) -> Outcome {
     let mut stream = TcpStream::connect(sidecar).unwrap();
     let time = format!("{}m", shape.time.as_millis());
-    let head = request("book", &format!("e-{number}-"), &time);
+    let head = request("book", &numbered_id(number, 0), &time);
     let head = head.replace("Content-Length: 4", &shape.body.framing());
     stream.write_all(head.trim_end_matches("body").as_bytes()).unwrap();
     let to = stream.try_clone().unwrap();
@@ -125,38 +127,29 @@
 
 /// Plays these one after another; what became of each, and what the log says of them.
 fn play(shapes: Vec<Shape>) -> (Vec<(Shape, Outcome)>, String) {
-    let (shapes, body) = (Arc::new(shapes), Arc::new(large(MAX_BODY_BYTES)));
-    let endpoints: Vec<_> = (0..ENDPOINTS)
-        .map(|_| {
-            let shapes = shapes.clone();
-            endpoint(move |head, reader| {
-                let number = head.split("e-").nth(1).and_then(|id| id.split('-').next()?.parse().ok());
-                let number: usize = number.expect("the id of a request");
-                let Shape { body, reading, .. } = shapes[number];
-                let read = answer("200 OK", "", "read");
-                let _ = body.read(reading, READ_AT_ONCE, reader, &read); // fails where the sidecar gives up
-            })
-        })
-        .collect();
+    let (shapes, body) = (Arc::new(shapes), large(MAX_BODY_BYTES));
+    let read = shapes.clone();
+    let endpoints = endpoints_by_number(ENDPOINTS, move |number, reader| {
+        let Shape { body, reading, .. } = read[number];
+        let text = answer("200 OK", "", "read");
+        let _ = body.read(reading, READ_AT_ONCE, reader, &text); // fails where the sidecar gives up
+    });
     let mut config = config_at(&endpoints);
     config["limits"]["memory_mb"] = json!(MEMORY_MB);
     let sidecar = Sidecar::start(&config);
     let address = sidecar.address;
-    let asking: Vec<_> = (shapes.iter().copied().enumerate())
-        .map(|(number, shape)| {
-            thread::sleep(START_INTERVAL);
-            let body = body.clone();
-            (shape, thread::spawn(move || ask(shape, body, address, number)))
-        })
-        .collect();
-    let ends = asking.into_iter().map(|(shape, thread)| (shape, thread.join().unwrap())).collect();
+    let (count, asked, body) = (shapes.len(), shapes.clone(), Arc::new(body));
+    let outcomes = ask_one_after_another(count, START_INTERVAL, move |number| {
+        ask(asked[number], body.clone(), address, number)
+    });
+    let ends = shapes.iter().copied().zip(outcomes).collect();
     (ends, sidecar.log())
 }
 
 /// Fails if there are such outcomes, with the lines of the log about them.
 fn assert_none(what: &str, of: usize, outcomes: &[&(Shape, Outcome)], log: &str) {
     let report = outcomes.iter().map(|(shape, outcome)| {
-        let id = format!("\"e-{}-\"", outcome.number);
+        let id = format!("\"{}\"", numbered_id(outcome.number, 0));
         let lines = log.lines().filter(|line| line.contains(&id));
         format!("{shape:?}: {outcome:?}\n{}", lines.collect::<Vec<_>>().join("\n"))
     });
@@ -215,7 +208,7 @@
     let mut shapes = vec![stopped; others];
     shapes.push(Shape { time: Duration::from_millis(3600), ..stopped });
     let (ends, log) = play(shapes);
-    let last = format!("\"e-{others}-\"");
+    let last = format!("\"{}\"", numbered_id(others, 0));
     let line = log.lines().find(|line| line.contains(&last)).expect("the end of the attempt");
     assert!(line.contains("received=true"), "{line}\n{:?}", ends[others]);
 }
--- a/tests/slow_answers.rs
+++ b/tests/slow_answers.rs
@@ -21,7 +21,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 use support::*;
-use transfers::{endpoint, is_whole, large};
+use transfers::{ask_one_after_another, endpoint, endpoints_by_number, is_whole, large, numbered_id};
 
 /// Up to half a second after its time an answer only earns nothing; later it is lost.
 const LOST_AFTER: Duration = Duration::from_millis(500);
@@ -201,7 +201,7 @@
 /// What is wrong with what came of an answer. A request that is refused is sent again.
 fn problem(drawn: &Answer, number: usize, sidecar: SocketAddr) -> Option<String> {
     for tried in 0..5 {
-        let (raw, took) = ask(drawn, &format!("e-{number}-{tried}"), sidecar);
+        let (raw, took) = ask(drawn, &numbered_id(number, tried), sidecar);
         // Of either version.
         let status = raw.get(8..12).unwrap_or_default();
         if drawn.ends && status == b" 503" {
@@ -221,26 +221,15 @@
 
 fn play(answers: Vec<Answer>) {
     let (answers, of) = (Arc::new(answers.clone()), answers.len());
-    let endpoints: Vec<_> = (0..ENDPOINTS)
-        .map(|_| {
-            let answers = answers.clone();
-            endpoint(move |head, reader| {
-                let number = head.split("e-").nth(1).and_then(|id| id.split('-').next()?.parse().ok());
-                let number: usize = number.expect("the id of a request");
-                let _ = write_answer(&answers[number], reader.into_inner()); // fails where it was cut off
-            })
-        })
-        .collect();
+    let written = answers.clone();
+    let endpoints = endpoints_by_number(ENDPOINTS, move |number, reader| {
+        let _ = write_answer(&written[number], reader.into_inner()); // fails where it was cut off
+    });
     let sidecar = Sidecar::start(&config_at(&endpoints));
     let address = sidecar.address;
-    let asking: Vec<_> = (0..of)
-        .map(|number| {
-            thread::sleep(START_INTERVAL);
-            let answers = answers.clone();
-            thread::spawn(move || problem(&answers[number], number, address))
-        })
-        .collect();
-    let problems: Vec<_> = asking.into_iter().filter_map(|thread| thread.join().unwrap()).collect();
+    let ends =
+        ask_one_after_another(of, START_INTERVAL, move |number| problem(&answers[number], number, address));
+    let problems: Vec<_> = ends.into_iter().flatten().collect();
     assert!(problems.is_empty(), "{} of {of}:\n{}", problems.len(), problems.join("\n"));
 }
 
--- a/tests/support/transfers.rs
+++ b/tests/support/transfers.rs
@@ -110,6 +110,43 @@
     endpoint_at(TcpListener::bind("127.0.0.1:0").unwrap(), serve)
 }
 
+/// So many endpoints that do this with each connection, given the number that `numbered_id` put into its request's id.
+pub fn endpoints_by_number(
+    count: usize,
+    serve: impl Fn(usize, BufReader<TcpStream>) + Send + Sync + 'static,
+) -> Vec<SocketAddr> {
+    let serve = Arc::new(serve);
+    let one = |_| {
+        let serve = serve.clone();
+        endpoint(move |head, reader| {
+            let number = head.split("e-").nth(1).and_then(|id| id.split('-').next()?.parse().ok());
+            serve(number.expect("the id of a request"), reader);
+        })
+    };
+    (0..count).map(one).collect()
+}
+
+/// An id with a number, the same for each try.
+pub fn numbered_id(number: usize, tried: usize) -> String {
+    format!("e-{number}-{tried}")
+}
+
+/// Asks so many times, each in a thread of its own that starts this long after the one before; what came of each.
+pub fn ask_one_after_another<T: Send + 'static>(
+    count: usize,
+    interval: Duration,
+    ask: impl Fn(usize) -> T + Send + Sync + 'static,
+) -> Vec<T> {
+    let ask = Arc::new(ask);
+    let start = |number| {
+        thread::sleep(interval);
+        let ask = ask.clone();
+        thread::spawn(move || ask(number))
+    };
+    let asking: Vec<_> = (0..count).map(start).collect();
+    asking.into_iter().map(|thread| thread.join().unwrap()).collect()
+}
+
 /// The same with a listener that has its options already.
 pub fn endpoint_at(
     listener: TcpListener,
