--- a/src/net/control.rs
+++ b/src/net/control.rs
@@ -4,8 +4,9 @@
 use super::abort_on_drop::AbortOnDrop;
 use super::counters::Counters;
 use super::inbound::Inbound;
-use super::manual_ejections::{ManualEjectionError, ManualEjectionStore, ManualEjections, Order, Version};
+use super::manual_ejections::Order;
 use super::message::{Inbox, Input};
+use super::orders::{OrderOutcome, Orders};
 use gullpulley::config::ADMIN_MAX_CONNECTIONS;
 use gullpulley::{BalancerStats, TcpConnection};
 use http_body_util::{BodyExt, Full, Limited};
@@ -21,10 +22,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Mutex, oneshot};
-use tokio::task::{spawn_blocking, spawn_local};
+use tokio::sync::oneshot;
+use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
-use tracing::{error, info};
+use tracing::info;
 
 /// Time-out for receiving a call, from when its connection is accepted.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
@@ -34,8 +35,6 @@
 const MAX_BODY: usize = 16 * 1024;
 /// Buffer size in bytes of a connection; also limits a call's head.
 const BUFFER_SIZE: usize = 16 * 1024;
-/// Interval between checks for orders given to other processes of this sidecar.
-const ORDER_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// Delay after a failed accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
@@ -44,26 +43,13 @@
 
 /// The admin API of one process.
 pub struct AdminApi {
-    ejections: ManualEjectionStore,
+    orders: Rc<Orders>,
     counters: Rc<Counters>,
     inbound: Rc<Inbound>,
     inbox: Inbox,
-    /// Serializes orders.
-    order_lock: Mutex<()>,
     connections: RefCell<VecDeque<Connection>>,
 }
 
-/// Which version of the file of manual ejections a process has handled; the version is none while there is
-/// no file.
-#[derive(Clone, Copy, PartialEq)]
-pub enum HandledVersion {
-    /// This version is in force.
-    InForce(Option<Version>),
-    /// This version could not be read at the last check, which is logged once; reading is retried until it
-    /// succeeds.
-    Unread(Option<Version>),
-}
-
 struct Connection {
     /// Its call has been received completely.
     received: Rc<Cell<bool>>,
@@ -108,14 +94,8 @@
 
 impl AdminApi {
     /// Creates the admin API on these parts of the sidecar.
-    pub fn new(
-        ejections: ManualEjectionStore,
-        counters: Rc<Counters>,
-        inbound: Rc<Inbound>,
-        inbox: Inbox,
-    ) -> Rc<Self> {
-        let (order_lock, connections) = Default::default();
-        Rc::new(AdminApi { ejections, counters, inbound, inbox, order_lock, connections })
+    pub fn new(orders: Rc<Orders>, counters: Rc<Counters>, inbound: Rc<Inbound>, inbox: Inbox) -> Rc<Self> {
+        Rc::new(AdminApi { orders, counters, inbound, inbox, connections: RefCell::default() })
     }
 
     /// Accepts calls for as long as the process lives.
@@ -128,37 +108,6 @@
         }
     }
 
-    /// Applies orders given to other processes of this sidecar, starting after the version handled.
-    pub async fn follow_orders(self: Rc<Self>, mut handled: HandledVersion) {
-        loop {
-            sleep(ORDER_CHECK_INTERVAL).await;
-            handled = self.apply_new_orders(handled).await;
-        }
-    }
-
-    /// Puts the orders in the file in force if its version is not in force yet; returns the version
-    /// handled.
-    pub async fn apply_new_orders(&self, handled: HandledVersion) -> HandledVersion {
-        let version = self.ejections.version();
-        if handled == HandledVersion::InForce(version) {
-            return handled;
-        }
-        let _lock = self.order_lock.lock().await;
-        match self.ejections.read() {
-            Ok(updated) => {
-                self.apply(updated).await;
-                HandledVersion::InForce(version)
-            }
-            Err(problem) => {
-                let unread = HandledVersion::Unread(version);
-                if handled != unread {
-                    error!("suspended endpoints: {problem}; what is in force stays");
-                }
-                unread
-            }
-        }
-    }
-
     /// Accepts a connection; at the limit it closes the oldest one whose call has not been received yet.
     fn admit(self: &Rc<Self>, stream: TcpStream) {
         let mut connections = self.connections.borrow_mut();
@@ -220,7 +169,7 @@
         match resource {
             Resource::Ready if self.inbound.is_serving() => text(StatusCode::OK, "ready\n"),
             Resource::Ready => text(StatusCode::SERVICE_UNAVAILABLE, "takes no clients\n"),
-            Resource::Metrics => match self.ask(Input::Stats).await {
+            Resource::Metrics => match self.stats().await {
                 Some(stats) => self.metrics(stats, uri.query()),
                 None => text(StatusCode::SERVICE_UNAVAILABLE, "ending\n"),
             },
@@ -251,40 +200,31 @@
     }
 
     async fn handle_order(&self, uid: &str, order: Order) -> Reply {
-        let _lock = self.order_lock.lock().await;
-        if self.ask(|to| Input::IsKnown(uid.to_owned(), to)).await != Some(true) {
-            return text(StatusCode::NOT_FOUND, "no endpoint has this id\n");
-        }
-        let (ejections, order_uid) = (self.ejections.clone(), uid.to_owned());
-        // A slow disk must not delay requests.
-        match spawn_blocking(move || ejections.persist(&order_uid, order)).await {
-            Ok(Ok(updated)) => {
-                self.apply(updated).await;
-                text(StatusCode::OK, if order == Order::Suspend { "suspended\n" } else { "in use\n" })
+        match self.orders.carry_out(uid, order).await {
+            OrderOutcome::Recorded if order == Order::Suspend => text(StatusCode::OK, "suspended\n"),
+            OrderOutcome::Recorded => text(StatusCode::OK, "in use\n"),
+            OrderOutcome::NotRecordedYet => {
+                text(StatusCode::ACCEPTED, "this is in force, and still to be recorded\n")
             }
-            Ok(Err(ManualEjectionError::NotDurable(updated, problem))) => {
-                error!(endpoint = uid, "operators: {uid}: in force, but not durable: {problem}");
-                self.apply(updated).await;
+            OrderOutcome::NotDurable => {
                 text(StatusCode::INTERNAL_SERVER_ERROR, "this is in force, and a power cut may lose it\n")
             }
-            Ok(Err(problem)) => {
-                error!(endpoint = uid, "operators: {uid}: {problem}");
+            OrderOutcome::NotRecorded => {
                 text(StatusCode::INTERNAL_SERVER_ERROR, "this could not be recorded, and is not in force\n")
             }
-            Err(_) => text(StatusCode::INTERNAL_SERVER_ERROR, "this was not carried out\n"),
+            OrderOutcome::TooMany => {
+                text(StatusCode::SERVICE_UNAVAILABLE, "too many orders wait; this is not in force\n")
+            }
+            OrderOutcome::UnknownEndpoint => text(StatusCode::NOT_FOUND, "no endpoint has this id\n"),
+            OrderOutcome::Ending => text(StatusCode::SERVICE_UNAVAILABLE, "ending\n"),
         }
     }
 
-    /// Puts manual ejections in force.
-    async fn apply(&self, updated: ManualEjections) {
-        let _ = self.ask(|done| Input::ManualEjections(updated, done)).await; // fails only while the process ends
-    }
-
-    /// Sends an input to the driver and waits for its answer; none while the process ends.
-    async fn ask<T>(&self, input: impl FnOnce(oneshot::Sender<T>) -> Input) -> Option<T> {
-        let (to, answer) = oneshot::channel();
-        self.inbox.send(input(to)).ok()?;
-        answer.await.ok()
+    /// The figures of the policy; none while the process ends.
+    async fn stats(&self) -> Option<BalancerStats> {
+        let (to, stats) = oneshot::channel();
+        self.inbox.send(Input::Stats(to)).ok()?;
+        stats.await.ok()
     }
 }
 
--- a/src/net/manual_ejections.rs
+++ b/src/net/manual_ejections.rs
@@ -31,24 +31,26 @@
 
 impl ManualEjections {
     /// Applies an order.
-    fn apply(&mut self, uid: &str, order: Order) {
+    pub fn apply(&mut self, uid: &str, order: Order) {
         match order {
             Order::Suspend => {
                 self.suspended.insert(uid.to_owned());
                 self.resumed.remove(uid);
             }
-            Order::Resume => {
-                if self.suspended.remove(uid) {
-                    let number = self.next_number();
-                    self.resumed.insert(uid.to_owned(), number);
-                    self.drop_oldest_resumed();
-                }
-            }
+            Order::Resume => self.resume(uid, self.next_number()),
+        }
+    }
+
+    /// Resumes an endpoint, if it is suspended, with this number.
+    pub fn resume(&mut self, uid: &str, number: u64) {
+        if self.suspended.remove(uid) {
+            self.resumed.insert(uid.to_owned(), number);
+            self.drop_oldest_resumed();
         }
     }
 
     /// The number for the next resumed endpoint.
-    fn next_number(&self) -> u64 {
+    pub fn next_number(&self) -> u64 {
         let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64;
         let last = self.resumed.values().max().copied().unwrap_or(0);
         wall.max(last + 1)
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -14,7 +14,7 @@
 //! `process_phase`, `streaming_clients`, `stream`, `request`, `connection_state`, `reply`, `inbound`: phase of
 //! this process, client connections, requests and answers;
 //! `shared_limits`, `process_sharing`: the limits of a sidecar among its processes;
-//! `control`: the admin API.
+//! `orders`, `control`: orders of the operators, the admin API.
 
 mod abort_on_drop;
 mod body_limits;
@@ -37,6 +37,7 @@
 mod manual_ejections;
 mod message;
 mod monitored_connection;
+mod orders;
 mod outbound;
 mod own_memory;
 mod peers;
@@ -61,7 +62,7 @@
 use crate::logging::LogHandle;
 use budget::Budget;
 use clock::Clock;
-use control::{AdminApi, HandledVersion};
+use control::AdminApi;
 use counters::Counters;
 use discovery::{Discovery, DiscoveryCommand};
 use discovery_health::DiscoveryHealth;
@@ -75,6 +76,7 @@
 use manual_ejections::{ManualEjectionStore, ManualEjections};
 use message::Input;
 use monitored_connection::CLIENT_RECEIVE_BUFFER;
+use orders::{HandledVersion, Orders};
 use outbound::Outbound;
 use peers::Peers;
 use persistence::Persistence;
@@ -275,11 +277,11 @@
     };
     if let Some((control, api_listener)) = api_listener {
         info!(sidecar = name, %control, "admin API is listening");
-        let api = AdminApi::new(ejections, counters, inbound.clone(), inbox);
+        let orders = Orders::new(ejections, inbox.clone());
         // Orders given to the predecessor since this process started are in force before the first client.
-        let handled = api.apply_new_orders(HandledVersion::InForce(None)).await;
-        spawn_local(api.clone().follow_orders(handled));
-        spawn_local(api.serve(api_listener));
+        let handled = orders.apply_new(HandledVersion::InForce(None)).await;
+        spawn_local(orders.clone().follow(handled));
+        spawn_local(AdminApi::new(orders, counters, inbound.clone(), inbox).serve(api_listener));
     }
     info!(sidecar = name, %listen, version = env!("CARGO_PKG_VERSION"), "serving");
     let ask_within_ms = rules.ask_within.as_millis() as u64;
--- a/tests/orders_in_time.rs
+++ b/tests/orders_in_time.rs
@@ -28,16 +28,21 @@
     peer.count() - before
 }
 
+/// Another process of this sidecar keeps an order, and its disk stands still.
+fn hold_orders(shared: &Shared) -> File {
+    let lock = shared.0.join("suspended-n0.lock");
+    let held = OpenOptions::new().create(true).truncate(false).write(true).open(lock).unwrap();
+    held.lock().unwrap();
+    held
+}
+
 #[test]
 fn an_order_binds_after_a_second_though_it_can_not_be_kept_yet() {
     let (first, second) = (Peer::serving("ok"), Peer::serving("ok"));
     let shared = Shared::new();
     let (sidecar, door) = shared.start(&config(&[&first, &second]));
     assert!(share(&sidecar, &first, "before") > 0, "it was in use");
-    // Another process of this sidecar keeps an order, and its disk stands still.
-    let lock = shared.0.join("suspended-n0.lock");
-    let held = OpenOptions::new().create(true).truncate(false).write(true).open(lock).unwrap();
-    held.lock().unwrap();
+    let held = hold_orders(&shared);
     let (said, answer) = channel();
     let called = Instant::now();
     thread::spawn(move || said.send(call(door, "POST", "/v1/endpoints/s-0/suspend").status()));
@@ -75,3 +80,34 @@
     assert_eq!(got, 0, "requests to an endpoint that another process was ordered to take out 3.5 s ago");
     assert_eq!(figure(door, "members_unavailable"), 1);
 }
+
+/// Orders that were in force before they could be kept were lost, or kept in another order.
+#[test]
+fn orders_that_bind_before_they_can_be_kept_are_kept_later_in_their_order() {
+    let (first, second) = (Peer::serving("ok"), Peer::serving("ok"));
+    let shared = Shared::new();
+    let (sidecar, door) = shared.start(&config(&[&first, &second]));
+    let held = hold_orders(&shared);
+    let order = |order: &str| {
+        let called = Instant::now();
+        let status = call(door, "POST", &format!("/v1/endpoints/s-0/{order}")).status();
+        assert!(called.elapsed() < BINDS && status == 202, "{order}: {status}, {:?}", called.elapsed());
+    };
+    order("suspend");
+    order("resume");
+    let resumed = Instant::now();
+    while share(&sidecar, &first, &format!("back{:?}", resumed.elapsed())) == 0 {
+        assert!(resumed.elapsed() < GRACE, "it is not used again: {}", sidecar.log());
+        thread::sleep(Duration::from_millis(50));
+    }
+    order("suspend");
+    drop(held);
+    let kept = || std::fs::read_to_string(shared.0.join("suspended-n0.json")).unwrap_or_default();
+    let released = Instant::now();
+    while !kept().starts_with(r#"{"suspended":["s-0"]"#) {
+        assert!(released.elapsed() < GRACE, "{}", kept());
+        thread::sleep(Duration::from_millis(20));
+    }
+    assert_eq!(share(&sidecar, &first, "out"), 0);
+    assert_eq!(call(door, "POST", "/v1/endpoints/s-0/resume").status(), 200);
+}
