Shut silent connections unread where others wait to be accepted

Cause: at its limits the process refuses 24 connections at a time and waits up to 0.5 s for the head of each, so what is behind them waits unread in the kernel's queue, and its time does not run. Class: a wait without a bound before the place at which time begins to count.

Connections are told that slots are needed every 10 ms at most, in place of at each accepted one.

--- a/src/net/inbound.rs
+++ b/src/net/inbound.rs
@@ -16,18 +16,22 @@
 use super::streaming_clients::StreamingClients;
 use gullpulley::is_local_failure;
 use std::cell::Cell;
+use std::io;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, watch};
 use tokio::task::spawn_local;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep, timeout};
 use tracing::{debug, error};
 
 /// Wait after a failed accept: without free descriptors the next call would fail at once, in a busy loop.
 const ACCEPT_ERROR_DELAY: Duration = Duration::from_millis(10);
 /// Wait after a connection that was aborted before it was accepted.
 const ABORTED_ACCEPT_DELAY: Duration = Duration::from_millis(1);
+/// Interval between signals to connections to free their slots.
+const CLOSE_SIGNAL_INTERVAL: Duration = Duration::from_millis(10);
 
 /// State shared by all client connections.
 pub struct Inbound {
@@ -48,6 +52,10 @@
     accept_failing: Cell<bool>,
     /// Each change tells connections to free their slots or, while draining, to close.
     close_signal: watch::Sender<()>,
+    /// When connections were last told to free their slots.
+    close_signal_sent: Cell<Option<Instant>>,
+    /// Since when connections have been waiting to be accepted as no more can even be refused at a time.
+    crowded_since: Cell<Option<Instant>>,
 }
 
 impl Inbound {
@@ -74,6 +82,8 @@
             other_process_serving: Cell::new(false),
             accept_failing: Cell::new(false),
             close_signal: watch::Sender::new(()),
+            close_signal_sent: Cell::new(None),
+            crowded_since: Cell::new(None),
         })
     }
 
@@ -100,7 +110,7 @@
     /// Accepts one connection, once there is a slot for it.
     async fn accept(self: &Rc<Self>, listener: &TcpListener) {
         let permit = self.client_permit().await;
-        match listener.accept().await {
+        match self.next_connection(listener).await {
             Ok((stream, _)) => {
                 self.accept_failing.set(false);
                 self.admit(stream, permit.or_else(|| self.budget.take(Holder::Client)));
@@ -121,6 +131,17 @@
         }
     }
 
+    async fn next_connection(&self, listener: &TcpListener) -> io::Result<(TcpStream, SocketAddr)> {
+        tokio::select! {
+            biased;
+            accepted = listener.accept() => accepted,
+            () = std::future::ready(()) => {
+                self.crowded_since.set(None); // none is waiting
+                listener.accept().await
+            }
+        }
+    }
+
     /// Serves a connection; one without a permit is only told that the limit is reached.
     fn admit(self: &Rc<Self>, stream: TcpStream, permit: Option<Permit>) {
         let shed = permit.is_none();
@@ -140,12 +161,20 @@
                 return Some(permit);
             }
             // Idle clients free their slots for new ones.
-            self.close_signal.send_replace(());
+            self.ask_for_slots();
             if let Some(permit) = self.budget.take(Holder::Shed) {
                 drop(permit);
                 return None;
             }
-            self.budget.client_released().await;
+            self.crowded_since.set(self.crowded_since.get().or(Some(Instant::now())));
+            let _ = timeout(CLOSE_SIGNAL_INTERVAL, self.budget.client_released()).await;
+        }
+    }
+
+    fn ask_for_slots(&self) {
+        if self.close_signal_sent.get().is_none_or(|sent| sent.elapsed() >= CLOSE_SIGNAL_INTERVAL) {
+            self.close_signal_sent.set(Some(Instant::now()));
+            self.close_signal.send_replace(());
         }
     }
 }
--- a/src/net/inbound/connection.rs
+++ b/src/net/inbound/connection.rs
@@ -19,6 +19,11 @@
 const MAX_CONNECTION_BUFFER: usize = 32 * 1024;
 /// A connection over the limit has this long to send the head that is answered with a refusal.
 const SHED_HEAD_TIMEOUT: Duration = Duration::from_millis(500);
+/// The same where nothing has arrived, and others wait to be accepted since no more can be refused at a time. Those have had
+/// the time of their wait to send something; ...
+const CROWDED_SHED_SILENCE: Duration = Duration::from_millis(20);
+/// ... so the first ones get as much.
+const CROWDED_SHED_START: Duration = Duration::from_millis(150);
 /// The head of a later request must begin within this of the previous answer, so that a silent client does
 /// not hold its socket forever.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
@@ -121,6 +126,10 @@
                         None if self.phase.get().is_ending() => {
                             new_connection_until = Some(Instant::now() + NEW_CONNECTION_GRACE);
                         }
+                        None if shed && let Some(since) = self.crowded_since.get() => {
+                            let until = state.accepted_at + CROWDED_SHED_SILENCE;
+                            new_connection_until = Some(until.max(since + CROWDED_SHED_START));
+                        }
                         // A connection used recently is likely to be used again at once, and a request that
                         // crosses the close is lost, or sent twice: the next answer announces the close
                         // instead.
--- a/tests/node_limits.rs
+++ b/tests/node_limits.rs
@@ -5,7 +5,7 @@
 
 use serde_json::json;
 use std::io::{ErrorKind, Read};
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
@@ -393,6 +393,40 @@
     drop(silent);
 }
 
+/// Those who waited behind a crowd that says nothing had their answers, refusals too, seconds after their time.
+#[test]
+fn requests_behind_a_crowd_that_says_nothing_are_answered_in_time_or_never_taken() {
+    const CROWD: usize = 1000;
+    const REQUESTS: usize = 60;
+    const TIME: Duration = Duration::from_millis(1200);
+    const LOST_AFTER: Duration = Duration::from_millis(500);
+    let peer = Peer::serving("ok");
+    let mut config = config(&[&peer]);
+    config["limits"]["memory_mb"] = json!(32);
+    let sidecar = Sidecar::start(&config);
+    let address = sidecar.address;
+    let _silent: Vec<TcpStream> = (0..CROWD).map(|_| TcpStream::connect(address).unwrap()).collect();
+    let asking: Vec<_> = (0..REQUESTS)
+        .map(|number| {
+            thread::sleep(Duration::from_millis(50));
+            thread::spawn(move || {
+                let mut client = Client::over(TcpStream::connect(address).unwrap());
+                let sent = Instant::now();
+                client.send(&request("quote", &format!("r{number}"), &format!("{}m", TIME.as_millis())));
+                (client.receive().map(|answer| answer.status()), sent.elapsed())
+            })
+        })
+        .collect();
+    let ends: Vec<_> = asking.into_iter().map(|asking| asking.join().unwrap()).collect();
+    let served = ends.iter().filter(|(status, _)| *status == Some(200)).count();
+    println!(
+        "{served} of {REQUESTS} served, the last answer after {:?}",
+        ends.iter().map(|(_, took)| took).max()
+    );
+    let late: Vec<_> = ends.iter().filter(|(_, took)| *took > TIME + LOST_AFTER).collect();
+    assert!(late.is_empty(), "{} of {REQUESTS}: {late:?}", late.len());
+}
+
 #[test]
 fn connections_told_that_there_is_no_room_have_their_answer_before_the_end() {
     const PLACES: usize = 10; // five eighths of 64 descriptors less 48
