Command line: an order that is in force and still to be recorded succeeds

An operator's `gullpulley suspend` ended with 1 ("the admin API answers 202") though the order was in force: found by hand with the lock on the file of orders held. Cause: the client took 200 alone for a yes, and brought 202. Any success status counts now. The order's own text is printed. operators_steer_a_running_sidecar_from_a_shell asks for it: 1 before, 0 now.

--- a/src/admin_client.rs
+++ b/src/admin_client.rs
@@ -26,7 +26,7 @@
     /// No complete answer arrived in time.
     #[error("no valid answer from the admin API at {0}: {1}")]
     NoAnswer(SocketAddr, String),
-    /// The answer has a status other than 200.
+    /// The answer's status says no.
     #[error("the admin API at {0} answers {1}: {2}")]
     Refused(SocketAddr, u16, String),
 }
@@ -53,7 +53,7 @@
 
 fn expect_ok(address: SocketAddr, (status, text): (StatusCode, String)) -> Result<String, AdminError> {
     let refused = || AdminError::Refused(address, status.as_u16(), text.trim_end().to_owned());
-    if status == StatusCode::OK { Ok(text) } else { Err(refused()) }
+    if status.is_success() { Ok(text) } else { Err(refused()) }
 }
 
 fn call(address: SocketAddr, method: Method, path: &str) -> Result<(StatusCode, String), AdminError> {
--- a/tests/command_line.rs
+++ b/tests/command_line.rs
@@ -77,6 +77,13 @@
     assert_eq!(ask(&["suspend", "s-0"]), (0, "suspended\n".to_owned()));
     assert!(ask(&["status"]).1.contains("members_unavailable                          1"));
     assert_eq!(ask(&["resume", "s-0"]), (0, "in use\n".to_owned()));
+    // An order that can't be recorded yet is carried out, too.
+    let mut files = std::fs::read_dir(&shared.0).unwrap().map(|file| file.unwrap().path());
+    let lock = files.find(|path| path.extension().is_some_and(|ending| ending == "lock")).unwrap();
+    let held = std::fs::File::open(lock).unwrap();
+    held.lock().unwrap();
+    assert_eq!(ask(&["suspend", "s-0"]), (0, "this is in force, and still to be recorded\n".to_owned()));
+    drop(held);
     let (code, told) = ask(&["suspend", "nobody"]);
     assert!(code == 1 && told.contains("answers 404: no endpoint has this id"), "{told}");
     assert_eq!(ask(&["drain"]), (0, "draining\n".to_owned()));
